--- /dev/null
+++ b/src/attempt/handle.ts
@@ -0,0 +1,210 @@
+import {List} from 'immutable';
+import {stay} from '../loop/index.js';
+import type {Step} from '../loop/index.js';
+import type {ErrorKind} from '../errors/index.js';
+import type {
+	AgentEffect, AgentEvent, FenceAnswer, SealAnswer,
+} from './messages.js';
+import {maxKept, maxRouters, maxSealed} from './state.js';
+import type {
+	AgentState, Attempt, Order, RouterView,
+} from './state.js';
+
+type AgentStep = Step<AgentState, AgentEffect>;
+/** Names of safety rules switched off, for the model check alone. */
+type Broken = string | undefined;
+type Decide<Event> = (state: AgentState, event: Event, now: number, broken: Broken) => AgentStep;
+
+const attemptsOf = (state: AgentState, router: string): readonly Attempt[] =>
+	state.attempts.valueSeq().filter(attempt => attempt.router === router).toArray();
+
+/** Makes room among the routers once the bound is reached: silent ones that left nothing behind go. */
+const dropSilent = (state: AgentState): AgentState['routers'] =>
+	state.routers.size < maxRouters
+		? state.routers
+		: state.routers.filter((view, router) => view.state !== 'silent' || attemptsOf(state, router).length > 0);
+
+const openSession: Decide<AgentEvent & {kind: 'session-opened'}> = (state, {router}, _now, broken) => {
+	const view = state.routers.get(router);
+	if (view?.state === 'fenced' && broken !== 'fence-refuses') {
+		return {state, effects: [{kind: 'refuse-session', router}]};
+	}
+
+	const session = (view?.session ?? 0) + 1;
+	const next: RouterView = {state: 'heard', session};
+	return {
+		state: {...state, routers: dropSilent(state).set(router, next)},
+		effects: [{
+			kind: 'accept-session', router, session, kept: attemptsOf(state, router),
+		}],
+	};
+};
+
+const closeSession: Decide<AgentEvent & {kind: 'session-closed'}> = (state, {router, session}) => {
+	const view = state.routers.get(router);
+	if (view?.state !== 'heard' || view.session !== session) {
+		return stay(state);
+	}
+
+	// Nobody is left to read these answers; an act goes on, since its answer is kept.
+	const orphans = attemptsOf(state, router).filter(attempt => attempt.state === 'running' && attempt.claimKey === undefined);
+	return {
+		state: {...state, routers: state.routers.set(router, {...view, state: 'silent'})},
+		effects: orphans.map(({attempt}) => ({kind: 'cancel', attempt})),
+	};
+};
+
+const findRefusal = (state: AgentState, order: Order, broken: Broken): ErrorKind | undefined => {
+	const isMeant = order.agent === state.incarnation || broken === 'incarnation-check';
+	const isSealed = state.sealed.has(order.attempt);
+	if (!isMeant || isSealed || state.phase === 'leaving') {
+		return 'not-ready';
+	}
+
+	return state.running >= state.capacity || state.attempts.size >= maxKept ? 'overloaded' : undefined;
+};
+
+const receiveOrder: Decide<AgentEvent & {kind: 'ordered'}> = (state, event, _now, broken) => {
+	const {order, router, session} = event;
+	const view = state.routers.get(router);
+	const isCurrent = view?.state === 'heard' && view.session === session;
+	if ((!isCurrent && broken !== 'fence-refuses') || state.attempts.has(order.attempt)) {
+		return stay(state);
+	}
+
+	const error = findRefusal(state, order, broken);
+	if (error !== undefined) {
+		return {
+			state, effects: [{
+				kind: 'refuse', router, attempt: order.attempt, error,
+			}],
+		};
+	}
+
+	const attempt: Attempt = {
+		...order, router, state: 'running', tokens: 0,
+	};
+	return {
+		state: {...state, running: state.running + 1, attempts: state.attempts.set(order.attempt, attempt)},
+		effects: [{kind: 'start', attempt}],
+	};
+};
+
+const endAttempt: Decide<AgentEvent & {kind: 'attempt-ended'}> = (state, event) => {
+	const attempt = state.attempts.get(event.attempt);
+	if (attempt?.state !== 'running') {
+		return stay(state);
+	}
+
+	const ended: Attempt = {
+		...attempt,
+		state: 'ended',
+		outcome: event.outcome,
+		tokens: Math.min(event.tokens, attempt.cap),
+		...(attempt.claimKey !== undefined && event.answer !== undefined && {answer: event.answer}),
+	};
+	const next: AgentState = {...state, running: state.running - 1, attempts: state.attempts.set(event.attempt, ended)};
+	const drained: readonly AgentEffect[] = next.phase === 'leaving' && next.running === 0 ? [{kind: 'drained'}] : [];
+	return {state: next, effects: [{kind: 'report-end', attempt: ended}, ...drained]};
+};
+
+const forgetSettled: Decide<AgentEvent & {kind: 'settled'}> = (state, {attempts}) => {
+	const known = attempts.flatMap(id => state.attempts.get(id) ?? []).filter(attempt => attempt.state === 'ended');
+	const byRouter = List(known).groupBy(attempt => attempt.router);
+	const effects = byRouter.entrySeq().toArray().map(([router, group]): AgentEffect => ({
+		kind: 'forgotten', router, attempts: group.toArray().map(({attempt}) => attempt),
+	}));
+	return {state: {...state, attempts: state.attempts.deleteAll(known.map(({attempt}) => attempt))}, effects};
+};
+
+const answerFence = (state: AgentState, call: number, answer: FenceAnswer): AgentStep => ({state, effects: [{kind: 'answer-fence', call, answer}]});
+
+const fenceRouter: Decide<AgentEvent & {kind: 'fence-asked'}> = (state, {router, probe, call}) => {
+	const view = state.routers.get(router);
+	if (view?.state === 'heard') {
+		return answerFence(state, call, {state: 'serving', usages: []});
+	}
+
+	if (probe) {
+		return answerFence(state, call, {state: 'silent', usages: []});
+	}
+
+	if (view === undefined && state.routers.size >= maxRouters) {
+		return answerFence(state, call, {state: 'full', usages: []});
+	}
+
+	const usages = attemptsOf(state, router);
+	const running = usages.filter(attempt => attempt.state === 'running');
+	const fenced: AgentState = {...state, routers: state.routers.set(router, {state: 'fenced', session: view?.session ?? 0})};
+	const cancels = running.filter(attempt => attempt.claimKey === undefined).map(({attempt}): AgentEffect => ({kind: 'cancel', attempt}));
+	const answer: FenceAnswer = running.length > 0 ? {state: 'pending', usages: []} : {state: 'fenced', usages};
+	return {state: fenced, effects: [...cancels, {kind: 'answer-fence', call, answer}]};
+};
+
+const closeRouter: Decide<AgentEvent & {kind: 'router-closed'}> = (state, {router}) => {
+	const isFenced = state.routers.get(router)?.state === 'fenced';
+	return stay(isFenced ? {...state, attempts: state.attempts.filter(attempt => attempt.router !== router)} : state);
+};
+
+const describeSeal = (attempt: Attempt): SealAnswer => {
+	if (attempt.state === 'running') {
+		return {state: 'running', tokens: 0};
+	}
+
+	if (attempt.outcome === 'not-run') {
+		return {state: 'sealed', tokens: 0};
+	}
+
+	return attempt.answer === undefined
+		? {state: 'unknown', tokens: attempt.tokens}
+		: {state: 'done', tokens: attempt.tokens, answer: attempt.answer};
+};
+
+const sealAttempt: Decide<AgentEvent & {kind: 'seal-asked'}> = (state, {attempt: id, agent, call}, now) => {
+	const answerSeal = (next: AgentState, answer: SealAnswer): AgentStep => ({state: next, effects: [{kind: 'answer-seal', call, answer}]});
+	if (agent !== state.incarnation) {
+		return answerSeal(state, {state: 'gone', tokens: 0});
+	}
+
+	const attempt = state.attempts.get(id);
+	if (attempt !== undefined) {
+		return answerSeal(state, describeSeal(attempt));
+	}
+
+	return state.sealed.size >= maxSealed && !state.sealed.has(id)
+		? answerSeal(state, {state: 'full', tokens: 0})
+		: answerSeal({...state, sealed: state.sealed.set(id, now)}, {state: 'sealed', tokens: 0});
+};
+
+const cancelAttempt: Decide<AgentEvent & {kind: 'cancel-asked'}> = (state, {router, attempt: id}) => {
+	const attempt = state.attempts.get(id);
+	const isOwn = attempt?.router === router && attempt.state === 'running' && attempt.claimKey === undefined;
+	return {state, effects: isOwn ? [{kind: 'cancel', attempt: id}] : []};
+};
+
+const handlers: Readonly<{[Kind in AgentEvent['kind']]: Decide<AgentEvent & {kind: Kind}>}> = {
+	'session-opened': openSession,
+	'session-closed': closeSession,
+	ordered: receiveOrder,
+	'cancel-asked': cancelAttempt,
+	settled: forgetSettled,
+	'attempt-ended': endAttempt,
+	'fence-asked': fenceRouter,
+	'router-closed': closeRouter,
+	'seal-asked': sealAttempt,
+	'drain-asked': state => ({state: {...state, phase: 'leaving'}, effects: state.running === 0 ? [{kind: 'drained'}] : []}),
+};
+
+/**
+Decides what an agent does next.
+
+@param state - What the agent remembers.
+@param event - What happened.
+@param now - The time in ms.
+@param broken - A safety rule to switch off; for the model check alone.
+@returns What it remembers from then on, and what it does.
+*/
+export const handleAgent = (state: AgentState, event: AgentEvent, now: number, broken?: Broken): AgentStep => {
+	const decide = handlers[event.kind] as Decide<AgentEvent>;
+	return decide(state, event, now, broken);
+};
--- /dev/null
+++ b/src/attempt/index.ts
@@ -0,0 +1,8 @@
+export {handleAgent} from './handle.js';
+export type {
+	AgentEffect, AgentEvent, FenceAnswer, SealAnswer,
+} from './messages.js';
+export {createAgentState} from './state.js';
+export type {
+	AgentState, Answer, Attempt, AttemptOutcome, Order,
+} from './state.js';
--- /dev/null
+++ b/src/bill/index.ts
@@ -0,0 +1,4 @@
+export {sumBills, writeBills} from './bill.js';
+export type {
+	AttemptPlace, Bill, BillBatch, BillEntry,
+} from './bill.js';
--- /dev/null
+++ b/src/bin/galena-agent.ts
@@ -0,0 +1,31 @@
+#!/usr/bin/env node
+import {randomUUID} from 'node:crypto';
+import {startAgent} from '../agent/agent.js';
+import {agentSettings} from '../agent/settings.js';
+import {openLog} from '../log/index.js';
+import {openHostList} from '../router/hosts.js';
+import {runDaemon} from './program.js';
+
+await runDaemon({
+	name: 'galena-agent',
+	description: 'Stands beside an endpoint and is its only door.',
+	schema: agentSettings,
+	async start({agent, log}) {
+		const hosts = openHostList(agent.hosts);
+		const started = await startAgent({
+			listen: agent.listen,
+			dataCentre: agent['data-centre'],
+			pool: agent.pool,
+			endpoint: agent.endpoint,
+			kind: agent.kind,
+			capacity: agent.capacity,
+			async listRouters() {
+				const routers = await hosts.list('galena-router');
+				return routers.map(router => router.address);
+			},
+			incarnation: `a-${randomUUID()}`,
+			log: openLog({program: 'galena-agent', level: log.level, metrics: log.metrics}),
+		});
+		return {stop: started.drain};
+	},
+});
--- /dev/null
+++ b/src/bin/galena-router.ts
@@ -0,0 +1,33 @@
+#!/usr/bin/env node
+import {openLog} from '../log/index.js';
+import {openHostList} from '../router/hosts.js';
+import {startRouter} from '../router/router.js';
+import {routerSettings} from '../router/settings.js';
+import {openTable} from '../table/index.js';
+import {runDaemon} from './program.js';
+
+await runDaemon({
+	name: 'galena-router',
+	description: 'Takes callers\' and operators\' requests on an entry host.',
+	schema: routerSettings,
+	async start(settings) {
+		const {router, table, grants, limits} = settings;
+		const log = openLog({program: 'galena-router', level: settings.log.level, metrics: settings.log.metrics});
+		const started = await startRouter({
+			listen: router.listen,
+			control: router.control,
+			dataCentre: router['data-centre'],
+			table: openTable({address: table.address, tableName: table.name, timeout: table.timeout}),
+			hosts: openHostList(router.hosts),
+			policy: {
+				kind: grants.policy, size: grants.size, horizon: grants.horizon / 1000, share: grants.share, refusalCost: grants['refusal-cost'],
+			},
+			operators: settings.operators,
+			maxBody: limits.body,
+			maxHeaders: limits.headers,
+			seed: router.seed,
+			log,
+		});
+		return {stop: started.drain};
+	},
+});
--- /dev/null
+++ b/src/claim/index.ts
@@ -0,0 +1,6 @@
+export {
+	readClaim, restoreAnswer, storeAnswer, writeClaim,
+} from './claim.js';
+export type {
+	Claim, ClaimBody, ClaimState, StoredAnswer,
+} from './claim.js';
--- /dev/null
+++ b/src/errors/kinds.ts
@@ -0,0 +1,104 @@
+/**
+The closed list of error kinds and the answer that each gives a caller.
+
+Every refusal or failure that leaves the fleet carries one of these kinds.
+*/
+
+/** What the fleet knows about the work when it answers with an error. */
+export type Outcome = 'complete' | 'not-run' | 'unknown';
+
+type Answer = Readonly<{
+	status: number;
+	title: string;
+	outcome: Outcome;
+	/** Seconds after which the caller may try again, where that helps. */
+	retryAfter?: number;
+}>;
+
+/** From each error kind to its HTTP answer. */
+export const answers = {
+	'bad-request': {status: 400, title: 'The request is malformed', outcome: 'not-run'},
+	unauthorised: {status: 401, title: 'The API key is missing or unknown', outcome: 'not-run'},
+	'budget-exhausted': {status: 402, title: 'The budget cannot cover the request', outcome: 'not-run'},
+	forbidden: {status: 403, title: 'The key does not allow this', outcome: 'not-run'},
+	'unknown-class': {status: 404, title: 'The class of work is unknown', outcome: 'not-run'},
+	'not-found': {status: 404, title: 'There is nothing at this path', outcome: 'not-run'},
+	'method-not-allowed': {status: 405, title: 'The path does not take this method', outcome: 'not-run'},
+	'key-required': {status: 400, title: 'Work that may not be repeated needs an Idempotency-Key', outcome: 'not-run'},
+	'outcome-unknown': {status: 409, title: 'The work may have run; it will not be run again', outcome: 'unknown'},
+	'in-progress': {
+		status: 409, title: 'The work under this key is still running', outcome: 'unknown', retryAfter: 2,
+	},
+	'revision-conflict': {status: 412, title: 'The configuration was changed by somebody else', outcome: 'not-run'},
+	'too-large': {status: 413, title: 'The request is larger than the limit', outcome: 'not-run'},
+	'key-conflict': {status: 422, title: 'The Idempotency-Key was used with another request', outcome: 'not-run'},
+	'revision-required': {status: 428, title: 'The change needs an If-Match revision', outcome: 'not-run'},
+	'headers-too-large': {status: 431, title: 'The headers are larger than the limit', outcome: 'not-run'},
+	overloaded: {
+		status: 503, title: 'The target cannot be met at present', outcome: 'not-run', retryAfter: 2,
+	},
+	'not-ready': {
+		status: 503, title: 'The fleet cannot serve this at present', outcome: 'not-run', retryAfter: 5,
+	},
+	'store-unavailable': {
+		status: 503, title: 'The platform\'s store does not answer', outcome: 'not-run', retryAfter: 5,
+	},
+	'claim-unread': {
+		status: 503, title: 'Whether the work has run cannot be told at present', outcome: 'unknown', retryAfter: 5,
+	},
+	'endpoint-failed': {
+		status: 502, title: 'The endpoint failed before the answer was whole', outcome: 'unknown', retryAfter: 1,
+	},
+	deadline: {status: 504, title: 'The answer was not whole within the target', outcome: 'unknown'},
+	internal: {status: 500, title: 'The fleet failed', outcome: 'unknown'},
+} as const satisfies Readonly<Record<string, Answer>>;
+
+/** A kind from the closed list. */
+export type ErrorKind = keyof typeof answers;
+
+/** An error as it is answered to a caller. */
+export type Fault = Readonly<{
+	kind: ErrorKind;
+	/** What was wrong, naming the field. */
+	detail: string;
+	/** Seconds; stands in for the table's value. */
+	retryAfter?: number;
+}>;
+
+/**
+Creates a fault.
+
+@param kind - A kind from the closed list.
+@param detail - What was wrong, naming the field.
+@param retryAfter - Seconds until a retry may help.
+@returns The fault.
+*/
+export const createFault = (kind: ErrorKind, detail: string, retryAfter?: number): Fault =>
+	retryAfter === undefined ? {kind, detail} : {kind, detail, retryAfter};
+
+/**
+Describes the HTTP answer to a fault.
+
+@param fault - The fault.
+@returns The status, headers and problem document to send.
+*/
+export const describeFault = (fault: Fault) => {
+	const answer: Answer = answers[fault.kind];
+	const retryAfter = fault.retryAfter ?? answer.retryAfter;
+	return {
+		status: answer.status,
+		headers: {
+			'content-type': 'application/problem+json',
+			'galena-outcome': answer.outcome,
+			...(retryAfter !== undefined && {'retry-after': String(retryAfter)}),
+		},
+		problem: {
+			type: `urn:galenagauge:${fault.kind}`,
+			title: answer.title,
+			status: answer.status,
+			kind: fault.kind,
+			detail: fault.detail,
+			outcome: answer.outcome,
+		},
+	} as const;
+};
--- /dev/null
+++ b/src/log/log.ts
@@ -0,0 +1,89 @@
+import {StatsD} from 'hot-shots';
+import winston from 'winston';
+
+/** A value of a log line. */
+export type Field = string | number | boolean | undefined;
+
+/** Writes one line of key=value pairs for each event, and counts it. */
+export type Log = Readonly<{
+	event: (name: string, fields: Readonly<Record<string, Field>>) => void;
+	warn: (name: string, fields: Readonly<Record<string, Field>>) => void;
+	/** Records how long something took, in ms. */
+	time: (metric: string, milliseconds: number, tags?: readonly string[]) => void;
+	gauge: (metric: string, value: number) => void;
+	close: () => void;
+}>;
+
+type LogOptions = Readonly<{
+	program: string;
+	/** `silent` writes nothing. */
+	level: 'debug' | 'info' | 'warn' | 'error' | 'silent';
+	/** Where StatsD metrics go, as IP number and port; undefined for nowhere. */
+	metrics: Readonly<{host: string; port: number}> | undefined;
+}>;
+
+const needsQuotes = /[\s="\\]/v;
+
+const formatValue = (value: Field): string => {
+	const text = String(value);
+	return text === '' || needsQuotes.test(text) ? JSON.stringify(text) : text;
+};
+
+/**
+Formats an event as one line.
+
+@param fields - The fields in the order in which they appear.
+@returns Pairs of key=value, separated by spaces; undefined values are left out.
+*/
+export const formatLine = (fields: Readonly<Record<string, Field>>): string =>
+	Object.entries(fields)
+		.filter(([, value]) => value !== undefined)
+		.map(([key, value]) => `${key}=${formatValue(value)}`)
+		.join(' ');
+
+const lineFormat = winston.format.printf(info => {
+	const {level, message, ...fields} = info as Readonly<Record<string, Field>>;
+	return formatLine({
+		time: new Date().toISOString(), level, event: message, ...fields,
+	});
+});
+
+/**
+Opens a program's log and metrics.
+
+@param options - What to write, and where metrics go.
+@returns The log.
+*/
+export const openLog = (options: LogOptions): Log => {
+	const logger = winston.createLogger({
+		level: options.level === 'silent' ? 'error' : options.level,
+		silent: options.level === 'silent',
+		format: lineFormat,
+		transports: [new winston.transports.Console({stderrLevels: ['debug', 'info', 'warn', 'error']})],
+	});
+	const metrics = options.metrics === undefined
+		? undefined
+		: new StatsD({
+			host: options.metrics.host, port: options.metrics.port, prefix: 'galena.', globalTags: [`program:${options.program}`], errorHandler: () => undefined,
+		});
+
+	const write = (level: 'info' | 'warn') => (name: string, fields: Readonly<Record<string, Field>>) => {
+		logger.log(level, name, {program: options.program, ...fields});
+		metrics?.increment(`events.${name}`);
+	};
+
+	return {
+		event: write('info'),
+		warn: write('warn'),
+		time(metric, milliseconds, tags = []) {
+			metrics?.timing(metric, milliseconds, [...tags]);
+		},
+		gauge(metric, value) {
+			metrics?.gauge(metric, value);
+		},
+		close() {
+			metrics?.close(() => undefined);
+			logger.close();
+		},
+	};
+};
--- /dev/null
+++ b/src/loop/index.ts
@@ -0,0 +1,4 @@
+export {runInBackground} from './background.js';
+export {startLoop} from './loop.js';
+export type {Handler, Loop, Step} from './loop.js';
+export {chain, chainAll, stay} from './step.js';
--- /dev/null
+++ b/src/random/index.ts
@@ -0,0 +1,2 @@
+export {createRandom} from './random.js';
+export type {Random} from './random.js';
--- /dev/null
+++ b/src/router/caller.ts
@@ -0,0 +1,236 @@
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import type {Answer} from '../attempt/index.js';
+import {describeFault} from '../errors/index.js';
+import type {Fault} from '../errors/index.js';
+import type {CheckedCall} from './front.js';
+
+/** Where a caller's answer goes: an HTTP response, or a peer that forwarded the request. */
+export type Sink = Readonly<{
+	writeHead: (status: number, headers: Readonly<Record<string, string>>) => void;
+	/** Returns false while the reader is too slow. */
+	write: (data: string | Uint8Array) => boolean;
+	end: () => void;
+	onDrain: (resume: () => void) => void;
+}>;
+
+/** How one attempt's answer comes in. */
+export type Delivery = Readonly<{
+	/** The next part's number; parts come in order or not at all. */
+	next: number;
+	/** Bytes handed on for which the agent has got no new credit. */
+	owed: number;
+}>;
+
+/**
+A caller who waits, with what it has got so far. The router's decisions live in
+its state; this holds the data that passes through.
+*/
+export type Caller = {
+	readonly checked: CheckedCall;
+	readonly body: Buffer;
+	readonly method: string;
+	readonly contentType: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly path: string;
+	readonly sink: Sink;
+	readonly arrivedAt: number;
+	/** The attempt whose parts are handed on; parts of any other are dropped. */
+	attempt: string | undefined;
+	agent: string | undefined;
+	delivery: Delivery;
+	/** Parts of an answer that is handed on only when it is whole. */
+	whole: Uint8Array[];
+	/** Events of a stream that were handed on, for a resumption. */
+	events: string[];
+	eventBytes: number;
+	hasHead: boolean;
+	isEnded: boolean;
+	isBlocked: boolean;
+	/** The id of the stream's first event: a resumed stream goes on under it. */
+	streamId: string | undefined;
+	resumes: boolean;
+};
+
+/** Bytes of a stream that are kept for a resumption. */
+export const maxEventBytes = 1024 * 1024;
+
+/**
+Makes an HTTP response the place where an answer goes.
+
+@param response - The response.
+@returns The sink.
+*/
+export const createHttpSink = (response: ServerResponse): Sink => ({
+	writeHead(status, headers) {
+		response.writeHead(status, headers);
+	},
+	write: data => response.write(data),
+	end() {
+		response.end();
+	},
+	onDrain(resume) {
+		response.once('drain', resume);
+	},
+});
+
+const writeEvent = (caller: Caller, data: string): boolean => caller.sink.write(`data: ${data}\n\n`);
+
+const startStream = (caller: Caller) => {
+	if (!caller.hasHead) {
+		caller.hasHead = true;
+		caller.sink.writeHead(200, {
+			'content-type': 'text/event-stream', 'cache-control': 'no-store', 'galena-request-id': caller.checked.order.billId,
+		});
+	}
+};
+
+type StreamEvent = Readonly<{id?: string; model?: string; choices?: ReadonlyArray<Readonly<{delta?: Readonly<Record<string, unknown>>}>>}>;
+
+const parseEvent = (data: string): StreamEvent => {
+	try {
+		return JSON.parse(data) as StreamEvent;
+	} catch {
+		return {};
+	}
+};
+
+/** A resumed stream keeps the first attempt's id, and does not name its role again. */
+const rewriteEvent = (caller: Caller, data: string): string => {
+	const event = parseEvent(data);
+	const choices = event.choices?.map(choice => {
+		const {role: _role, ...delta} = choice.delta ?? {};
+		return {...choice, delta};
+	});
+	return JSON.stringify({...event, ...(caller.streamId !== undefined && {id: caller.streamId}), ...(choices !== undefined && {choices})});
+};
+
+/**
+Hands an event of a stream on.
+
+@param caller - The caller.
+@param data - The event's data.
+@returns False while the caller reads too slowly.
+*/
+export const passEvent = (caller: Caller, data: string): boolean => {
+	startStream(caller);
+	const passed = caller.resumes ? rewriteEvent(caller, data) : data;
+	if (caller.events.length === 0) {
+		caller.streamId = parseEvent(data).id;
+	}
+
+	caller.eventBytes += passed.length;
+	if (caller.eventBytes <= maxEventBytes) {
+		caller.events.push(passed);
+	}
+
+	return writeEvent(caller, passed);
+};
+
+type Delta = Readonly<Record<string, unknown>>;
+
+const readDelta = (data: string): Delta | undefined => parseEvent(data).choices?.[0]?.delta;
+
+const isPlain = (delta: Delta | undefined): boolean =>
+	delta === undefined || Object.entries(delta).every(([name, value]) => name === 'role' || (name === 'content' && typeof value === 'string') || value === null);
+
+/**
+Tells whether another attempt can go on where this stream broke off: it must be
+plain text with one choice, kept whole.
+
+@param caller - The caller.
+@returns True if it can.
+*/
+export const canResume = (caller: Caller): boolean =>
+	caller.checked.choices === 1 && caller.eventBytes <= maxEventBytes && caller.events.every(data => isPlain(readDelta(data)));
+
+/**
+Joins the text that the caller has got of a stream.
+
+@param caller - The caller.
+@returns The text.
+*/
+export const joinText = (caller: Caller): string => caller.events.map(data => {
+	const content = readDelta(data)?.content;
+	return typeof content === 'string' ? content : '';
+}).join('');
+
+/**
+Builds the body for an attempt that goes on where the last one broke off: the
+text so far becomes the beginning of the assistant's message, as in vLLM's
+`continue_final_message`.
+
+@param caller - The caller.
+@returns The body.
+*/
+export const buildBody = (caller: Caller): Buffer => {
+	if (!caller.resumes || caller.events.length === 0) {
+		return caller.body;
+	}
+
+	const body = JSON.parse(caller.body.toString('utf8')) as {messages: readonly unknown[]};
+	const messages = [...body.messages, {role: 'assistant', content: joinText(caller)}];
+	return Buffer.from(JSON.stringify({
+		...body, messages, continue_final_message: true, add_generation_prompt: false,
+	}));
+};
+
+/**
+Ends a stream that is whole.
+
+@param caller - The caller.
+*/
+export const endStream = (caller: Caller): void => {
+	startStream(caller);
+	const outcome = {
+		id: caller.streamId ?? caller.checked.order.billId, object: 'chat.completion.chunk', created: 0, model: caller.checked.order.model, choices: [], galena: {outcome: 'complete'},
+	};
+	writeEvent(caller, JSON.stringify(outcome));
+	writeEvent(caller, '[DONE]');
+	caller.isEnded = true;
+	caller.sink.end();
+};
+
+/**
+Gives a caller an answer that is whole.
+
+@param caller - The caller.
+@param answer - The answer.
+*/
+export const sendAnswer = (caller: Caller, answer: Answer): void => {
+	caller.isEnded = true;
+	caller.hasHead = true;
+	caller.sink.writeHead(answer.status, {
+		'content-type': answer.contentType || 'application/octet-stream',
+		'content-length': String(answer.body.byteLength),
+		'galena-request-id': caller.checked.order.billId,
+		'galena-outcome': 'complete',
+	});
+	caller.sink.write(answer.body);
+	caller.sink.end();
+};
+
+/**
+Answers with a fault: a problem document, or the error event of a stream that
+has begun.
+
+@param sink - Where to.
+@param fault - The fault.
+@param hasHead - Whether a stream has begun.
+@param requestId - The request's id, once it has one.
+*/
+export const sendFault = (sink: Sink, fault: Fault, hasHead: boolean, requestId?: string): void => {
+	const {status, headers, problem} = describeFault(fault);
+	if (hasHead) {
+		const error = {
+			message: `${problem.title}: ${problem.detail}`, type: problem.kind, code: problem.kind, outcome: 'unknown',
+		};
+		sink.write(`event: error\ndata: ${JSON.stringify({error, galena: {outcome: 'unknown'}})}\n\n`);
+		sink.end();
+		return;
+	}
+
+	sink.writeHead(status, {...headers, ...(requestId !== undefined && {'galena-request-id': requestId})});
+	sink.write(JSON.stringify(problem));
+	sink.end();
+};
--- /dev/null
+++ b/src/router/handle.ts
@@ -0,0 +1,339 @@
+import {handleConfig, listRevisions} from '../config/index.js';
+import type {ConfigEffect, ConfigEvent, Revision} from '../config/index.js';
+import {createFault} from '../errors/index.js';
+import {isSpentOut} from '../budget/index.js';
+import {chain, chainAll, stay} from '../loop/index.js';
+import {openMember, updateMember} from '../member/index.js';
+import {handleOperation, startOperation} from '../operation/index.js';
+import type {OperationEffect} from '../operation/index.js';
+import {handleReach} from '../reach/index.js';
+import type {ReachEffect, ReachEvent} from '../reach/index.js';
+import {createReclaim, handleReclaim} from '../reclaim/index.js';
+import type {ReclaimEffect, ReclaimEvent} from '../reclaim/index.js';
+import {
+	beginAttempt, buryAgent, closeUnseen, endAttempt, forgetAttempts, leaveRequest, loseSession, refuseAttempt,
+} from '../request/attempts.js';
+import {receiveClaimReply, receiveSeal, retryClaim} from '../request/claims.js';
+import {putRequest, refuseRequest, withRequest} from '../request/common.js';
+import {describeShortage, seekGrant} from '../request/grant.js';
+import {readClaimRow, wakeQueue} from '../request/send.js';
+import {createRequest} from '../request/state.js';
+import type {Request} from '../request/state.js';
+import type {Row} from '../table/index.js';
+import {logEvent} from './messages.js';
+import type {
+	RouterEffect, RouterEvent, RouterStep, StoreTag,
+} from './messages.js';
+import {updatePot, updatePots} from './pots.js';
+import type {RouterState} from './state.js';
+
+const maxRequests = 10_000;
+const retryShare = 0.1;
+const maxRetryAllowance = 20;
+const peerTimeout = 8000; // Milliseconds
+/** Milliseconds that each peer adds to the timeout, since beats go to a few peers at a time. */
+const timeoutPerPeer = 500;
+const scanInterval = 30_000; // Milliseconds
+const maxRouterRows = 2000;
+
+const reachPerformers: Readonly<Record<ReachEffect['kind'], (state: RouterState, effect: ReachEffect, now: number) => RouterStep>> = {
+	store: (state, effect) => ({
+		state, effects: effect.kind === 'store' ? [{kind: 'store', tag: {slice: 'reach', subject: ''}, call: effect.call}] : [],
+	}),
+	'reach-changed': (state, _effect, now) => wakeQueue(state, now),
+	'router-closed': state => ({state: {...state, phase: 'closed'}, effects: [{kind: 'closed'}]}),
+	'router-fenced': state => ({state: {...state, phase: 'fenced'}, effects: [logEvent('router-fenced', {router: state.incarnation})]}),
+};
+
+const updateReach = (state: RouterState, event: ReachEvent, now: number): RouterStep => {
+	const step = handleReach(state.reach, event, now);
+	return chainAll({...state, reach: step.state}, step.effects, (current, effect) => reachPerformers[effect.kind](current, effect, now));
+};
+
+const followConfig = (effects: readonly ConfigEffect[]): readonly RouterEffect[] => effects.map((effect): RouterEffect => effect.kind === 'store'
+	? {kind: 'store', tag: {slice: 'config', subject: ''}, call: effect.call}
+	: effect);
+
+const updateConfig = (state: RouterState, event: ConfigEvent, now: number): RouterStep => {
+	const step = handleConfig(state.config, event, now, state.broken);
+	return {state: {...state, config: step.state}, effects: followConfig(step.effects)};
+};
+
+const reclaimPerformers: Readonly<{[Kind in ReclaimEffect['kind']]: (state: RouterState, effect: ReclaimEffect & {kind: Kind}) => RouterStep}> = {
+	store: (state, effect) => ({state, effects: [{kind: 'store', tag: {slice: 'reclaim', subject: effect.router}, call: effect.call}]}),
+	'ask-fence': (state, effect) => ({state, effects: [{...effect, address: state.members.get(effect.agent)?.address}]}),
+	'close-router': (state, effect) => ({
+		state, effects: [{kind: 'close-router', router: effect.router, addresses: effect.agents.flatMap(agent => state.members.get(agent)?.address ?? [])}],
+	}),
+	reclaimed: (state, effect) => ({
+		state: {...state, reclaims: state.reclaims.delete(effect.router), peers: state.peers.delete(effect.router)},
+		effects: [logEvent('router-reclaimed', {router: effect.router})],
+	}),
+	'reclaim-stopped': (state, effect) => stay({...state, reclaims: state.reclaims.delete(effect.router)}),
+};
+
+const updateReclaim = (state: RouterState, router: string, event: ReclaimEvent, now: number): RouterStep => {
+	const reclaim = state.reclaims.get(router);
+	if (reclaim === undefined) {
+		return stay(state);
+	}
+
+	const step = handleReclaim(reclaim, event, now, state.broken);
+	return chainAll({...state, reclaims: state.reclaims.set(router, step.state)}, step.effects, (current, effect) => {
+		const perform = reclaimPerformers[effect.kind] as (state: RouterState, effect: ReclaimEffect) => RouterStep;
+		return perform(current, effect);
+	});
+};
+
+const startReclaim = (state: RouterState, router: string, now: number): RouterStep => {
+	if (state.reclaims.has(router) || router === state.incarnation || state.phase !== 'serving') {
+		return stay(state);
+	}
+
+	const started = {...state, reclaims: state.reclaims.set(router, createReclaim(router, state.incarnation))};
+	return chain({state: started, effects: [logEvent('reclaim-started', {router})]}, current => updateReclaim(current, router, {kind: 'begin'}, now));
+};
+
+const followOperation = (state: RouterState, id: string, effects: readonly OperationEffect[]): RouterStep => ({
+	state,
+	effects: effects.flatMap((effect): readonly RouterEffect[] => effect.kind === 'store'
+		? [{kind: 'store', tag: {slice: 'operation', subject: id}, call: effect.call}]
+		: [
+			effect,
+			logEvent('change-ended', {
+				change: id, kind: effect.change.kind, subject: effect.change.subject, who: effect.change.who, fault: effect.fault?.kind,
+			}),
+		]),
+});
+
+/** Routers whose rows are open though nobody hears them. */
+const receiveScan = (state: RouterState, rows: ReadonlyArray<Row | undefined>, now: number): RouterStep => {
+	const unknown = rows.flatMap(row => row === undefined || row.state === 'closed' || state.peers.has(row.id) ? [] : [row.id]);
+	return chainAll(state, unknown, (current, router) => startReclaim(current, router, now));
+};
+
+type ReceiveReply = (state: RouterState, event: RouterEvent & {kind: 'store-replied'}, now: number) => RouterStep;
+
+const receiveReply: Readonly<Record<StoreTag['slice'], ReceiveReply>> = {
+	pot: (state, event, now) => state.pots.has(event.tag.subject)
+		? updatePot(state, event.tag.subject, {kind: 'store-replied', reply: event.reply, random: event.random}, now)
+		: stay(state),
+	reach: (state, event, now) => updateReach(state, {kind: 'store-replied', reply: event.reply, random: event.random}, now),
+	claim: (state, event, now) => receiveClaimReply(state, event.tag.subject, event.reply, now),
+	config: (state, event, now) => updateConfig(state, {kind: 'store-replied', reply: event.reply}, now),
+	reclaim: (state, event, now) => updateReclaim(state, event.tag.subject, {kind: 'store-replied', reply: event.reply, random: event.random}, now),
+	operation(state, event) {
+		const operation = state.operations.get(event.tag.subject);
+		if (operation === undefined) {
+			return stay(state);
+		}
+
+		const step = handleOperation(operation, event.reply);
+		const operations = step.state === undefined
+			? state.operations.delete(event.tag.subject)
+			: state.operations.set(event.tag.subject, step.state);
+		return followOperation({...state, operations}, event.tag.subject, step.effects);
+	},
+	scan: (state, event, now) => event.reply.kind === 'rows' ? receiveScan(state, event.reply.rows, now) : stay(state),
+};
+
+const arrive = (state: RouterState, event: RouterEvent & {kind: 'request-arrived'}, now: number): RouterStep => {
+	const request = createRequest(event.order, now);
+	const taken: RouterState = {
+		...putRequest(state, request),
+		retryAllowance: Math.min(maxRetryAllowance, state.retryAllowance + retryShare),
+	};
+	if (state.phase !== 'serving') {
+		return refuseRequest(taken, request.id, createFault('not-ready', 'this router is shutting down'), now);
+	}
+
+	if (state.requests.size >= maxRequests) {
+		return refuseRequest(taken, request.id, createFault('overloaded', `this router holds ${maxRequests} requests`), now);
+	}
+
+	return request.kind === 'act' ? readClaimRow(taken, request, now) : seekGrant(taken, request, now);
+};
+
+const openSession = (state: RouterState, event: RouterEvent & {kind: 'session-opened'}, now: number): RouterStep => {
+	const {agent} = event.introduction;
+	const opened = openMember(state.members, event.introduction, now);
+	const buried = chainAll({...state, members: opened.members}, opened.replaced, (current, old) => buryAgent(current, old, now));
+	const seen = chain(buried, current => closeUnseen(current, agent, event.kept, now));
+	const reached = chain(seen, current => updateReach(current, {kind: 'agents-wanted', agents: [agent]}, now));
+	return chain(reached, current => wakeQueue(current, now));
+};
+
+const reportLoad = (state: RouterState, event: RouterEvent & {kind: 'load-reported'}, now: number): RouterStep => stay({
+	...state,
+	members: updateMember(state.members, event.agent, member => ({
+		...member,
+		load: {
+			...member.load, running: event.running, waiting: event.waiting, at: now,
+		},
+		sentSince: 0,
+		isLeaving: member.isLeaving || event.isLeaving,
+		revision: Math.max(member.revision, event.revision),
+	})),
+});
+
+const hearPeer = (state: RouterState, event: RouterEvent & {kind: 'peer-heard'}, now: number): RouterStep => {
+	const known = {
+		...state, peers: state.peers.set(event.router, {
+			router: event.router, address: event.address, heardAt: now, revision: event.revision,
+		}),
+	};
+	return updateConfig(known, {kind: 'revisions-heard', revisions: event.revisions}, now);
+};
+
+type ForwardEnded = RouterEvent & {kind: 'forward-ended'};
+
+const forwardEnds: Readonly<Record<ForwardEnded['outcome'], (state: RouterState, request: Request, now: number) => RouterStep>> = {
+	// The peer has answered and billed it.
+	answered: (state, request) => stay({...state, requests: state.requests.delete(request.id)}),
+	'not-run': (state, request, now) => refuseRequest(state, request.id, describeShortage(request, request.shortage), now),
+	unknown: (state, request, now) => refuseRequest(state, request.id, createFault(request.kind === 'act' ? 'outcome-unknown' : 'endpoint-failed', 'the peer that served the request broke off'), now),
+};
+
+const endForward = (state: RouterState, event: ForwardEnded, now: number): RouterStep =>
+	withRequest(state, event.request, request => forwardEnds[event.outcome](state, request, now));
+
+/** A request whose limit has passed is given up, and its caller told at once. */
+const giveUp = (state: RouterState, request: Request, now: number): RouterStep => {
+	const attempt = state.attempts.get(request.attempt ?? '');
+	const cancels: readonly RouterEffect[] = attempt === undefined || attempt.isAct ? [] : [{kind: 'cancel', agent: attempt.agent, attempt: attempt.id}];
+	const kind = request.places.length === 0 && request.phase === 'queued' ? 'overloaded' : 'deadline';
+	const fault = createFault(kind, `class "${request.workClass}" allows ${request.giveUp} ms`);
+	return chain({state, effects: cancels}, current => refuseRequest(current, request.id, fault, now));
+};
+
+const tickRequest = (state: RouterState, request: Request, now: number): RouterStep => request.isAnswered || now - request.arrivedAt < request.giveUp
+	? retryClaim(state, request, now)
+	: giveUp(state, request, now);
+
+const isSilent = (state: RouterState, heardAt: number, now: number): boolean =>
+	now - heardAt >= peerTimeout + (timeoutPerPeer * state.peers.size);
+
+const isEldest = (state: RouterState, now: number): boolean =>
+	state.peers.valueSeq().every(peer => isSilent(state, peer.heardAt, now) || peer.router > state.incarnation);
+
+/** One router at a time looks for silent ones; if two do, the store decides. */
+const watchPeers = (state: RouterState, now: number): RouterStep => {
+	if (state.phase !== 'serving' || !isEldest(state, now)) {
+		return stay(state);
+	}
+
+	const silent = state.peers.valueSeq().toArray().filter(peer => isSilent(state, peer.heardAt, now)).map(peer => peer.router);
+	const reclaimed = chainAll(state, silent, (current, router) => startReclaim(current, router, now));
+	return now - state.scannedAt < scanInterval
+		? reclaimed
+		: {
+			state: {...reclaimed.state, scannedAt: now},
+			effects: [...reclaimed.effects, {
+				kind: 'store',
+				tag: {slice: 'scan', subject: ''},
+				call: {
+					kind: 'query', table: 'router', prefix: '', limit: maxRouterRows,
+				},
+			}],
+		};
+};
+
+/** Takes agents out of the reach that are gone and owe nothing. */
+const narrowReach = (state: RouterState, now: number): RouterStep => {
+	const gone = state.members.valueSeq().toArray().filter(member => member.link === 'gone').map(member => member.agent);
+	const settled = gone.filter(agent =>
+		!state.attempts.some(attempt => attempt.agent === agent)
+		&& !state.pots.some(pot => pot.unsettled.some(bill => bill.attempts.some(place => place.agent === agent))));
+	if (settled.length === 0) {
+		return stay(state);
+	}
+
+	const next = {...state, members: state.members.deleteAll(settled)};
+	return updateReach(next, {kind: 'agents-settled', agents: settled}, now);
+};
+
+const isLeaving = (state: RouterState): boolean => state.phase === 'draining' || state.phase === 'fenced';
+
+/** Once nothing runs, all is settled and returned, and the row is closed. */
+const leaveFleet = (state: RouterState, now: number): RouterStep => {
+	if (!isLeaving(state) || state.requests.size > 0) {
+		return stay(state);
+	}
+
+	const open = state.pots.valueSeq().toArray().filter(pot => !isSpentOut(pot)).map(pot => pot.budget);
+	if (open.length > 0) {
+		return chainAll(state, open, (current, budget) => updatePot(current, budget, {kind: 'return-wanted'}, now));
+	}
+
+	if (state.phase === 'fenced' || state.reach.row === 'unregistered') {
+		return {state: {...state, phase: 'closed'}, effects: [{kind: 'closed'}]};
+	}
+
+	return state.attempts.size > 0 ? stay(state) : updateReach(state, {kind: 'close-wanted'}, now);
+};
+
+const tick = (state: RouterState, _event: RouterEvent & {kind: 'tick'}, now: number): RouterStep => {
+	const requests = chainAll(state, state.requests.valueSeq().toArray(), (current, request) => tickRequest(current, request, now));
+	const decisions: ReadonlyArray<(current: RouterState) => RouterStep> = [
+		current => updatePots(current, {kind: 'tick'}, now),
+		current => updateReach(current, {kind: 'tick'}, now),
+		current => updateConfig(current, {kind: 'tick'}, now),
+		current => chainAll(current, current.reclaims.keySeq().toArray(), (inner, router) => updateReclaim(inner, router, {kind: 'tick'}, now)),
+		current => watchPeers(current, now),
+		current => narrowReach(current, now),
+		current => wakeQueue(current, now),
+		current => leaveFleet(current, now),
+	];
+	return decisions.reduce((step, decide) => chain(step, decide), requests);
+};
+
+type Decide<Event> = (state: RouterState, event: Event, now: number) => RouterStep;
+
+const handlers: Readonly<{[Kind in RouterEvent['kind']]: Decide<RouterEvent & {kind: Kind}>}> = {
+	'request-arrived': arrive,
+	'caller-left': (state, event, now) => leaveRequest(state, event.request, now),
+	'store-replied': (state, event, now) => receiveReply[event.tag.slice](state, event, now),
+	'session-opened': openSession,
+	'session-closed': (state, event, now) => loseSession(state, event, now),
+	'session-refused': state => ({state: {...state, phase: state.phase === 'closed' ? 'closed' : 'fenced'}, effects: [logEvent('router-fenced', {router: state.incarnation})]}),
+	'load-reported': reportLoad,
+	'agent-leaving': (state, event) => stay({...state, members: updateMember(state.members, event.agent, member => ({...member, isLeaving: true}))}),
+	'agent-gone': (state, event, now) => buryAgent(state, event.agent, now),
+	'attempt-refused': refuseAttempt,
+	'attempt-began': (state, event, now) => beginAttempt(state, event.attempt, now),
+	'attempt-ended': endAttempt,
+	'attempts-forgotten': (state, event, now) => forgetAttempts(state, event.attempts, now),
+	'seal-answered': receiveSeal,
+	'fence-answered': (state, event, now) => updateReclaim(state, event.router, {kind: 'fence-answered', agent: event.agent, answer: event.answer}, now),
+	'forward-ended': endForward,
+	'peer-heard': hearPeer,
+	'change-asked'(state, event) {
+		const step = startOperation(event.change);
+		const operations = step.state === undefined ? state.operations : state.operations.set(event.change.id, step.state);
+		return followOperation({...state, operations}, event.change.id, step.effects);
+	},
+	'drain-asked': state => stay({...state, phase: state.phase === 'serving' ? 'draining' : state.phase}),
+	tick,
+};
+
+/**
+Decides what a router does next.
+
+@param state - What the router remembers.
+@param event - What happened.
+@param now - The time in ms.
+@returns What it remembers from then on, and what it does.
+*/
+export const handleRouter = (state: RouterState, event: RouterEvent, now: number): RouterStep => {
+	const decide = handlers[event.kind] as Decide<RouterEvent>;
+	return decide(state, event, now);
+};
+
+/**
+Chooses the revisions that a peer lacks.
+
+@param state - The router.
+@param revision - The peer's revision.
+@returns Revisions in order.
+*/
+export const listMissing = (state: RouterState, revision: number): readonly Revision[] => listRevisions(state.config, revision);
--- /dev/null
+++ b/src/router/router.ts
@@ -0,0 +1,723 @@
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import {createRandom} from '../random/index.js';
+import type {AttemptOutcome, FenceAnswer, SealAnswer} from '../attempt/index.js';
+import type {GrantPolicy} from '../budget/index.js';
+import type {Revision} from '../config/index.js';
+import {
+	createFault, describeFault, fail, succeed,
+} from '../errors/index.js';
+import type {ErrorKind, Fault, Result} from '../errors/index.js';
+import type {Chunk, End} from '../gen/galena/v1/agent_pb.js';
+import type {Log} from '../log/index.js';
+import {runInBackground, startLoop} from '../loop/index.js';
+import type {Loop} from '../loop/index.js';
+import type {Change} from '../operation/index.js';
+import {listen, readBody, sendJson} from '../server/index.js';
+import type {Endpoint} from '../server/index.js';
+import type {Json, Table} from '../table/index.js';
+import {
+	buildBody, canResume, createHttpSink, endStream, passEvent, sendAnswer, sendFault,
+} from './caller.js';
+import type {Caller, Sink} from './caller.js';
+import {checkCall} from './front.js';
+import {handleRouter, listMissing} from './handle.js';
+import type {HostList} from './hosts.js';
+import type {RouterEffect, RouterEvent} from './messages.js';
+import {serveOperator} from './operator.js';
+import {createPeerClients, forwardTo, startPeerServer} from './peers.js';
+import {createSessions} from './sessions.js';
+import {createRouterState} from './state.js';
+import type {RouterState} from './state.js';
+
+/** What a router needs to know at its start. */
+export type RouterOptions = Readonly<{
+	/** Where callers and operators reach it. */
+	listen: Endpoint;
+	/** Where peers and agents reach it. */
+	control: Endpoint;
+	dataCentre: string;
+	table: Table;
+	hosts: HostList;
+	policy: GrantPolicy;
+	/** SHA-256 of each operator's key, by name. */
+	operators: Readonly<Record<string, string>>;
+	/** Bytes of a caller's body at the most. */
+	maxBody: number;
+	/** Bytes of a caller's headers at the most. */
+	maxHeaders: number;
+	seed: number;
+	log: Log;
+	/** Sees every event and the effects that followed, for a trace. */
+	record?: (entry: Readonly<{now: number; event: RouterEvent; effects: readonly RouterEffect[]}>) => void;
+}>;
+
+/** A running router. */
+export type Router = Readonly<{
+	/** Where callers and operators reach it. */
+	address: string;
+	/** Where peers and agents reach it. */
+	control: string;
+	getState: () => RouterState;
+	/** Finishes what runs, settles and returns everything, then closes. */
+	drain: () => Promise<void>;
+	/** Ends at once, as a crash does. */
+	kill: () => Promise<void>;
+}>;
+
+const tickInterval = 250; // Milliseconds
+const beatInterval = 1000; // Milliseconds
+const beatFanout = 3;
+const callTimeout = 1500; // Milliseconds
+const hostInterval = 1000; // Milliseconds
+const creditStep = 32 * 1024; // Bytes
+/** Milliseconds after which an address that left the host list is given up. */
+const forgetAfter = 60_000;
+
+const copyHeaders = (request: IncomingMessage): Readonly<Record<string, string>> =>
+	Object.fromEntries(['authorization', 'galena-class', 'idempotency-key', 'content-type']
+		.flatMap((name): Array<[string, string]> => {
+			const value = request.headers[name];
+			return typeof value === 'string' ? [[name, value]] : [];
+		}));
+
+/**
+Starts a router: sockets, timers and store replies become events of one loop, and
+the decisions' effects are performed here.
+
+@param options - What it needs to know.
+@returns The running router.
+*/
+export const startRouter = async (options: RouterOptions): Promise<Router> => {
+	const {log, table} = options;
+	const random = createRandom(options.seed);
+	const callers = new Map<string, Caller>();
+	const byAttempt = new Map<string, Caller>();
+	const changes = new Map<string, (result: Result<Json>) => void>();
+	const forwards = new Map<string, AbortController>();
+	const seenOnList = new Map<string, number>();
+	const peerClients = createPeerClients();
+	let isStopping = false;
+	let isClosed = false;
+	let settleClosed: () => void = () => undefined;
+	const closed = new Promise<void>(resolve => {
+		settleClosed = resolve;
+	});
+
+	let loop: Loop<RouterState, RouterEvent>;
+	const post = (event: RouterEvent) => {
+		if (!isClosed) {
+			loop.post(event);
+		}
+	};
+
+	const getState = () => loop.state();
+
+	// Agents
+
+	const passWhole = (caller: Caller, data: Uint8Array): boolean => {
+		caller.whole.push(data);
+		return true;
+	};
+
+	const returnCredit = (caller: Caller) => {
+		if (caller.attempt !== undefined && caller.agent !== undefined && caller.delivery.owed > 0) {
+			sessions.send(caller.agent, {credits: [{attemptId: caller.attempt, bytes: caller.delivery.owed}]});
+			caller.delivery = {...caller.delivery, owed: 0};
+		}
+	};
+
+	const noteWritten = (caller: Caller, bytes: number, isOpen: boolean) => {
+		caller.delivery = {next: caller.delivery.next + 1, owed: caller.delivery.owed + bytes};
+		if (!isOpen && !caller.isBlocked) {
+			caller.isBlocked = true;
+			caller.sink.onDrain(() => {
+				caller.isBlocked = false;
+				returnCredit(caller);
+			});
+		}
+
+		if (!caller.isBlocked && caller.delivery.owed >= creditStep) {
+			returnCredit(caller);
+		}
+	};
+
+	const receiveChunk = (chunk: Chunk) => {
+		const caller = byAttempt.get(chunk.attemptId);
+		// A part of an attempt that was given up belongs to nobody.
+		if (caller?.attempt !== chunk.attemptId || caller.isEnded || chunk.sequence !== caller.delivery.next) {
+			return;
+		}
+
+		if (chunk.sequence === 0) {
+			post({kind: 'attempt-began', attempt: chunk.attemptId});
+		}
+
+		const isOpen = caller.checked.order.isStream ? passPart(caller, chunk.data) : passWhole(caller, chunk.data);
+		noteWritten(caller, chunk.data.byteLength, isOpen);
+	};
+
+	const passPart = (caller: Caller, data: Uint8Array): boolean => passEvent(caller, Buffer.from(data).toString('utf8'));
+
+	const receiveEnd = (agent: string, end: End) => {
+		const caller = byAttempt.get(end.attemptId);
+		byAttempt.delete(end.attemptId);
+		const isWhole = caller === undefined || caller.delivery.next === end.chunkCount;
+		const outcome = (end.outcome === 'done' && !isWhole ? 'failed' : end.outcome) as AttemptOutcome;
+		// A stream's request may be answered with a whole body, such as an error's.
+		const isBody = caller !== undefined && (!caller.checked.order.isStream || end.contentType !== 'text/event-stream');
+		post({
+			kind: 'attempt-ended',
+			attempt: end.attemptId,
+			agent,
+			outcome,
+			tokens: end.tokens,
+			...(isBody && outcome === 'done' && {answer: {status: end.status, contentType: end.contentType, body: Buffer.concat(caller.whole)}}),
+			delivered: caller?.checked.order.isStream === true ? caller.events.length : 0,
+			canResume: caller !== undefined && canResume(caller),
+		});
+	};
+
+	const sessions = createSessions({
+		getIncarnation: () => getState().incarnation,
+		getRevision: () => getState().config.revision,
+		onOpen(address, hello) {
+			log.event('session-opened', {agent: hello.agentIncarnation, address, pool: hello.pool});
+			post({
+				kind: 'session-opened',
+				introduction: {
+					agent: hello.agentIncarnation, address, pool: hello.pool, dataCentre: hello.dataCentre, models: hello.models, capacity: hello.capacity,
+				},
+				kept: hello.kept,
+			});
+		},
+		onBatch(agent, batch) {
+			batch.chunks.forEach(chunk => {
+				receiveChunk(chunk);
+			});
+			batch.refusals.forEach(refusal => {
+				post({kind: 'attempt-refused', attempt: refusal.attemptId, error: refusal.kind as ErrorKind});
+			});
+			batch.ends.forEach(end => {
+				receiveEnd(agent, end);
+			});
+			if (batch.forgotten.length > 0) {
+				post({kind: 'attempts-forgotten', attempts: batch.forgotten});
+			}
+
+			if (batch.load !== undefined) {
+				post({
+					kind: 'load-reported', agent, running: batch.load.running, waiting: batch.load.waiting, isLeaving: batch.load.leaving, revision: batch.configRevision,
+				});
+			}
+		},
+		onClose(agent) {
+			log.event('session-closed', {agent});
+			const broken = [...callers.values()]
+				.filter(caller => caller.agent === agent && caller.attempt !== undefined)
+				.map(caller => ({attempt: caller.attempt ?? '', delivered: caller.events.length, canResume: canResume(caller)}));
+			post({kind: 'session-closed', agent, broken});
+		},
+		onRefused() {
+			post({kind: 'session-refused'});
+		},
+		draw: random.draw,
+	});
+
+	// Effects
+
+	const callStore = async (effect: RouterEffect & {kind: 'store'}) => {
+		const reply = await table.call(effect.call);
+		post({
+			kind: 'store-replied', tag: effect.tag, reply, random: random.draw(),
+		});
+	};
+
+	const dispatch = ({attempt, request}: RouterEffect & {kind: 'dispatch'}) => {
+		const caller = callers.get(request.id);
+		if (caller === undefined) {
+			// The caller left between the decision and now: the attempt ends before it began.
+			post({kind: 'attempt-refused', attempt: attempt.id, error: 'not-ready'});
+			return;
+		}
+
+		caller.attempt = attempt.id;
+		caller.agent = attempt.agent;
+		caller.delivery = {next: 0, owed: 0};
+		caller.whole = [];
+		caller.resumes = request.resumes;
+		byAttempt.set(attempt.id, caller);
+		sessions.send(attempt.agent, {
+			dispatches: [{
+				attemptId: attempt.id,
+				requestId: request.billId,
+				agentIncarnation: attempt.agent,
+				organisation: request.organisation,
+				budget: request.budget,
+				cap: attempt.cap,
+				act: attempt.isAct,
+				claimKey: attempt.isAct ? request.key ?? '' : '',
+				keyed: request.keyed,
+				stream: request.isStream,
+				path: caller.checked.endpointPath,
+				method: caller.method,
+				contentType: caller.contentType,
+				body: new Uint8Array(buildBody(caller)),
+				priority: request.priority,
+				outputCap: Math.max(1, request.outputCap - (request.resumes ? caller.events.length : 0)),
+				remainingMs: Math.max(1, Math.round(request.giveUp - (performance.now() - request.arrivedAt))),
+			}],
+		});
+	};
+
+	const forward = async ({request, peers}: RouterEffect & {kind: 'forward'}) => {
+		const caller = callers.get(request.id);
+		if (caller === undefined) {
+			return;
+		}
+
+		const abort = new AbortController();
+		forwards.set(request.id, abort);
+		let outcome: 'answered' | 'not-run' | 'unknown' = 'not-run';
+		for (const address of peers) {
+			const remaining = request.giveUp - (performance.now() - request.arrivedAt);
+			const tried = await forwardTo(peerClients.get(address), caller, remaining, abort.signal);
+			outcome = tried === 'not-run' ? outcome : tried;
+			if (tried === 'answered' || caller.hasHead || abort.signal.aborted) {
+				break;
+			}
+		}
+
+		forwards.delete(request.id);
+		log.event('request-forwarded', {request: request.billId, organisation: request.organisation, outcome});
+		if (outcome === 'answered') {
+			caller.isEnded = true;
+			caller.sink.end();
+			callers.delete(request.id);
+		}
+
+		post({kind: 'forward-ended', request: request.id, outcome});
+	};
+
+	const askSeal = async (effect: RouterEffect & {kind: 'ask-seal'}) => {
+		try {
+			const reply = await sessions.getClient(effect.address).seal({attemptId: effect.attempt, agentIncarnation: effect.agent}, {timeoutMs: callTimeout});
+			const answer: SealAnswer = {
+				state: reply.state as SealAnswer['state'],
+				tokens: reply.tokens,
+				...(reply.state === 'done' && {answer: {status: reply.status, contentType: reply.contentType, body: reply.body}}),
+			};
+			post({
+				kind: 'seal-answered', request: effect.request, attempt: effect.attempt, answer,
+			});
+		} catch {
+			post({
+				kind: 'seal-answered', request: effect.request, attempt: effect.attempt, answer: undefined,
+			});
+		}
+	};
+
+	const askFence = async (effect: RouterEffect & {kind: 'ask-fence'}) => {
+		if (effect.address === undefined) {
+			return;
+		}
+
+		try {
+			const reply = await sessions.getClient(effect.address).fence({routerIncarnation: effect.router, probe: effect.probe}, {timeoutMs: callTimeout});
+			// Another incarnation cannot speak for the one that is asked about.
+			if (reply.agentIncarnation !== effect.agent) {
+				return;
+			}
+
+			const answer: FenceAnswer = {
+				state: reply.state as FenceAnswer['state'],
+				usages: reply.usages.map(usage => ({
+					attempt: usage.attemptId,
+					request: usage.requestId,
+					agent: effect.agent,
+					organisation: usage.organisation,
+					budget: usage.budget,
+					cap: usage.tokens,
+					keyed: usage.keyed,
+					router: effect.router,
+					state: 'ended',
+					outcome: usage.outcome as AttemptOutcome,
+					tokens: usage.tokens,
+					...(usage.claimKey !== '' && {claimKey: usage.claimKey}),
+					...(usage.status !== 0 && {answer: {status: usage.status, contentType: usage.contentType, body: usage.answer}}),
+				})),
+			};
+			post({
+				kind: 'fence-answered', router: effect.router, agent: effect.agent, answer,
+			});
+		} catch {
+			// The reclaim asks again.
+		}
+	};
+
+	const closeRouter = async (effect: RouterEffect & {kind: 'close-router'}) => {
+		await Promise.allSettled(effect.addresses.map(async address =>
+			sessions.getClient(address).close({routerIncarnation: effect.router}, {timeoutMs: callTimeout})));
+	};
+
+	const withCaller = (request: string, act: (caller: Caller) => void) => {
+		const caller = callers.get(request);
+		if (caller !== undefined && !caller.isEnded) {
+			act(caller);
+			caller.isEnded = true;
+			callers.delete(request);
+			log.time('request.elapsed', performance.now() - caller.arrivedAt, [`class:${caller.checked.order.workClass}`]);
+		}
+	};
+
+	const performers: Readonly<{[Kind in RouterEffect['kind']]: (effect: RouterEffect & {kind: Kind}) => void}> = {
+		store(effect) {
+			runInBackground(async () => callStore(effect));
+		},
+		dispatch,
+		cancel(effect) {
+			sessions.send(effect.agent, {cancels: [effect.attempt]});
+		},
+		settle(effect) {
+			sessions.send(effect.agent, {settled: [...effect.attempts]});
+		},
+		reply(effect) {
+			withCaller(effect.request, caller => {
+				sendAnswer(caller, effect.answer);
+			});
+		},
+		'end-stream'(effect) {
+			withCaller(effect.request, caller => {
+				endStream(caller);
+			});
+		},
+		'reply-fault'(effect) {
+			withCaller(effect.request, caller => {
+				forwards.get(effect.request)?.abort();
+				sendFault(caller.sink, effect.fault, caller.hasHead, caller.checked.order.billId);
+			});
+		},
+		forward(effect) {
+			runInBackground(async () => forward(effect));
+		},
+		'ask-seal'(effect) {
+			runInBackground(async () => askSeal(effect));
+		},
+		'ask-fence'(effect) {
+			runInBackground(async () => askFence(effect));
+		},
+		'close-router'(effect) {
+			runInBackground(async () => closeRouter(effect));
+		},
+		'config-in-force'(effect) {
+			log.event('config-in-force', {revision: effect.revision});
+			sessions.broadcast({configRevision: effect.revision});
+		},
+		'operation-ended'(effect) {
+			changes.get(effect.operation)?.(effect.fault === undefined ? succeed(effect.result) : fail(effect.fault));
+			changes.delete(effect.operation);
+		},
+		closed() {
+			if (isStopping) {
+				settleClosed();
+			} else {
+				restart();
+			}
+		},
+		log(effect) {
+			log.event(effect.event, effect.fields);
+		},
+	};
+
+	const startCore = () => startLoop<RouterState, RouterEvent, RouterEffect>({
+		initial: createRouterState({incarnation: `r-${randomUUID()}`, address: control, dataCentre: options.dataCentre}, options.policy),
+		handle(state, event, now) {
+			const step = handleRouter(state, event, now);
+			options.record?.({now, event, effects: step.effects});
+			return step;
+		},
+		perform(effect) {
+			const perform = performers[effect.kind] as (effect: RouterEffect) => void;
+			perform(effect);
+		},
+		clock: () => performance.now(),
+	});
+
+	/** A fenced router that has nothing left goes on as a new incarnation. */
+	const restart = () => {
+		const {config, incarnation} = loop.state();
+		loop.stop();
+		loop = startCore();
+		log.warn('router-restarted', {was: incarnation, router: loop.state().incarnation});
+		const snapshot: Revision = {
+			revision: config.revision, isSnapshot: true, changes: config.entries.entrySeq().toArray().map(([name, entry]) => ({name, value: entry.value})),
+		};
+		post({
+			kind: 'peer-heard', router: incarnation, address: control, revision: config.revision, revisions: [snapshot],
+		});
+		sessions.reset();
+	};
+
+	// Callers
+
+	const admit = (caller: Omit<Caller, 'checked'>, call: Parameters<typeof checkCall>[1]) => {
+		const checked = checkCall(getState().config, call);
+		if (checked.err) {
+			log.event('request-refused', {kind: checked.val.kind, detail: checked.val.detail});
+			sendFault(caller.sink, checked.val, false);
+			return;
+		}
+
+		callers.set(call.id, {...caller, checked: checked.val});
+		post({kind: 'request-arrived', order: checked.val.order});
+	};
+
+	const leave = (id: string) => {
+		forwards.get(id)?.abort();
+		if (callers.delete(id)) {
+			post({kind: 'caller-left', request: id});
+		}
+	};
+
+	const createCaller = (sink: Sink, body: Buffer, fields: Pick<Caller, 'method' | 'path' | 'contentType' | 'headers'>): Omit<Caller, 'checked'> => ({
+		...fields,
+		sink,
+		body,
+		arrivedAt: performance.now(),
+		attempt: undefined,
+		agent: undefined,
+		delivery: {next: 0, owed: 0},
+		whole: [],
+		events: [],
+		eventBytes: 0,
+		hasHead: false,
+		isEnded: false,
+		isBlocked: false,
+		streamId: undefined,
+		resumes: false,
+	});
+
+	const serveCaller = async (request: IncomingMessage, response: ServerResponse, url: URL) => {
+		const id = `q-${randomUUID()}`;
+		const sink = createHttpSink(response);
+		const body = await readBody(request, options.maxBody);
+		if (body.err) {
+			response.setHeader('connection', 'close');
+			sendFault(sink, body.val, false);
+			return;
+		}
+
+		response.on('close', () => {
+			leave(id);
+		});
+		const method = request.method ?? '';
+		const path = `${url.pathname}${url.search}`;
+		const headers = copyHeaders(request);
+		admit(createCaller(sink, body.val, {
+			method, path, contentType: headers['content-type'] ?? '', headers,
+		}), {
+			id, method, path: url.pathname.startsWith('/v1/services/') ? path : url.pathname, headers: request.headers, body: body.val, isForwarded: false,
+		});
+	};
+
+	// Operators
+
+	const drainAgent = async (agent: string): Promise<boolean> => {
+		const address = getState().members.get(agent)?.address;
+		if (address === undefined) {
+			return false;
+		}
+
+		try {
+			await sessions.getClient(address).drain({}, {timeoutMs: callTimeout});
+			return true;
+		} catch {
+			return false;
+		}
+	};
+
+	const operatorPorts = {
+		getState,
+		operators: options.operators,
+		change: async (change: Change) => new Promise<Result<Json>>(resolve => {
+			changes.set(change.id, resolve);
+			post({kind: 'change-asked', change});
+		}),
+		read: table.call,
+		drainAgent,
+		createId: () => `c-${randomUUID()}`,
+	};
+
+	const describeReadiness = (): Fault | undefined => {
+		const state = getState();
+		const isReady = state.phase === 'serving' && state.config.revision > 0 && (state.reach.row === 'active' || !state.peers.isEmpty());
+		return isReady ? undefined : createFault('not-ready', `phase=${state.phase} row=${state.reach.row} revision=${state.config.revision}`);
+	};
+
+	const sendReadiness = (response: ServerResponse) => {
+		const fault = describeReadiness();
+		const described = fault === undefined ? undefined : describeFault(fault);
+		sendJson(response, described?.status ?? 200, described?.problem ?? {status: 'ready'});
+	};
+
+	const sendLiveness = (response: ServerResponse) => {
+		sendJson(response, 200, {status: 'alive'});
+	};
+
+	const serveHealth: ReadonlyMap<string, (response: ServerResponse) => void> = new Map([['/healthz', sendLiveness], ['/readyz', sendReadiness]]);
+
+	const serve = async (request: IncomingMessage, response: ServerResponse) => {
+		const url = new URL(request.url ?? '/', 'http://localhost');
+		const health = serveHealth.get(url.pathname);
+		if (health !== undefined) {
+			health(response);
+			return;
+		}
+
+		await (url.pathname.startsWith('/operator/') ? serveOperator(request, response, url, operatorPorts) : serveCaller(request, response, url));
+	};
+
+	const server = createServer({maxHeaderSize: options.maxHeaders}, (request, response) => {
+		runInBackground(async () => serve(request, response), error => {
+			log.warn('request-error', {error: String(error)});
+			if (!response.headersSent && !response.destroyed) {
+				sendFault(createHttpSink(response), createFault('internal', 'the router failed on this request'), false);
+			}
+		});
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		const fault = error.code === 'HPE_HEADER_OVERFLOW'
+			? createFault('headers-too-large', `headers: exceed ${options.maxHeaders} bytes`)
+			: createFault('bad-request', 'request: is not HTTP');
+		const {status, headers, problem} = describeFault(fault);
+		const body = JSON.stringify(problem);
+		const lines = Object.entries({...headers, 'content-length': String(Buffer.byteLength(body)), connection: 'close'}).map(([name, value]) => `${name}: ${value}`);
+		if (socket.writable) {
+			socket.end(`HTTP/1.1 ${status} ${problem.title}\r\n${lines.join('\r\n')}\r\n\r\n${body}`);
+		}
+	});
+
+	// Peers and hosts
+
+	const peerServer = await startPeerServer(options.control, {
+		getIncarnation: () => getState().incarnation,
+		getRevision: () => getState().config.revision,
+		listMissing: revision => listMissing(getState(), revision),
+		onBeat(router, address, revision) {
+			post({
+				kind: 'peer-heard', router, address, revision, revisions: [],
+			});
+		},
+		onAnnounce(address, agent, isLeaving) {
+			seenOnList.set(address, performance.now());
+			sessions.add(address);
+			if (isLeaving) {
+				post({kind: 'agent-leaving', agent});
+			}
+		},
+		onForward(request, sink) {
+			const id = `f-${randomUUID()}`;
+			const body = Buffer.from(request.body);
+			const {headers, method, path} = request;
+			admit(createCaller(sink, body, {
+				method, path, contentType: headers['content-type'] ?? '', headers,
+			}), {
+				id, method, path, headers, body, isForwarded: true,
+			});
+			return () => {
+				leave(id);
+			};
+		},
+	});
+	const control = peerServer.address;
+	loop = startCore();
+	const http = await listen(server, options.listen);
+	let peerAddresses: readonly string[] = [];
+
+	const beat = async (address: string) => {
+		const state = getState();
+		const reply = await peerClients.get(address).beat({
+			routerIncarnation: state.incarnation, address: control, configRevision: state.config.revision,
+		}, {timeoutMs: callTimeout});
+		post({
+			kind: 'peer-heard', router: reply.routerIncarnation, address, revision: reply.configRevision, revisions: reply.revisions.map(text => JSON.parse(text) as Revision),
+		});
+	};
+
+	const beatPeers = () => {
+		const start = random.pick(Math.max(1, peerAddresses.length));
+		const chosen = [...peerAddresses.slice(start), ...peerAddresses.slice(0, start)].slice(0, beatFanout);
+		chosen.forEach(address => {
+			// A peer that does not answer grows silent in the state.
+			runInBackground(async () => beat(address));
+		});
+	};
+
+	const followHosts = async () => {
+		const now = performance.now();
+		const [routers, agents] = await Promise.all([options.hosts.list('galena-router'), options.hosts.list('galena-agent')]);
+		peerAddresses = routers.map(host => host.address).filter(address => address !== control);
+		peerClients.keep(peerAddresses);
+		agents.forEach(host => {
+			seenOnList.set(host.address, now);
+			sessions.add(host.address);
+		});
+		const leaving = new Set(agents.filter(host => host.isLeaving).map(host => host.address));
+		getState().members.filter(member => leaving.has(member.address) && !member.isLeaving).forEach(member => {
+			post({kind: 'agent-leaving', agent: member.agent});
+		});
+		sessions.addresses().filter(address => now - (seenOnList.get(address) ?? now) > forgetAfter).forEach(address => {
+			sessions.remove(address);
+			getState().members.filter(member => member.address === address && member.link === 'closed').forEach(member => {
+				post({kind: 'agent-gone', agent: member.agent});
+			});
+		});
+	};
+
+	const followQuietly = () => {
+		// Without the list the known addresses go on.
+		runInBackground(followHosts);
+	};
+
+	const timers = [
+		setInterval(() => {
+			post({kind: 'tick'});
+		}, tickInterval),
+		setInterval(beatPeers, beatInterval),
+		setInterval(followQuietly, hostInterval),
+	];
+	post({kind: 'tick'});
+	followQuietly();
+	log.event('router-started', {
+		router: loop.state().incarnation, address: http.address, control, dataCentre: options.dataCentre,
+	});
+
+	const kill = async () => {
+		isClosed = true;
+		timers.forEach(timer => {
+			clearInterval(timer);
+		});
+		sessions.close();
+		peerServer.close();
+		loop.stop();
+		await http.close();
+	};
+
+	return {
+		address: http.address,
+		control,
+		getState,
+		kill,
+		async drain() {
+			isStopping = true;
+			server.close();
+			post({kind: 'drain-asked'});
+			post({kind: 'tick'});
+			await closed;
+			log.event('router-closed', {router: loop.state().incarnation});
+			await kill();
+		},
+	};
+};
--- /dev/null
+++ b/src/server/index.ts
@@ -0,0 +1,4 @@
+export {
+	createHttpServer, listen, parseAddress, readBody, sendJson,
+} from './http.js';
+export type {Endpoint, Listening} from './http.js';
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,3 @@
+export {
+	address, checkSettings, count, duration, httpAddress, label, logSection, readSettings, share, size,
+} from './settings.js';
--- /dev/null
+++ b/src/table/apply.ts
@@ -0,0 +1,66 @@
+import type {Map} from 'immutable';
+import {formatKey} from './rows.js';
+import type {
+	Condition, Row, StoreCall, StoreReply, Write,
+} from './rows.js';
+
+/** All rows of a table service, by table and id. */
+export type Rows = Map<string, Row>;
+
+const meets: Readonly<Record<Condition['kind'], (row: Row | undefined, condition: Condition) => boolean>> = {
+	any: () => true,
+	absent: row => row === undefined,
+	version: (row, condition) => condition.kind === 'version' && row?.version === condition.version,
+	state: (row, condition) => condition.kind === 'state' && row?.state === condition.state,
+};
+
+const writeRow = (rows: Rows, write: Write): Rows => {
+	const name = formatKey(write);
+	const version = (rows.get(name)?.version ?? 0) + 1;
+	const row: Row = {
+		table: write.table,
+		id: write.id,
+		version,
+		body: write.body ?? null,
+		...(write.state !== undefined && {state: write.state}),
+	};
+	return rows.set(name, row);
+};
+
+const applyWrite: Readonly<Record<Write['op'], (rows: Rows, write: Write) => Rows>> = {
+	put: writeRow,
+	delete: (rows, write) => rows.delete(formatKey(write)),
+	check: rows => rows,
+};
+
+const selectRows = (rows: Rows, table: string, prefix: string, after: string | undefined, limit: number): readonly Row[] =>
+	[...rows.values()]
+		.filter(row => row.table === table && row.id.startsWith(prefix) && (after === undefined || row.id > after))
+		.toSorted((a, b) => (a.id < b.id ? -1 : 1))
+		.slice(0, limit);
+
+/**
+Answers one call as a transactional table service does: all writes or none.
+
+@param rows - The rows before the call.
+@param call - The call.
+@returns The rows after it, and the reply.
+*/
+export const applyCall = (rows: Rows, call: StoreCall): Readonly<{rows: Rows; reply: StoreReply}> => {
+	if (call.kind === 'read') {
+		return {rows, reply: {kind: 'rows', rows: call.keys.map(key => rows.get(formatKey(key)))}};
+	}
+
+	if (call.kind === 'query') {
+		return {rows, reply: {kind: 'rows', rows: selectRows(rows, call.table, call.prefix, call.after, call.limit)}};
+	}
+
+	const failed = call.writes.flatMap((write, index) =>
+		meets[write.condition.kind](rows.get(formatKey(write)), write.condition) ? [] : [index]);
+	if (failed.length > 0) {
+		return {rows, reply: {kind: 'conflict', failed}};
+	}
+
+	const next = call.writes.reduce((current, write) => applyWrite[write.op](current, write), rows);
+	return {rows: next, reply: {kind: 'applied'}};
+};
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+	test: {
+		include: ['src/**/*.test.ts', 'test/**/*.test.ts'],
+		testTimeout: 60_000,
+		hookTimeout: 60_000,
+		pool: 'forks',
+	},
+});
