--- a/src/agent/service.ts
+++ b/src/agent/service.ts
@@ -140,7 +140,7 @@
 		session: serveSession,
 		async fence(request) {
 			const answer = await ports.ask<FenceAnswer>(call => ({
-				kind: 'fence-asked', router: request.routerIncarnation, probe: request.probe, call,
+				kind: 'fence-asked', router: request.routerIncarnation, agent: request.agentIncarnation, probe: request.probe, call,
 			}));
 			return {state: answer.state, agentIncarnation: ports.incarnation, usages: answer.usages.map(attempt => describeUsage(attempt))};
 		},
--- a/src/attempt/handle.ts
+++ b/src/attempt/handle.ts
@@ -119,7 +119,11 @@
 
 const answerFence = (state: AgentState, call: number, answer: FenceAnswer): AgentStep => ({state, effects: [{kind: 'answer-fence', call, answer}]});
 
-const fenceRouter: Decide<AgentEvent & {kind: 'fence-asked'}> = (state, {router, probe, call}) => {
+const fenceRouter: Decide<AgentEvent & {kind: 'fence-asked'}> = (state, {router, agent, probe, call}, _now, broken) => {
+	if (agent !== state.incarnation && broken !== 'incarnation-check') {
+		return answerFence(state, call, {state: 'gone', usages: []});
+	}
+
 	const view = state.routers.get(router);
 	if (view?.state === 'heard') {
 		return answerFence(state, call, {state: 'serving', usages: []});
@@ -160,9 +164,9 @@
 		: {state: 'done', tokens: attempt.tokens, answer: attempt.answer};
 };
 
-const sealAttempt: Decide<AgentEvent & {kind: 'seal-asked'}> = (state, {attempt: id, agent, call}, now) => {
+const sealAttempt: Decide<AgentEvent & {kind: 'seal-asked'}> = (state, {attempt: id, agent, call}, now, broken) => {
 	const answerSeal = (next: AgentState, answer: SealAnswer): AgentStep => ({state: next, effects: [{kind: 'answer-seal', call, answer}]});
-	if (agent !== state.incarnation) {
+	if (agent !== state.incarnation && broken !== 'incarnation-check') {
 		return answerSeal(state, {state: 'gone', tokens: 0});
 	}
 
--- a/src/attempt/messages.ts
+++ b/src/attempt/messages.ts
@@ -6,7 +6,7 @@
 /** What an agent answers to a fence. */
 export type FenceAnswer = Readonly<{
 	/** `silent`: the agent does not hear the router, and nothing was changed. */
-	state: 'serving' | 'silent' | 'pending' | 'fenced' | 'full';
+	state: 'serving' | 'silent' | 'pending' | 'fenced' | 'full' | 'gone';
 	/** All attempts of the router whose bill is not known to be durable. */
 	usages: readonly Attempt[];
 }>;
@@ -28,7 +28,8 @@
 	| Readonly<{kind: 'settled'; attempts: readonly string[]}>
 	/** The endpoint has finished with an attempt. */
 	| Readonly<{kind: 'attempt-ended'; attempt: string; outcome: AttemptOutcome; tokens: number; answer?: Answer}>
-	| Readonly<{kind: 'fence-asked'; router: string; probe: boolean; call: number}>
+	/** `agent` is the incarnation that is meant. */
+	| Readonly<{kind: 'fence-asked'; router: string; agent: string; probe: boolean; call: number}>
 	/** The row of a fenced router is closed. */
 	| Readonly<{kind: 'router-closed'; router: string}>
 	| Readonly<{kind: 'seal-asked'; attempt: string; agent: string; call: number}>
--- a/src/budget/handle.ts
+++ b/src/budget/handle.ts
@@ -93,6 +93,9 @@
 /** What the grant row holds after a change. Tokens. */
 const countAfter = (pot: Pot, change: Change): number => pot.granted - sumBills(change.bills) + change.delta;
 
+/** Leaves out the rows that can be inserted only once; for the model check alone. */
+const unguardBills = (bills: readonly Bill[]): readonly Bill[] => bills.map(bill => ({...bill, keyed: false}));
+
 const buildWrites = (pot: Pot, change: Change, budgetRow: Row | undefined, context: PotContext): readonly Write[] => {
 	const {limit, granted} = describeBudget(budgetRow);
 	const body: GrantBody = {
@@ -107,7 +110,7 @@
 		change.leaves ? deleteRow(key, pot.version) : putRow(key, pot.version, body),
 		...(change.delta === 0 ? [] : [putRow(rowKeys.budget(pot.budget), change.budgetVersion, {limit, granted: granted + change.delta})]),
 		...(change.delta > 0 || pot.version === 0 ? [requireState(rowKeys.router(context.router), 'active')] : []),
-		...writeBills(pot.budget, context.router, change.id, change.bills),
+		...writeBills(pot.budget, context.router, change.id, context.broken === 'bill-if-absent' ? unguardBills(change.bills) : change.bills),
 	];
 };
 
--- a/src/member/member.ts
+++ b/src/member/member.ts
@@ -19,6 +19,8 @@
 	/** Models that the endpoint serves; empty for a plain service. */
 	models: readonly string[];
 	link: 'open' | 'closed' | 'gone';
+	/** Numbers the sessions opened with it. */
+	session: number;
 	isLeaving: boolean;
 	load: LoadReport;
 	/** This router's attempts that run there. */
@@ -48,6 +50,8 @@
 	dataCentre: string;
 	models: readonly string[];
 	capacity: number;
+	/** The session's number. */
+	session: number;
 }>;
 
 const smoothing = 0.2;
--- a/src/request/claims.ts
+++ b/src/request/claims.ts
@@ -7,11 +7,10 @@
 import {createFault} from '../errors/index.js';
 import {chain, stay} from '../loop/index.js';
 import type {RouterEffect, RouterEvent, RouterStep} from '../router/messages.js';
-import {releaseTokens} from '../router/pots.js';
 import type {RouterState} from '../router/state.js';
 import type {StoreReply} from '../table/index.js';
 import {
-	billRequest, dropRequest, logEnd, putRequest, refuseRequest, withRequest,
+	billRequest, dropRequest, logEnd, putRequest, refuseRequest, tellFault, withRequest,
 } from './common.js';
 import {seekGrant} from './grant.js';
 import {readClaimRow, seekAgent, sendAttempt} from './send.js';
@@ -64,10 +63,12 @@
 		: refuseRequest(state, request.id, createFault('key-conflict', 'Idempotency-Key: was used with another request'), now);
 };
 
+const unreadClaim = createFault('claim-unread', 'the claim under this Idempotency-Key cannot be read at present');
+
 const receiveRead = (state: RouterState, request: Request, reply: StoreReply, now: number): RouterStep => reply.kind === 'rows'
 	? receiveClaim(state, request, readClaim(reply.rows[0]), now)
 	// An earlier request under this key may have run, so "not run" would be a guess.
-	: refuseRequest(state, request.id, createFault('claim-unread', 'the claim under this Idempotency-Key cannot be read at present'), now);
+	: refuseRequest(state, request.id, unreadClaim, now);
 
 const writeReplies: Readonly<Record<StoreReply['kind'], (state: RouterState, request: Request, now: number) => RouterStep>> = {
 	applied(state, request, now) {
@@ -77,15 +78,42 @@
 		}
 
 		const written: Request = {...request, claim: {...claim, version: claim.version + 1}};
-		return request.isAnswered
-			? dropRequest(state, request, now)
-			: sendAttempt(state, written, claim.body.agent, claim.body.attempt, now);
+		if (request.isAnswered) {
+			return dropRequest(state, request, now);
+		}
+
+		const member = state.members.get(claim.body.agent);
+		// The session may have broken meanwhile. The attempt was never sent, so the claim may move on.
+		return member?.link === 'open'
+			? sendAttempt(state, written, member, claim.body.attempt, now)
+			: seekHolding(state, written, now);
 	},
 	conflict: (state, request, now) => readClaimRow(state, request, now),
 	rows: state => stay(state),
 	lost: (state, request, now) => refuseRequest(state, request.id, createFault('store-unavailable', 'the claim under this Idempotency-Key cannot be written at present'), now),
 };
 
+/** Another try holds the claim, and what became of it is not known here. */
+const refuseOverlap = (state: RouterState, request: Request, now: number): RouterStep =>
+	tellFault(state, request, createFault('in-progress', 'another try under this Idempotency-Key is under way'), now);
+
+const confirmRead = (state: RouterState, request: Request, claim: Claim | undefined, now: number): RouterStep => {
+	const {refusal} = request;
+	// The version is the one that this try has read, written or sealed: nobody else has run the act since.
+	const isUnchanged = (claim?.version ?? 0) === (request.claim?.version ?? 0);
+	if (refusal !== undefined && isUnchanged) {
+		return tellFault(state, request, refusal, now);
+	}
+
+	return claim === undefined || claim.state === 'sent'
+		? refuseOverlap(state, request, now)
+		: receiveClaim(state, request, claim, now);
+};
+
+const receiveConfirmation = (state: RouterState, request: Request, reply: StoreReply, now: number): RouterStep => reply.kind === 'rows'
+	? confirmRead(state, request, readClaim(reply.rows[0]), now)
+	: refuseRequest(state, request.id, unreadClaim, now);
+
 /** Makes the end of an act durable: its claim first, then its bill. */
 const writeVerdict = (state: RouterState, request: Request): RouterStep => {
 	const {claim, verdict} = request;
@@ -140,6 +168,7 @@
 	const phases: Readonly<Partial<Record<Request['phase'], () => RouterStep>>> = {
 		'claim-reading': () => receiveRead(state, request, reply, now),
 		'claim-writing': () => writeReplies[reply.kind](state, request, now),
+		refusing: () => receiveConfirmation(state, request, reply, now),
 		finishing: () => finishReplies[reply.kind](state, request, now, reply),
 	};
 	return phases[request.phase]?.() ?? stay(state);
@@ -190,21 +219,21 @@
 	}
 
 	const verdict = answer.answer === undefined ? 'unknown' : 'done';
-	return chain(endOwnAttempt(state, request, now), current => withRequest(current, request.id, latest =>
+	return chain(endOwnAttempt(state, request), current => withRequest(current, request.id, latest =>
 		finishAct(current, latest, {verdict, answer: answer.answer, tokens: answer.tokens}, now)));
 };
 
-/** Closes the router's own record of an attempt whose end the agent has told through the seal. */
-const endOwnAttempt = (state: RouterState, request: Request, now: number): RouterStep => {
+/** Closes the router's own record of an attempt whose end the agent has told through the seal; the request holds its reservation again. */
+const endOwnAttempt = (state: RouterState, request: Request): RouterStep => {
 	const attempt = state.attempts.get(request.claim?.body.attempt ?? '');
-	return attempt === undefined
-		? stay(state)
-		: releaseTokens({...state, attempts: state.attempts.delete(attempt.id)}, attempt.budget, attempt.cap, now);
+	return stay(attempt === undefined
+		? state
+		: putRequest({...state, attempts: state.attempts.delete(attempt.id)}, {...request, hold: request.hold + attempt.cap}));
 };
 
 /** The attempt will never run: a new one may take its place. */
 const receiveSealed = (state: RouterState, request: Request, now: number): RouterStep =>
-	chain(endOwnAttempt(state, request, now), current => withRequest(current, request.id, latest => latest.isAnswered
+	chain(endOwnAttempt(state, request), current => withRequest(current, request.id, latest => latest.isAnswered
 		? dropRequest(current, latest, now)
 		: seekHolding(current, {
 			...latest,
@@ -213,7 +242,7 @@
 		}, now)));
 
 const receiveGone = (state: RouterState, request: Request, _answer: SealAnswer, now: number): RouterStep => isOwn(state, request)
-	? chain(endOwnAttempt(state, request, now), current => withRequest(current, request.id, latest =>
+	? chain(endOwnAttempt(state, request), current => withRequest(current, request.id, latest =>
 		finishAct(current, latest, {verdict: 'unknown', answer: undefined, tokens: 0}, now)))
 	: refuseUnknown(state, request, 'the agent that may have run the work is gone; an operator has to resolve it', now);
 
--- a/src/request/common.ts
+++ b/src/request/common.ts
@@ -5,6 +5,7 @@
 import type {RouterEffect, RouterStep} from '../router/messages.js';
 import {logEvent} from '../router/messages.js';
 import {putPot, releaseTokens} from '../router/pots.js';
+import {rowKeys} from '../table/index.js';
 import type {RouterState} from '../router/state.js';
 import type {Request} from './state.js';
 
@@ -107,8 +108,26 @@
 	return dropRequest(billed, request, now);
 };
 
+/** Another try under the same key may have run while this one waited, so the claim has the last word. */
+const needsConfirmation = (request: Request, fault: Fault): boolean =>
+	request.kind === 'act' && !request.isAnswered && answers[fault.kind].outcome === 'not-run' && fault.kind !== 'key-conflict';
+
+/** Reads the claim of an act before its caller is told that it has not run. */
+const confirmRefusal = (state: RouterState, request: Request, fault: Fault): RouterStep => {
+	const refusing: Request = {...request, phase: 'refusing', refusal: fault};
+	return {
+		state: putRequest(state, refusing),
+		effects: [{
+			kind: 'store',
+			tag: {slice: 'claim', subject: request.id},
+			call: {kind: 'read', keys: [rowKeys.claim(request.organisation, request.key ?? '')]},
+		}],
+	};
+};
+
 /**
-Answers a request with a fault, at once and for good.
+Answers a request with a fault, for good: at once, or for an act that is to be
+told "not run" as soon as its claim says the same.
 
 @param state - The router.
 @param id - The request's id.
@@ -119,8 +138,21 @@
 export const refuseRequest = (state: RouterState, id: string, fault: Fault, now: number): RouterStep =>
 	withRequest(state, id, request => {
 		const told = weakenFault(request, fault);
-		const effects: readonly RouterEffect[] = request.isAnswered
-			? []
-			: [{kind: 'reply-fault', request: id, fault: told}, describeEnd(request, {outcome: told.kind, detail: told.detail, tokens: 0}, now)];
-		return chain({state, effects}, current => closeRequest(current, {...request, isAnswered: true, isFailed: true}, now));
+		return needsConfirmation(request, told) ? confirmRefusal(state, request, told) : tellFault(state, request, told, now);
 	});
+
+/**
+Tells a caller of a fault.
+
+@param state - The router.
+@param request - The request.
+@param fault - The fault.
+@param now - The time in ms.
+@returns The router and what it does.
+*/
+export const tellFault = (state: RouterState, request: Request, fault: Fault, now: number): RouterStep => {
+	const effects: readonly RouterEffect[] = request.isAnswered
+		? []
+		: [{kind: 'reply-fault', request: request.id, fault}, describeEnd(request, {outcome: fault.kind, detail: fault.detail, tokens: 0}, now)];
+	return chain({state, effects}, current => closeRequest(current, {...request, isAnswered: true, isFailed: true}, now));
+};
--- a/src/request/send.ts
+++ b/src/request/send.ts
@@ -25,12 +25,13 @@
 
 @param state - The router.
 @param request - The request; it holds its reservation.
-@param agent - The agent's incarnation.
+@param member - The agent; its session is open.
 @param attempt - The attempt's id.
 @param now - The time in ms.
 @returns The router and the dispatch.
 */
-export const sendAttempt = (state: RouterState, request: Request, agent: string, attempt: string, now: number): RouterStep => {
+export const sendAttempt = (state: RouterState, request: Request, member: Member, attempt: string, now: number): RouterStep => {
+	const {agent, session} = member;
 	const open: OpenAttempt = {
 		id: attempt,
 		request: request.id,
@@ -39,6 +40,7 @@
 		agent,
 		cap: request.hold,
 		link: 'sent',
+		session,
 		sentAt: now,
 		isAct: request.kind === 'act',
 	};
@@ -75,7 +77,7 @@
 		call: {kind: 'write', writes: [writeClaim(request.organisation, request.key ?? '', version, 'sent', body)]},
 	};
 	if (state.broken === 'claim-before-dispatch') {
-		return sendAttempt({...putRequest(state, claiming), counter: state.counter + 1}, claiming, member.agent, attempt, now);
+		return sendAttempt({...putRequest(state, claiming), counter: state.counter + 1}, claiming, member, attempt, now);
 	}
 
 	return {state: {...putRequest(state, claiming), counter: state.counter + 1}, effects: [effect]};
@@ -83,7 +85,7 @@
 
 const sendOrClaim = (state: RouterState, request: Request, member: Member, now: number): RouterStep => request.kind === 'act'
 	? claimAttempt(state, request, member, now)
-	: sendAttempt({...state, counter: state.counter + 1}, request, member.agent, nameAttempt(state), now);
+	: sendAttempt({...state, counter: state.counter + 1}, request, member, nameAttempt(state), now);
 
 const countPlaces = (state: RouterState, pool: string): number =>
 	state.members.valueSeq().toArray()
@@ -124,7 +126,7 @@
 		model: request.model,
 		dataCentre: state.dataCentre,
 		excluded: request.excluded,
-		mayDispatch: agent => countsIn(state.reach, agent) || (state.broken === 'reach-before-dispatch'),
+		mayDispatch: agent => countsIn(state.reach, agent) || state.broken === 'reach-before-dispatch',
 		seed: state.counter,
 		now,
 	});
--- a/src/request/state.ts
+++ b/src/request/state.ts
@@ -1,5 +1,6 @@
 import type {AttemptPlace} from '../bill/index.js';
 import type {Claim} from '../claim/index.js';
+import type {Fault} from '../errors/index.js';
 
 /** Where a request stands. */
 export type Phase =
@@ -18,7 +19,9 @@
 	/** An agent is asked about an attempt that may have run. */
 	| 'sealing'
 	/** The answer is given, and the claim is being made durable. */
-	| 'finishing';
+	| 'finishing'
+	/** The claim of an act is read once more before its caller is told "not run". */
+	| 'refusing';
 
 /** `exhausted`: the budget has too little left; `unavailable`: the store does not answer. */
 export type Shortage = 'exhausted' | 'unavailable';
@@ -84,6 +87,8 @@
 	sealAt: number | undefined;
 	/** True if the next attempt goes on where the last one broke off. */
 	resumes: boolean;
+	/** What an act's caller is told if the claim shows that it has not run. */
+	refusal: Fault | undefined;
 	/** What the final state of the claim will be. */
 	verdict: 'done' | 'unknown' | undefined;
 	/** Tokens to bill once the attempt has ended, or the claim is durable. */
@@ -102,6 +107,8 @@
 	cap: number;
 	/** `lost`: the session broke; the agent will say what became of it. */
 	link: 'sent' | 'lost';
+	/** The session that it was sent on: it must not leave on another one. */
+	session: number;
 	/** In ms. */
 	sentAt: number;
 	isAct: boolean;
@@ -131,6 +138,7 @@
 	sealTries: 0,
 	sealAt: undefined,
 	resumes: false,
+	refusal: undefined,
 	verdict: undefined,
 	tokens: 0,
 	isFailed: false,
--- a/src/route/choose.ts
+++ b/src/route/choose.ts
@@ -7,7 +7,7 @@
 	/** The model asked for; undefined for a plain service. */
 	model: string | undefined;
 	dataCentre: string;
-	/** Agents that were tried for this request. */
+	/** Agents that were tried for this request: passed over while there are others. */
 	excluded: readonly string[];
 	/** Whether the router may dispatch to an agent. */
 	mayDispatch: (agent: string) => boolean;
@@ -64,6 +64,12 @@
 	return [...new Set(indexes)].flatMap(index => members[index] ?? []);
 };
 
+/** Keeps the members that fit, or all if none does. */
+const prefer = (members: readonly Member[], fits: (member: Member) => boolean): readonly Member[] => {
+	const fitting = members.filter(member => fits(member));
+	return fitting.length > 0 ? fitting : members;
+};
+
 /**
 Chooses the endpoint for an attempt: among a few candidates, the one that is
 predicted to give the first token soonest.
@@ -79,14 +85,13 @@
 		return {kind: 'no-model'};
 	}
 
-	const reachable = serving.filter(member =>
-		!member.isLeaving && !query.excluded.includes(member.agent) && query.mayDispatch(member.agent));
+	const reachable = serving.filter(member => !member.isLeaving && query.mayDispatch(member.agent));
 	if (reachable.length === 0) {
 		return {kind: 'none'};
 	}
 
-	const healthy = reachable.filter(member => member.ejectedUntil <= query.now);
-	const free = (healthy.length > 0 ? healthy : reachable).filter(member => countLoad(member) < member.load.capacity);
+	const fresh = prefer(reachable, member => !query.excluded.includes(member.agent));
+	const free = prefer(fresh, member => member.ejectedUntil <= query.now).filter(member => countLoad(member) < member.load.capacity);
 	const [best] = pickCandidates(free, query.seed)
 		.toSorted((a, b) => predictFirstToken(a, query) - predictFirstToken(b, query));
 	return best === undefined ? {kind: 'busy'} : {kind: 'agent', member: best};
--- a/src/router/handle.ts
+++ b/src/router/handle.ts
@@ -254,6 +254,17 @@
 
 const isLeaving = (state: RouterState): boolean => state.phase === 'draining' || state.phase === 'fenced';
 
+const waitingPhases: ReadonlySet<Request['phase']> = new Set(['granting', 'queued']);
+
+/** A fenced router gets no more tokens and reaches no more agents: whoever waits here is told at once. */
+const refuseWaiting = (state: RouterState, now: number): RouterStep => {
+	const waiting = state.phase === 'fenced'
+		? state.requests.valueSeq().toArray().filter(request => waitingPhases.has(request.phase) && !request.isAnswered)
+		: [];
+	return chainAll(state, waiting, (current, request) =>
+		refuseRequest(current, request.id, createFault('not-ready', 'this router is being replaced'), now));
+};
+
 /** Once nothing runs, all is settled and returned, and the row is closed. */
 const leaveFleet = (state: RouterState, now: number): RouterStep => {
 	if (!isLeaving(state) || state.requests.size > 0) {
@@ -282,6 +293,7 @@
 		current => watchPeers(current, now),
 		current => narrowReach(current, now),
 		current => wakeQueue(current, now),
+		current => refuseWaiting(current, now),
 		current => leaveFleet(current, now),
 	];
 	return decisions.reduce((step, decide) => chain(step, decide), requests);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -183,12 +183,12 @@
 	const sessions = createSessions({
 		getIncarnation: () => getState().incarnation,
 		getRevision: () => getState().config.revision,
-		onOpen(address, hello) {
+		onOpen(address, hello, session) {
 			log.event('session-opened', {agent: hello.agentIncarnation, address, pool: hello.pool});
 			post({
 				kind: 'session-opened',
 				introduction: {
-					agent: hello.agentIncarnation, address, pool: hello.pool, dataCentre: hello.dataCentre, models: hello.models, capacity: hello.capacity,
+					agent: hello.agentIncarnation, address, pool: hello.pool, dataCentre: hello.dataCentre, models: hello.models, capacity: hello.capacity, session,
 				},
 				kept: hello.kept,
 			});
@@ -249,7 +249,7 @@
 		caller.whole = [];
 		caller.resumes = request.resumes;
 		byAttempt.set(attempt.id, caller);
-		sessions.send(attempt.agent, {
+		sessions.sendOn(attempt.agent, attempt.session, {
 			dispatches: [{
 				attemptId: attempt.id,
 				requestId: request.billId,
@@ -325,12 +325,7 @@
 		}
 
 		try {
-			const reply = await sessions.getClient(effect.address).fence({routerIncarnation: effect.router, probe: effect.probe}, {timeoutMs: callTimeout});
-			// Another incarnation cannot speak for the one that is asked about.
-			if (reply.agentIncarnation !== effect.agent) {
-				return;
-			}
-
+			const reply = await sessions.getClient(effect.address).fence({routerIncarnation: effect.router, agentIncarnation: effect.agent, probe: effect.probe}, {timeoutMs: callTimeout});
 			const answer: FenceAnswer = {
 				state: reply.state as FenceAnswer['state'],
 				usages: reply.usages.map(usage => ({
--- a/src/router/sessions.ts
+++ b/src/router/sessions.ts
@@ -16,7 +16,7 @@
 	/** The router's incarnation at present. */
 	getIncarnation: () => string;
 	getRevision: () => number;
-	onOpen: (address: string, hello: Hello) => void;
+	onOpen: (address: string, hello: Hello, session: number) => void;
 	onBatch: (agent: string, batch: AgentBatch) => void;
 	onClose: (agent: string) => void;
 	onRefused: () => void;
@@ -32,6 +32,8 @@
 	remove: (address: string) => void;
 	addresses: () => readonly string[];
 	send: (agent: string, part: RouterPart) => void;
+	/** Sends on one session or not at all: an order must never leave on a later one. */
+	sendOn: (agent: string, session: number, part: RouterPart) => void;
 	broadcast: (part: RouterPart) => void;
 	/** The client for single calls to an address. */
 	getClient: (address: string) => Client<typeof AgentService>;
@@ -47,6 +49,8 @@
 	outbox: Outbox<RouterPart, RouterBatch> | undefined;
 	abort: AbortController;
 	failures: number;
+	/** Numbers the sessions at this address. */
+	session: number;
 	isRemoved: boolean;
 };
 
@@ -91,7 +95,7 @@
 			session.agent = batch.hello.agentIncarnation;
 			session.failures = 0;
 			byAgent.set(session.agent, session);
-			ports.onOpen(session.address, batch.hello);
+			ports.onOpen(session.address, batch.hello, session.session);
 		}
 
 		if (session.agent !== undefined) {
@@ -113,6 +117,7 @@
 	const runOnce = async (session: Session) => {
 		const outbox: Outbox<RouterPart, RouterBatch> = createOutbox(combineParts);
 		session.outbox = outbox;
+		session.session += 1;
 		session.abort = new AbortController();
 		outbox.push({routerIncarnation: ports.getIncarnation(), configRevision: ports.getRevision()});
 		try {
@@ -148,6 +153,7 @@
 		outbox: undefined,
 		abort: new AbortController(),
 		failures: 0,
+		session: 0,
 		isRemoved: false,
 	});
 
@@ -175,6 +181,12 @@
 		send(agent, part) {
 			byAgent.get(agent)?.outbox?.push(part);
 		},
+		sendOn(agent, number, part) {
+			const session = byAgent.get(agent);
+			if (session?.session === number) {
+				session.outbox?.push(part);
+			}
+		},
 		broadcast(part) {
 			byAgent.forEach(session => session.outbox?.push(part));
 		},
