--- a/src/budget/policy.ts
+++ b/src/budget/policy.ts
@@ -60,6 +60,9 @@
 	newsvendor: (need, policy) => capByShare(Math.max(policy.size, findQuantile(need, policy)), need, policy),
 };
 
+/** A draw ahead of need is at least the policy's size over this. */
+const smallestShare = 4;
+
 /**
 Decides how many tokens to draw. What waiting requests lack comes first; the
 rest is the policy's.
@@ -71,7 +74,9 @@
 export const chooseDraw = (need: Need, policy: GrantPolicy): number => {
 	const goal = Math.ceil(goals[policy.kind](need, policy)) - need.free;
 	const draw = Math.min(need.ungranted, Math.max(need.wanted, goal, 0));
-	return draw < need.least ? 0 : draw;
+	// A draw that nobody waits for is not worth scattering the last tokens.
+	const least = need.wanted > 0 ? need.least : policy.size / smallestShare;
+	return draw < least ? 0 : draw;
 };
 
 /**
--- a/src/check/scenarios.ts
+++ b/src/check/scenarios.ts
@@ -140,6 +140,9 @@
 	describeScenario('act-twice', 'claim', {
 		inputs: [arrive('r1:1', act), arrive('r2:1', act)], faults: {},
 	}),
+	describeScenario('act-same-router', 'claim', {
+		routers: ['r1'], inputs: [arrive('r1:1', act), arrive('r1:2', act)], faults: {leave: 1},
+	}),
 	describeScenario('act-crash-retry', 'claim', {
 		inputs: [arrive('r1:1', act), arrive('r2:1', act)], faults: {crashRouter: 1},
 	}),
--- a/src/local/deployments.ts
+++ b/src/local/deployments.ts
@@ -36,13 +36,22 @@
 
 const largeBudget = 5_000_000; // Tokens
 const smallBudget = 200_000; // Tokens
+const tinyBudget = 3000; // Tokens
+
+/** A few organisations are large, and the last one is nearly out of tokens. */
+const planTokens = (index: number, count: number): number => {
+	if (index === count - 1) {
+		return tinyBudget;
+	}
+
+	return index < 3 ? largeBudget : smallBudget;
+};
 
 const planOrganisations = (prefix: string, count: number, classes: readonly string[], defaultClass: string): readonly OrganisationPlan[] =>
 	Array.from({length: count}, (_, index) => ({
 		name: `${prefix}-${index + 1}`,
 		key: `key-${prefix}-${index + 1}`,
-		// A few organisations are large.
-		tokens: index < 3 ? largeBudget : smallBudget,
+		tokens: planTokens(index, count),
 		classes,
 		defaultClass,
 	}));
--- a/src/request/claims.ts
+++ b/src/request/claims.ts
@@ -14,7 +14,7 @@
 } from './common.js';
 import {seekGrant} from './grant.js';
 import {readClaimRow, seekAgent, sendAttempt} from './send.js';
-import type {Request} from './state.js';
+import type {OpenAttempt, Request} from './state.js';
 
 const sealInterval = 500; // Milliseconds
 const answeredInterval = 5000; // Milliseconds, once nobody waits any more
@@ -208,11 +208,14 @@
 const waitForSeal = (state: RouterState, request: Request, now: number): RouterStep =>
 	stay(putRequest(state, {...request, sealAt: now + (request.isAnswered ? answeredInterval : sealInterval)}));
 
-const isOwn = (state: RouterState, request: Request): boolean =>
-	request.claim !== undefined && state.attempts.has(request.claim.body.attempt);
+/** Finds the open attempt of this very arrival: another one under the same key may have come to the same router. */
+const findOwn = (state: RouterState, request: Request): OpenAttempt | undefined => {
+	const attempt = state.attempts.get(request.claim?.body.attempt ?? '');
+	return attempt?.request === request.id ? attempt : undefined;
+};
 
 const receiveDone = (state: RouterState, request: Request, answer: SealAnswer, now: number): RouterStep => {
-	if (!isOwn(state, request)) {
+	if (findOwn(state, request) === undefined) {
 		return answer.answer === undefined
 			? refuseUnknown(state, request, 'the work may have run; its endpoint did not say', now)
 			: replayAnswer(state, request, answer.answer, now);
@@ -225,7 +228,7 @@
 
 /** Closes the router's own record of an attempt whose end the agent has told through the seal; the request holds its reservation again. */
 const endOwnAttempt = (state: RouterState, request: Request): RouterStep => {
-	const attempt = state.attempts.get(request.claim?.body.attempt ?? '');
+	const attempt = findOwn(state, request);
 	return stay(attempt === undefined
 		? state
 		: putRequest({...state, attempts: state.attempts.delete(attempt.id)}, {...request, hold: request.hold + attempt.cap}));
@@ -241,10 +244,10 @@
 			excluded: [...latest.excluded, latest.claim?.body.agent ?? ''],
 		}, now)));
 
-const receiveGone = (state: RouterState, request: Request, _answer: SealAnswer, now: number): RouterStep => isOwn(state, request)
-	? chain(endOwnAttempt(state, request), current => withRequest(current, request.id, latest =>
-		finishAct(current, latest, {verdict: 'unknown', answer: undefined, tokens: 0}, now)))
-	: refuseUnknown(state, request, 'the agent that may have run the work is gone; an operator has to resolve it', now);
+const receiveGone = (state: RouterState, request: Request, _answer: SealAnswer, now: number): RouterStep => findOwn(state, request) === undefined
+	? refuseUnknown(state, request, 'the agent that may have run the work is gone; an operator has to resolve it', now)
+	: chain(endOwnAttempt(state, request), current => withRequest(current, request.id, latest =>
+		finishAct(current, latest, {verdict: 'unknown', answer: undefined, tokens: 0}, now)));
 
 /** After a few tries the caller is told; this router goes on asking about an attempt of its own. */
 const waitOrGiveUp = (state: RouterState, request: Request, detail: string, now: number): RouterStep => {
--- a/src/request/grant.ts
+++ b/src/request/grant.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import {noteDemand, reserveTokens} from '../budget/index.js';
+import {countFree, noteDemand, reserveTokens} from '../budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {ErrorKind, Fault} from '../errors/index.js';
 import {chain, chainAll, stay} from '../loop/index.js';
@@ -12,6 +12,8 @@
 
 /** Peers that are asked to serve a request at the most. */
 const maxForwards = 4;
+/** Part of the target for the first token that may pass in waiting for other requests' tokens. */
+const waitShare = 0.5;
 
 const listGranting = (state: RouterState, budget: string): readonly Request[] =>
 	state.requests.valueSeq().toArray().filter(request => request.phase === 'granting' && request.budget === budget && !request.isAnswered);
@@ -32,6 +34,13 @@
 		: updatePot(state, budget, {kind: 'draw-wanted', tokens: caps.reduce((sum, cap) => sum + cap, 0), least: Math.min(...caps)}, now);
 };
 
+/** Running attempts rarely cost all that is reserved for them: while the target allows, what they leave is waited for. */
+const mayBeFreed = (state: RouterState, request: Request, now: number): boolean => {
+	const pot = findPot(state, request.budget, now);
+	const isEarly = now - request.arrivedAt < request.firstToken * waitShare;
+	return isEarly && countFree(pot) + pot.reserved >= request.cap;
+};
+
 /**
 Reserves the worst case for a request, and draws on the budget if the grant has too little.
 
@@ -48,10 +57,14 @@
 		return seekAgent(reserved, request.id, now);
 	}
 
+	if (!request.isForwarded) {
+		return wantDraw(waiting, request.budget, now);
+	}
+
 	// A forwarded request is served from what is held here, so that peers never draw for one another.
-	return request.isForwarded
-		? refuseRequest(waiting, request.id, createFault('budget-exhausted', `budget "${request.budget}" has no grant here`), now)
-		: wantDraw(waiting, request.budget, now);
+	return mayBeFreed(waiting, request, now)
+		? stay(waiting)
+		: refuseRequest(waiting, request.id, createFault('budget-exhausted', `budget "${request.budget}" has no grant here`), now);
 };
 
 const refusals: Readonly<Record<Shortage, Readonly<{kind: ErrorKind; detail: string}>>> = {
@@ -91,6 +104,20 @@
 	return {state: putRequest(state, forwarded), effects: [{kind: 'forward', request: forwarded, peers}]};
 };
 
+/**
+Gives up waiting for other requests' tokens once the target no longer allows it.
+
+@param state - The router.
+@param now - The time in ms.
+@returns The router and what it does.
+*/
+export const refuseLate = (state: RouterState, now: number): RouterStep => {
+	const late = state.requests.valueSeq().toArray()
+		.filter(request => request.phase === 'granting' && !request.isAnswered && now - request.arrivedAt >= request.firstToken * waitShare)
+		.filter(request => state.pots.get(request.budget)?.sync.step === 'idle');
+	return chainAll(state, late, (current, request) => forwardOrRefuse(current, request, 'exhausted', now));
+};
+
 /**
 Lets the requests go on that wait for a budget's grant.
 
@@ -107,7 +134,7 @@
 			return seekAgent(reserved, request.id, now);
 		}
 
-		return reason === 'drawn' ? stay(current) : forwardOrRefuse(current, request, reason, now);
+		return reason === 'drawn' || mayBeFreed(current, request, now) ? stay(current) : forwardOrRefuse(current, request, reason, now);
 	});
 	return reason === 'drawn' ? chain(step, current => wantDraw(current, budget, now)) : step;
 };
--- a/src/router/handle.ts
+++ b/src/router/handle.ts
@@ -15,7 +15,7 @@
 } from '../request/attempts.js';
 import {receiveClaimReply, receiveSeal, retryClaim} from '../request/claims.js';
 import {putRequest, refuseRequest, withRequest} from '../request/common.js';
-import {describeShortage, seekGrant} from '../request/grant.js';
+import {describeShortage, refuseLate, seekGrant} from '../request/grant.js';
 import {readClaimRow, wakeQueue} from '../request/send.js';
 import {createRequest} from '../request/state.js';
 import type {Request} from '../request/state.js';
@@ -293,6 +293,7 @@
 		current => watchPeers(current, now),
 		current => narrowReach(current, now),
 		current => wakeQueue(current, now),
+		current => refuseLate(current, now),
 		current => refuseWaiting(current, now),
 		current => leaveFleet(current, now),
 	];
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -193,6 +193,7 @@
 @returns How it ended. `not-run` only if the peer said so, or was never reached.
 */
 export const forwardTo = async (client: Client<typeof PeerService>, caller: Caller, remaining: number, signal: AbortSignal): Promise<ForwardEnd['outcome']> => {
+	const timeoutMs = Math.max(1, Math.round(remaining));
 	try {
 		return await passParts(client.forward({
 			requestId: caller.checked.order.billId,
@@ -200,8 +201,8 @@
 			path: caller.path,
 			headers: {...caller.headers},
 			body: new Uint8Array(caller.body),
-			remainingMs: Math.max(1, Math.round(remaining)),
-		}, {signal, timeoutMs: Math.max(1, remaining)}), caller);
+			remainingMs: timeoutMs,
+		}, {signal, timeoutMs}), caller);
 	} catch {
 		return 'unknown';
 	}
--- a/src/router/pots.ts
+++ b/src/router/pots.ts
@@ -1,11 +1,9 @@
-import {
-	countFree, createPot, handlePot,
-} from '../budget/index.js';
+import {createPot, handlePot} from '../budget/index.js';
 import type {
 	Pot, PotContext, PotEffect, PotEvent,
 } from '../budget/index.js';
 import type {Bill} from '../bill/index.js';
-import {chain, chainAll, stay} from '../loop/index.js';
+import {chainAll, stay} from '../loop/index.js';
 import {resumeGranting} from '../request/grant.js';
 import type {RouterEffect, RouterStep} from './messages.js';
 import {logEvent} from './messages.js';
@@ -116,7 +114,6 @@
 	}
 
 	const released = putPot(state, {...pot, reserved: pot.reserved - tokens});
-	return pot.wanted > 0 && countFree(findPot(released, budget, now)) > 0
-		? chain(stay(released), current => resumeGranting(current, budget, 'drawn', now))
-		: stay(released);
+	const isAwaited = state.requests.some(request => request.phase === 'granting' && request.budget === budget);
+	return isAwaited ? resumeGranting(released, budget, 'drawn', now) : stay(released);
 };
--- /dev/null
+++ b/src/settings/settings.test.ts
@@ -0,0 +1,69 @@
+import {describe, expect, test} from 'vitest';
+import {agentSettings} from '../agent/settings.js';
+import {parseConfigFile} from '../control/config-file.js';
+import {routerSettings} from '../router/settings.js';
+import {checkSettings} from './settings.js';
+
+const good = `[router]
+listen = 127.0.0.1:8080
+control = 127.0.0.1:8081
+data-centre = pl-central-1
+hosts = http://127.0.0.1:8500
+
+[table]
+address = http://127.0.0.1:7400
+timeout = 500ms
+`;
+
+const check = (text: string) => checkSettings('r.ini', text, routerSettings);
+
+const wrong: ReadonlyArray<Readonly<{name: string; text: string; message: string}>> = [
+	{name: 'an unknown key', text: good.replace('[table]', 'colour = red\n\n[table]'), message: 'r.ini:7: [router] colour: is not known'},
+	{name: 'an unknown section', text: `${good}\n[extra]\na = 1\n`, message: 'r.ini:11: [extra]: is not known'},
+	{name: 'a wrong unit', text: good.replace('500ms', '500kg'), message: 'r.ini:9: [table] timeout: "500kg" needs'},
+	{name: 'a number without a unit', text: good.replace('500ms', '500'), message: 'r.ini:9: [table] timeout: "500" needs'},
+	{name: 'a missing address', text: good.replace('address = http://127.0.0.1:7400\n', ''), message: 'r.ini:7: [table] address: is missing'},
+	{name: 'a host name for an address', text: good.replace('127.0.0.1:8080', 'localhost:8080'), message: 'r.ini:2: [router] listen: must be an IP number'},
+	{name: 'a host name in an HTTP address', text: good.replace('http://127.0.0.1:7400', 'http://table:7400'), message: 'r.ini:8: [table] address: must be an HTTP address'},
+	{name: 'a missing section', text: good.slice(0, good.indexOf('[table]')), message: 'r.ini: [table]: is missing'},
+];
+
+describe('checkSettings', () => {
+	test('takes good settings and fills in the rest', () => {
+		expect(check(good).unwrap()).toMatchObject({table: {timeout: 500, name: 'galena'}, grants: {policy: 'forecast'}, limits: {headers: 16_384}});
+	});
+
+	test.each(wrong)('names section, key and line of $name', ({text, message}) => {
+		const checked = check(text);
+		expect(checked.err).toBe(true);
+		expect((checked.val as {detail: string}).detail).toContain(message);
+	});
+
+	test('refuses an agent of unknown kind', () => {
+		const checked = checkSettings('a.ini', '[agent]\nlisten = 127.0.0.1:1\ndata-centre = x\npool = p\nkind = other\nendpoint = http://127.0.0.1:2\nhosts = http://127.0.0.1:3\n', agentSettings);
+		expect((checked.val as {detail: string}).detail).toContain('a.ini:5: [agent] kind');
+	});
+});
+
+describe('parseConfigFile', () => {
+	const file = `[class.advice]
+pool = models
+kind = chat
+first-token = 800ms
+
+[organisation.studio]
+keys = ${'a'.repeat(64)}
+budget = studio
+classes = advice
+default-class = advice
+`;
+
+	test('reads classes and organisations', () => {
+		expect(parseConfigFile('c.ini', file).unwrap()).toMatchObject({classes: {advice: {firstToken: 800, outputCap: 1024}}, organisations: {studio: {classes: ['advice']}}});
+	});
+
+	test('names section, key and line of a wrong target', () => {
+		const parsed = parseConfigFile('c.ini', file.replace('800ms', 'soon'));
+		expect((parsed.val as {detail: string}).detail).toContain('c.ini:4: [class.advice] first-token: "soon" needs');
+	});
+});
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -80,10 +80,12 @@
 	return (at === -1 ? start : at) + 1;
 };
 
+/** Sections such as `[class.advice]` are two levels deep. */
 const describePlace = (text: string, path: readonly PropertyKey[], unknownKey: string | undefined): Place => {
-	const [first, second] = path.map(String);
-	const section = first ?? unknownKey ?? '';
-	const key = second ?? (first === undefined ? undefined : unknownKey);
+	const names = [...path.map(String), ...(unknownKey === undefined ? [] : [unknownKey])];
+	const isNested = names.length > 2 || (names.length === 2 && findLine(text, names.join('.'), undefined) > 0);
+	const section = names.slice(0, isNested ? 2 : 1).join('.');
+	const key = names[isNested ? 2 : 1];
 	return {section, key: key ?? '', line: findLine(text, section, key)};
 };
 
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -265,11 +265,20 @@
 		}
 	};
 
+	const describeCounts = () => ({
+		...counts, running: jobs.size, hits: batch.hits, lookups: batch.lookups,
+	});
+
 	const server = createHttpServer(async (request, response, url) => {
 		if (await faults.serve(request, response, url)) {
 			return;
 		}
 
+		if (url.pathname === '/_counts') {
+			sendJson(response, 200, describeCounts());
+			return;
+		}
+
 		if (url.pathname === '/v1/models') {
 			sendJson(response, 200, {
 				object: 'list', data: [{
@@ -296,8 +305,6 @@
 	return {
 		...listening,
 		faults,
-		counts: () => ({
-			...counts, running: jobs.size, hits: batch.hits, lookups: batch.lookups,
-		}),
+		counts: describeCounts,
 	};
 };
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -1,9 +1,13 @@
+import {connect} from 'node:net';
 import {
 	afterAll, beforeAll, describe, expect, test,
 } from 'vitest';
+import {waitFor} from '../src/local/fleet.js';
 import {expectAnswer} from '../src/standin/index.js';
-import {startProcesses, stopPrograms} from './processes.js';
-import type {ProcessFleet} from './processes.js';
+import {
+	runProgram, startProcesses, stopPrograms, waitForAgents, writeSettings,
+} from './processes.js';
+import type {ProcessFleet, Program, Status} from './processes.js';
 
 const ask = (content: string, fields: Readonly<Record<string, unknown>> = {}) => ({model: 'stone-advice', messages: [{role: 'user', content}], ...fields});
 
@@ -49,3 +53,172 @@
 		expect(await executions.json()).toHaveLength(1);
 	});
 });
+
+const order = {'idempotency-key': 'k'};
+const ordersPath = '/v1/services/shop/orders';
+const chatPath = '/v1/chat/completions';
+
+const listExecutions = async (fleet: ProcessFleet) => {
+	const response = await fetch(`http://${fleet.service.started.address}/_executions`);
+	return await response.json() as readonly unknown[];
+};
+
+const countEngine = async (fleet: ProcessFleet) => {
+	const response = await fetch(`http://${fleet.engine.started.address}/_counts`);
+	return await response.json() as Readonly<{started: number; cancelled: number; running: number}>;
+};
+
+const readStatus = async (fleet: ProcessFleet, router: Program) => {
+	const response = await fleet.operate(router, 'GET', '/operator/v1/status');
+	return await response.json() as Status;
+};
+
+const showBudget = async (fleet: ProcessFleet, router: Program) => {
+	const response = await fleet.operate(router, 'GET', '/operator/v1/budgets/studio-1');
+	return await response.json() as Readonly<{limit: number; granted: number; ungranted: number}>;
+};
+
+/** Sends bytes that no HTTP library would send, and reads what comes back. */
+const sendRaw = async (address: string, text: string) => new Promise<string>(resolve => {
+	const [host, port] = address.split(':');
+	const socket = connect(Number(port), host, () => {
+		socket.write(text);
+	});
+	let answer = '';
+	socket.on('data', data => {
+		answer += data.toString();
+	});
+	socket.on('error', () => undefined);
+	socket.on('close', () => {
+		resolve(answer);
+	});
+	socket.setTimeout(5000, () => socket.destroy());
+});
+
+describe('failures that only processes show', () => {
+	let fleet: ProcessFleet;
+
+	beforeAll(async () => {
+		fleet = await startProcesses(2);
+	});
+
+	afterAll(() => {
+		stopPrograms();
+	});
+
+	test('malformed requests are answered while others go on', async () => {
+		const [router] = fleet.routers;
+		const address = router!.started.address!;
+		const running = fleet.call(router!, chatPath, ask('goes on', {stream: true}));
+		const large = await fleet.call(router!, chatPath, ask('x'.repeat(5_000_000)));
+		const headers = await sendRaw(address, `GET / HTTP/1.1\r\nhost: x\r\nlong: ${'x'.repeat(40_000)}\r\n\r\n`);
+		const garbage = await sendRaw(address, 'this is not HTTP\r\n\r\n');
+		expect(await large.json()).toMatchObject({kind: 'too-large', status: 413});
+		expect(headers).toMatch(/^HTTP\/1\.1 431 .*"kind":"headers-too-large"/sv);
+		expect(garbage).toMatch(/^HTTP\/1\.1 400 .*"kind":"bad-request"/sv);
+		const others = await running;
+		expect(readStream(await others.text()).isDone).toBe(true);
+	});
+
+	test('a caller who leaves cancels the work at the engine', async () => {
+		await fleet.setFaults(fleet.engine, {slowness: 50});
+		const before = await countEngine(fleet);
+		const abort = new AbortController();
+		const response = await fetch(`http://${fleet.routers[0]!.started.address}${chatPath}`, {
+			method: 'POST', headers: {authorization: 'Bearer key-studio-1'}, body: JSON.stringify(ask('leaves', {stream: true})), signal: abort.signal,
+		});
+		await response.body!.getReader().read();
+		abort.abort();
+		await waitFor('the engine to be told', async () => {
+			const now = await countEngine(fleet);
+			return now.cancelled > before.cancelled;
+		});
+		await fleet.setFaults(fleet.engine, {slowness: 1});
+	});
+
+	test('an act whose claim was written though the reply was lost runs once', async () => {
+		const [first, second] = fleet.routers;
+		await fleet.setFaults(fleet.table, {loseReplies: 1});
+		const lost = await fleet.call(first!, ordersPath, {ring: 2}, order);
+		await fleet.setFaults(fleet.table, {loseReplies: 0});
+		expect(lost.headers.get('galena-outcome')).not.toBe('complete');
+		expect(await listExecutions(fleet)).toHaveLength(0);
+		await waitFor('the retry to be carried out', async () => {
+			const retry = await fleet.call(second!, ordersPath, {ring: 2}, order);
+			return retry.status === 201;
+		});
+		expect(await listExecutions(fleet)).toHaveLength(1);
+	});
+
+	test('another request under the same key is refused', async () => {
+		const response = await fleet.call(fleet.routers[0]!, ordersPath, {ring: 3}, order);
+		expect(await response.json()).toMatchObject({kind: 'key-conflict'});
+		expect(await listExecutions(fleet)).toHaveLength(1);
+	});
+
+	test('with the store down, work goes on from the grant and acts are refused at once', async () => {
+		const [router] = fleet.routers;
+		await fleet.setFaults(fleet.table, {isDown: true});
+		const chat = await fleet.call(router!, chatPath, ask('store down'));
+		const act = await fleet.call(router!, ordersPath, {ring: 4}, {'idempotency-key': 'down'});
+		await fleet.setFaults(fleet.table, {isDown: false});
+		expect(chat.status).toBe(200);
+		expect(act.status).toBe(503);
+		expect(act.headers.get('retry-after')).not.toBeNull();
+		expect(await listExecutions(fleet)).toHaveLength(1);
+	});
+
+	test('a router that dies mid-stream is retried at its peer, and what it held comes back', async () => {
+		const [first, second] = fleet.routers;
+		await fleet.setFaults(fleet.engine, {slowness: 20});
+		const headers = {'idempotency-key': 'mid-stream'};
+		const question = ask('dies', {stream: true});
+		const response = await fleet.call(first!, chatPath, question, headers);
+		await response.body!.getReader().read();
+		first!.child.kill('SIGKILL');
+		await fleet.setFaults(fleet.engine, {slowness: 1});
+		const retry = await fleet.call(second!, chatPath, question, headers);
+		expect(readStream(await retry.text())).toEqual({isDone: true, content: expectAnswer([{role: 'user', content: 'dies'}], 128)});
+		await waitFor('the dead router to be reclaimed', () => second!.lines().some(line => line.includes('event=router-reclaimed')), 40_000);
+		const third = await fleet.startRouter();
+		await waitForAgents(third, fleet.operate, 2);
+		const status = await readStatus(fleet, second!);
+		const held = status.pots.find(pot => pot.budget === 'studio-1')!;
+		const budget = await showBudget(fleet, second!);
+		expect(budget.granted).toBeLessThan(held.granted + 5000);
+	});
+
+	test('SIGTERM lets open streams end and returns the grants', async () => {
+		const [, router] = fleet.routers;
+		await fleet.setFaults(fleet.engine, {slowness: 10});
+		const streams = await Promise.all([1, 2, 3].map(async index => fleet.call(router!, chatPath, ask(`shutdown ${index}`, {stream: true}))));
+		router!.child.kill('SIGTERM');
+		const texts = await Promise.all(streams.map(async response => response.text()));
+		await fleet.setFaults(fleet.engine, {slowness: 1});
+		expect(texts.map(text => readStream(text).isDone)).toEqual([true, true, true]);
+		expect(await router!.exited).toBe(0);
+		expect(router!.lines().some(line => line.includes('event=router-closed'))).toBe(true);
+	});
+
+	test('an agent that gets SIGTERM finishes its work, takes no more, and exits', async () => {
+		const router = await fleet.startRouter();
+		await waitForAgents(router, fleet.operate, 2);
+		await fleet.setFaults(fleet.engine, {slowness: 10});
+		const response = await fleet.call(router, chatPath, ask('leaving', {stream: true}));
+		fleet.engineAgent.child.kill('SIGTERM');
+		const text = await response.text();
+		await fleet.setFaults(fleet.engine, {slowness: 1});
+		const refused = await fleet.call(router, chatPath, ask('too late'));
+		expect(readStream(text).isDone).toBe(true);
+		expect(await refused.json()).toMatchObject({kind: 'not-ready', outcome: 'not-run'});
+		expect(await fleet.engineAgent.exited).toBe(0);
+	});
+
+	test('bad settings start nothing and exit with 2', async () => {
+		const bad = await runProgram('galena-router', ['--settings', writeSettings('[router]\nlisten = here\n')]);
+		const check = await runProgram('galena-agent', ['--check', '--settings', writeSettings('[agent]\n')]);
+		expect(bad).toMatchObject({code: 2});
+		expect(bad.output).toMatch(/:2: \[router\] listen: must be an IP number/v);
+		expect(check.code).toBe(2);
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -31,7 +31,14 @@
 	{
 		// Names of published protocols, which are not ours to choose.
 		files: [
-			'src/table/{protocol,client}.ts', 'src/standin/**/*.ts', 'src/agent/chat.ts', 'src/router/{front,hosts,caller,operator}.ts', 'src/settings/settings.ts', 'test/**/*.ts',
+			'src/table/{protocol,client}.ts',
+			'src/standin/**/*.ts',
+			'src/agent/chat.ts',
+			'src/router/{front,front.test,hosts,caller,operator}.ts',
+			'src/settings/settings.ts',
+			'src/local/demo.ts',
+			'src/load/**/*.ts',
+			'test/**/*.ts',
 		],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
