Measure overhead, capacity slopes and grant policies; record and replay traces

- npm run bench: overhead against calling the engine directly, capacity slopes, grant policies under virtual time.
- npm run replay: seven recorded traces, one for each failure that a router meets; a tampered trace fails and names the line.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -49,7 +49,11 @@
 type PendingSession = Readonly<{outbox: SessionOutbox; resolve: (session: number | undefined) => void}>;
 
 const loadInterval = 500; // Milliseconds
+/** A load that stays the same is told again in one interval out of so many. */
+const quietIntervals = 10;
 const announceInterval = 5000; // Milliseconds
+/** Milliseconds that each router adds to the interval, so that a large fleet is not flooded. */
+const announcePerRouter = 500;
 const announceTimeout = 1000; // Milliseconds
 const drainGrace = 15_000; // Milliseconds for the routers to make the last bills durable
 
@@ -97,6 +101,9 @@
 	const calls = new Map<number, (answer: unknown) => void>();
 	let nextCall = 1;
 	let revision = 0;
+	let intervals = 0;
+	let lastLoad = '';
+	let nextAnnounce = 0;
 	let address = '';
 	let settleDrain: () => void = () => undefined;
 	const drained = new Promise<void>(resolve => {
@@ -123,6 +130,12 @@
 		},
 	});
 
+	const tellAll = (part: AgentPart) => {
+		sessions.forEach(({outbox}) => {
+			outbox.push(part);
+		});
+	};
+
 	const runAttempt = async (attempt: Attempt) => {
 		const dispatch = dispatches.get(attempt.attempt);
 		dispatches.delete(attempt.attempt);
@@ -276,6 +289,7 @@
 
 	const announce = async () => {
 		const routers = await options.listRouters();
+		nextAnnounce = performance.now() + (routers.length * announcePerRouter);
 		await Promise.allSettled(routers.map(async router => {
 			const client = createClient(PeerService, createConnectTransport({httpVersion: '2', baseUrl: `http://${router}`, idleConnectionTimeoutMs: announceTimeout}));
 			await client.announce({
@@ -291,12 +305,19 @@
 
 	const timers = [
 		setInterval(() => {
+			intervals += 1;
 			const load = describeLoad();
-			sessions.forEach(({outbox}) => {
-				outbox.push(load);
-			});
+			const text = JSON.stringify(load);
+			if (text !== lastLoad || intervals % quietIntervals === 0) {
+				lastLoad = text;
+				tellAll(load);
+			}
 		}, loadInterval),
-		setInterval(announceQuietly, announceInterval),
+		setInterval(() => {
+			if (performance.now() >= nextAnnounce) {
+				announceQuietly();
+			}
+		}, announceInterval),
 	];
 	announceQuietly();
 	log.event('agent-started', {
@@ -325,10 +346,7 @@
 		async drain() {
 			loop.post({kind: 'drain-asked'});
 			await Promise.resolve();
-			const load = describeLoad();
-			sessions.forEach(({outbox}) => {
-				outbox.push(load);
-			});
+			tellAll(describeLoad());
 			announceQuietly();
 			await drained;
 			// The routers say when every bill is durable; an agent that left before would strand it.
--- a/test/processes.ts
+++ b/src/bench/processes.ts
@@ -5,9 +5,9 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {describeConfig, studio} from '../src/local/deployments.js';
-import {waitFor} from '../src/local/fleet.js';
-import {hashKey} from '../src/router/front.js';
+import {describeConfig, studio} from '../local/deployments.js';
+import {waitFor} from '../local/fleet.js';
+import {hashKey} from '../router/front.js';
 
 /** A program of the package that runs as a process of its own. */
 export type Program = Readonly<{
@@ -111,7 +111,14 @@
 };
 
 const operatorKey = 'operator-key-for-tests';
-const register = async (hosts: string, service: string, control: string) => {
+/**
+Puts a process on the host list.
+
+@param hosts - The host list.
+@param service - What it is.
+@param control - Its control address.
+*/
+export const register = async (hosts: string, service: string, control: string) => {
 	const [address, port] = control.split(':');
 	await fetch(`http://${hosts}/v1/agent/service/register`, {
 		method: 'PUT', body: JSON.stringify({
@@ -145,13 +152,15 @@
 as a process of its own, with a configuration in force and budgets paid in.
 
 @param routerCount - How many routers.
+@param options - Sequences that the engine runs at once.
 @returns The fleet.
 */
-export const startProcesses = async (routerCount: number): Promise<ProcessFleet> => {
+export const startProcesses = async (routerCount: number, options: Readonly<{engineCapacity?: number}> = {}): Promise<ProcessFleet> => {
+	const capacity = options.engineCapacity ?? 32;
 	const [table, hosts, engine, service] = await Promise.all([
 		startProgram('galena-standin', `[table]\nlisten = 127.0.0.1:0\n${listRows}`),
 		startProgram('galena-standin', `[hosts]\nlisten = 127.0.0.1:0\nlag = 50ms\n${listRows}`),
-		startProgram('galena-standin', `[engine]\nlisten = 127.0.0.1:0\nmodel = stone-advice\n${listRows}`),
+		startProgram('galena-standin', `[engine]\nlisten = 127.0.0.1:0\nmodel = stone-advice\nmax-running = ${capacity}\n${listRows}`),
 		startProgram('galena-standin', `[service]\nlisten = 127.0.0.1:0\n${listRows}`),
 	]);
 	const hostList = hosts.started.address ?? '';
@@ -161,6 +170,7 @@
 data-centre = pl-central-1
 pool = ${pool}
 kind = ${kind}
+capacity = ${capacity}
 endpoint = http://${endpoint.started.address}
 hosts = http://${hostList}
 `);
--- /dev/null
+++ b/src/bin/galena-replay.ts
@@ -0,0 +1,34 @@
+#!/usr/bin/env node
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {replayTrace} from '../trace/index.js';
+import {exitCodes, version} from './program.js';
+
+const options = await yargs(hideBin(process.argv))
+	.scriptName('galena-replay')
+	.usage('$0 <file..>\n\nReplays recorded traces and checks what they state.')
+	.command('$0 <file..>', false, builder => builder.positional('file', {type: 'string', array: true, demandOption: true}))
+	.strict()
+	.version(version)
+	.fail((message, error) => {
+		process.stderr.write(`${message || String(error)}\n`);
+		process.exit(exitCodes.usage);
+	})
+	.parseAsync();
+
+const replayFile = (file: string): boolean => {
+	const replayed = replayTrace(readFileSync(file, 'utf8'));
+	if (replayed.err) {
+		process.stderr.write(`${file}: ${replayed.val.detail}\n`);
+		return false;
+	}
+
+	const {events, told} = replayed.val;
+	process.stdout.write(`${file}: ok, ${events} events, ${Object.keys(told).length} callers answered\n`);
+	return true;
+};
+
+const files = (options as unknown as Readonly<{file: readonly string[]}>).file;
+process.exitCode = files.map(file => replayFile(file)).every(Boolean) ? exitCodes.success : exitCodes.failure;
--- a/src/budget/handle.ts
+++ b/src/budget/handle.ts
@@ -34,8 +34,9 @@
 type PotStep = Step<Pot, PotEffect>;
 type Decide<Event> = (pot: Pot, event: Event, now: number, context: PotContext) => PotStep;
 
-const idleReturn = 60_000; // Milliseconds
-const scarceReturn = 5000; // Milliseconds, once nothing of the budget is left to draw
+const idleReturn = 3_600_000; // Milliseconds
+const scarceReturn = 5000; // Milliseconds, once others may need the tokens
+const scarceFactor = 4; // Tokens are scarce once fewer are left to draw than so many times what is held here
 const firstBackoff = 200; // Milliseconds
 const maxBackoff = 10_000; // Milliseconds
 const maxBillsPerChange = 60; // Keyed bills add a row each to a transaction of at most 100
@@ -81,10 +82,14 @@
 	};
 };
 
-/** Counts the tokens that may go back: all free ones once the pot is idle or the router leaves. */
+/**
+Counts the tokens that may go back: all free ones once the pot is idle, the
+router leaves, or they are too few for anybody here while the budget has no more.
+*/
 const countReturn = (pot: Pot, context: PotContext): number => {
 	const isIdle = pot.wanted === 0 && pot.demand === 0;
-	return isIdle || !context.mayDraw ? Math.max(0, countFree(pot)) : 0;
+	const isRemnant = pot.least > countFree(pot);
+	return isIdle || isRemnant || !context.mayDraw ? Math.max(0, countFree(pot)) : 0;
 };
 
 const isIdleChange = (pot: Pot, change: Change): boolean =>
@@ -245,7 +250,7 @@
 };
 
 const isRested = (pot: Pot, now: number): boolean =>
-	now - pot.usedAt >= (pot.ungranted === 0 ? scarceReturn : idleReturn);
+	now - pot.usedAt >= ((pot.ungranted ?? 0) < pot.granted * scarceFactor ? scarceReturn : idleReturn);
 
 const isDue = (pot: Pot, now: number, context: PotContext): boolean => {
 	const hasOldBills = pot.unsettled.size > 0 && now - pot.settledAt >= context.settleInterval;
--- a/src/budget/policy.ts
+++ b/src/budget/policy.ts
@@ -32,13 +32,15 @@
 
 /** The policy that a router starts with. */
 export const defaultPolicy: GrantPolicy = {
-	kind: 'forecast', size: 20_000, horizon: 600, share: 0.5, refusalCost: 10,
+	kind: 'newsvendor', size: 20_000, horizon: 4200, share: 0.5, refusalCost: 10,
 };
 
 /**
 Finds the quantile of demand over a horizon by the newsvendor rule: hold more
 while P(demand > held) x cost of refusal > cost of stranding. Demand is taken as
 normal with the variance of a Poisson stream of requests of the wanted size.
+
+Source: "Reserved GPU Capacity vs On-Demand, in depth", section "Sizing the window".
 */
 const findQuantile = (need: Need, policy: GrantPolicy): number => {
 	const mean = need.demand * policy.horizon;
@@ -95,7 +97,10 @@
 };
 
 /** Milliseconds over which demand is smoothed. */
-const demandWindow = 60_000;
+const demandWindow = 600_000;
+
+/** A pot is low once less than one part in so many of what it is to cover is left. */
+const lowShare = 2;
 
 /**
 Tells whether the pot is low enough to draw before anybody has to wait.
@@ -105,4 +110,4 @@
 @returns True if a draw is due.
 */
 export const isLow = (pot: Pot, policy: GrantPolicy): boolean =>
-	pot.demand > 0 && countFree(pot) < Math.min(policy.size, pot.demand * policy.horizon) / 2;
+	pot.demand > 0 && countFree(pot) < Math.max(policy.size, pot.demand * policy.horizon) / lowShare;
--- a/src/check/freeze.ts
+++ b/src/check/freeze.ts
@@ -20,6 +20,8 @@
 */
 export const freezeTimes = (state: RouterState): RouterState => ({
 	...state,
+	// Every tick of the check looks at every pot.
+	ticks: 0,
 	pots: state.pots.map(pot => ({
 		...pot,
 		usedAt: 0,
--- a/src/link/outbox.ts
+++ b/src/link/outbox.ts
@@ -6,7 +6,7 @@
 	batches: AsyncIterable<Batch>;
 }>;
 
-/** Milliseconds that a part waits for others to share its message. */
+/** Milliseconds between two batches: what comes sooner waits and shares a message. */
 export const flushWindow = 4;
 
 /**
@@ -19,6 +19,7 @@
 export const createOutbox = <Part, Batch>(combine: (parts: readonly Part[]) => Batch): Outbox<Part, Batch> => {
 	let parts: Part[] = [];
 	let isClosed = false;
+	let sentAt = 0;
 	let wake: () => void = () => undefined;
 
 	const waitForParts = async () => new Promise<void>(resolve => {
@@ -28,13 +29,20 @@
 		}
 	});
 
-	const gather = async () => new Promise<void>(resolve => {
-		setTimeout(resolve, flushWindow);
-	});
+	/** A part that comes after a pause leaves at once. */
+	const gather = async () => {
+		const wait = sentAt + flushWindow - performance.now();
+		if (wait > 0) {
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, wait);
+			});
+		}
+	};
 
 	const takeBatch = (): Batch => {
 		const taken = parts;
 		parts = [];
+		sentAt = performance.now();
 		return combine(taken);
 	};
 
--- a/src/router/handle.ts
+++ b/src/router/handle.ts
@@ -24,7 +24,7 @@
 import type {
 	RouterEffect, RouterEvent, RouterStep, StoreTag,
 } from './messages.js';
-import {updatePot, updatePots} from './pots.js';
+import {tickPots, updatePot} from './pots.js';
 import type {RouterState} from './state.js';
 
 const maxRequests = 10_000;
@@ -286,7 +286,7 @@
 const tick = (state: RouterState, _event: RouterEvent & {kind: 'tick'}, now: number): RouterStep => {
 	const requests = chainAll(state, state.requests.valueSeq().toArray(), (current, request) => tickRequest(current, request, now));
 	const decisions: ReadonlyArray<(current: RouterState) => RouterStep> = [
-		current => updatePots(current, {kind: 'tick'}, now),
+		current => tickPots(current, now),
 		current => updateReach(current, {kind: 'tick'}, now),
 		current => updateConfig(current, {kind: 'tick'}, now),
 		current => chainAll(current, current.reclaims.keySeq().toArray(), (inner, router) => updateReclaim(inner, router, {kind: 'tick'}, now)),
--- a/src/router/pots.ts
+++ b/src/router/pots.ts
@@ -98,6 +98,25 @@
 export const updatePots = (state: RouterState, event: PotEvent, now: number): RouterStep =>
 	chainAll(state, state.pots.keySeq().toArray(), (current, budget) => updatePot(current, budget, event, now));
 
+/** A pot with nothing under way is looked at in one tick out of so many. */
+const restingTicks = 16;
+
+/**
+Lets time pass for the pots: at once for those with something under way, in turn
+for the others, so that a router may hold many.
+
+@param state - The router.
+@param now - The time in ms.
+@returns The router and what it does.
+*/
+export const tickPots = (state: RouterState, now: number): RouterStep => {
+	const turn = state.ticks % restingTicks;
+	const due = state.pots.valueSeq().toArray()
+		.filter((pot, index) => pot.sync.step !== 'idle' || !pot.unsettled.isEmpty() || (index % restingTicks) === turn)
+		.map(pot => pot.budget);
+	return chainAll({...state, ticks: state.ticks + 1}, due, (current, budget) => updatePot(current, budget, {kind: 'tick'}, now));
+};
+
 /**
 Ends a reservation, and lets requests go on that lacked these tokens.
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -51,7 +51,7 @@
 	seed: number;
 	log: Log;
 	/** Sees every event and the effects that followed, for a trace. */
-	record?: (entry: Readonly<{now: number; event: RouterEvent; effects: readonly RouterEffect[]}>) => void;
+	record?: (entry: Readonly<{now: number; event: RouterEvent; effects: readonly RouterEffect[]}>, router: string) => void;
 }>;
 
 /** A running router. */
@@ -71,7 +71,11 @@
 const beatInterval = 1000; // Milliseconds
 const beatFanout = 3;
 const callTimeout = 1500; // Milliseconds
-const hostInterval = 1000; // Milliseconds
+const hostInterval = 1000; // Milliseconds, while no agent is known
+/** Milliseconds between two reads of the list once agents are known, who announce themselves anyway. */
+const listInterval = 5000;
+/** Milliseconds that each host adds to the interval, since the list comes whole. */
+const intervalPerHost = 100;
 const creditStep = 32 * 1024; // Bytes
 /** Milliseconds after which an address that left the host list is given up. */
 const forgetAfter = 60_000;
@@ -430,7 +434,7 @@
 		initial: createRouterState({incarnation: `r-${randomUUID()}`, address: control, dataCentre: options.dataCentre}, options.policy),
 		handle(state, event, now) {
 			const step = handleRouter(state, event, now);
-			options.record?.({now, event, effects: step.effects});
+			options.record?.({now, event, effects: step.effects}, state.incarnation);
 			return step;
 		},
 		perform(effect) {
@@ -630,6 +634,7 @@
 	loop = startCore();
 	const http = await listen(server, options.listen);
 	let peerAddresses: readonly string[] = [];
+	let nextHosts = 0;
 
 	const beat = async (address: string) => {
 		const state = getState();
@@ -652,7 +657,12 @@
 
 	const followHosts = async () => {
 		const now = performance.now();
+		if (now < nextHosts) {
+			return;
+		}
+
 		const [routers, agents] = await Promise.all([options.hosts.list('galena-router'), options.hosts.list('galena-agent')]);
+		nextHosts = agents.length === 0 ? now : now + Math.max(listInterval, intervalPerHost * (routers.length + agents.length)) - (hostInterval / 2);
 		peerAddresses = routers.map(host => host.address).filter(address => address !== control);
 		peerClients.keep(peerAddresses);
 		agents.forEach(host => {
--- a/src/router/sessions.ts
+++ b/src/router/sessions.ts
@@ -56,7 +56,7 @@
 
 const firstBackoff = 100; // Milliseconds
 const maxBackoff = 3000; // Milliseconds
-const pingInterval = 2000; // Milliseconds
+const pingInterval = 3000; // Milliseconds
 const pingTimeout = 2000; // Milliseconds
 
 const combineParts = (parts: readonly RouterPart[]): RouterBatch => {
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -23,10 +23,10 @@
 	/** SHA-256 of each operator's key, by name. */
 	operators: z.record(label, z.string().regex(/^[a-f\d]{64}$/v, 'must be a SHA-256 in lower-case hex')).prefault({}),
 	grants: z.strictObject({
-		policy: z.enum(['fixed', 'horizon', 'forecast', 'newsvendor']).default('forecast'),
+		policy: z.enum(['fixed', 'horizon', 'forecast', 'newsvendor']).default('newsvendor'),
 		/** Tokens of the first grant. */
 		size: count.default(20_000),
-		horizon: duration.default(600_000),
+		horizon: duration.default(4_200_000),
 		share: share.default(0.5),
 		'refusal-cost': count.default(10),
 	}).prefault({}),
--- a/src/router/state.ts
+++ b/src/router/state.ts
@@ -43,6 +43,8 @@
 	/** Retries that may still be made; grows with each request. */
 	retryAllowance: number;
 	policy: GrantPolicy;
+	/** Ticks so far. */
+	ticks: number;
 	/** When rows of unknown routers were last looked for, in ms. */
 	scannedAt: number;
 	/** A safety rule to switch off; for the model check alone. */
@@ -75,5 +77,6 @@
 	counter: 0,
 	retryAllowance: 10,
 	policy,
+	ticks: 0,
 	scannedAt: 0,
 });
--- a/src/standin/table.ts
+++ b/src/standin/table.ts
@@ -1,7 +1,9 @@
 import process from 'node:process';
 import {Map} from 'immutable';
 import {createRandom} from '../random/index.js';
-import {createHttpServer, listen, readBody} from '../server/index.js';
+import {
+	createHttpServer, listen, readBody, sendJson,
+} from '../server/index.js';
 import type {Endpoint, Listening} from '../server/index.js';
 import {
 	applyCall, decodeCall, encodeRow, targetPrefix,
@@ -93,6 +95,11 @@
 			return;
 		}
 
+		if (url.pathname === '/_counts') {
+			sendJson(response, 200, counts);
+			return;
+		}
+
 		const body = await readBody(request, maxBody);
 		const {isDown, delay, loseReplies} = faults.get();
 		if (isDown) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -37,7 +37,7 @@
 			'src/router/{front,front.test,hosts,caller,operator}.ts',
 			'src/settings/settings.ts',
 			'src/local/demo.ts',
-			'src/load/**/*.ts',
+			'src/bench/{processes,capacity,overhead,record}.ts',
 			'test/**/*.ts',
 		],
 		rules: {
