--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -1,7 +1,5 @@
-import {createServer} from 'node:http2';
-import type {AddressInfo} from 'node:net';
 import {createClient} from '@connectrpc/connect';
-import {connectNodeAdapter, createConnectTransport} from '@connectrpc/connect-node';
+import {createConnectTransport} from '@connectrpc/connect-node';
 import {createAgentState, handleAgent} from '../attempt/index.js';
 import type {AgentEffect, AgentEvent, Attempt} from '../attempt/index.js';
 import type {Dispatch, RouterBatch} from '../gen/galena/v1/agent_pb.js';
@@ -10,6 +8,7 @@
 import type {Credit} from '../link/index.js';
 import type {Log} from '../log/index.js';
 import {runInBackground, startLoop} from '../loop/index.js';
+import {startControlServer} from '../server/index.js';
 import type {Endpoint} from '../server/index.js';
 import {openEndpoint} from './endpoint.js';
 import type {Work, WorkEnd} from './endpoint.js';
@@ -51,7 +50,7 @@
 const loadInterval = 500; // Milliseconds
 /** A load that stays the same is told again in one interval out of so many. */
 const quietIntervals = 10;
-const announceInterval = 5000; // Milliseconds
+const announceInterval = 60_000; // Milliseconds; an agent also announces its start and its leaving
 /** Milliseconds that each router adds to the interval, so that a large fleet is not flooded. */
 const announcePerRouter = 500;
 const announceTimeout = 1000; // Milliseconds
@@ -104,7 +103,6 @@
 	let intervals = 0;
 	let lastLoad = '';
 	let nextAnnounce = 0;
-	let address = '';
 	let settleDrain: () => void = () => undefined;
 	const drained = new Promise<void>(resolve => {
 		settleDrain = resolve;
@@ -270,22 +268,10 @@
 		loop.post({kind: 'session-closed', router, session});
 	};
 
-	const server = createServer(connectNodeAdapter({
-		routes: createAgentRoutes({
-			post: loop.post, ask, openSession, closeSession, receive, incarnation,
-		}),
+	const server = await startControlServer(options.listen, createAgentRoutes({
+		post: loop.post, ask, openSession, closeSession, receive, incarnation,
 	}));
-	const connections = new Set<{destroy: () => void}>();
-	server.on('session', session => {
-		connections.add(session);
-		session.once('close', () => connections.delete(session));
-	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(options.listen.port, options.listen.host, resolve);
-	});
-	const bound = server.address() as AddressInfo;
-	address = `${bound.address}:${bound.port}`;
+	const {address} = server;
 
 	const announce = async () => {
 		const routers = await options.listRouters();
@@ -331,9 +317,6 @@
 		running.forEach(({abort}) => {
 			abort.abort();
 		});
-		connections.forEach(connection => {
-			connection.destroy();
-		});
 		server.close();
 		loop.stop();
 		await endpoint.close();
--- a/src/agent/chat.ts
+++ b/src/agent/chat.ts
@@ -21,7 +21,7 @@
 	wantsUsage: boolean;
 }>;
 
-const asFields = (value: unknown): Fields => typeof value === 'object' && value !== null ? value as Fields : {};
+const readFields = (value: unknown): Fields => typeof value === 'object' && value !== null ? value as Fields : {};
 
 /**
 Sets the caps of a chat request. The engine's priority counts down: 0 is served first.
@@ -31,10 +31,10 @@
 @returns The engine's JSON.
 */
 export const prepareChat = (body: Uint8Array, limits: ChatLimits): PreparedChat => {
-	const fields = asFields(JSON.parse(Buffer.from(body).toString('utf8')));
+	const fields = readFields(JSON.parse(Buffer.from(body).toString('utf8')));
 	const choices = typeof fields.n === 'number' ? fields.n : 1;
 	const cap = Math.floor(limits.outputCap / Math.max(1, choices));
-	const options = asFields(fields.stream_options);
+	const options = readFields(fields.stream_options);
 	const capName = 'max_completion_tokens' in fields ? 'max_completion_tokens' : 'max_tokens';
 	const prepared = {
 		...fields,
@@ -55,7 +55,7 @@
 @returns The usage, if it is there.
 */
 export const readUsage = (value: unknown): Usage | undefined => {
-	const usage = asFields(asFields(value).usage);
+	const usage = readFields(readFields(value).usage);
 	const {prompt_tokens: prompt, completion_tokens: output} = usage;
 	return typeof prompt === 'number' && typeof output === 'number' ? {prompt, output} : undefined;
 };
@@ -67,7 +67,7 @@
 @returns True if one of its choices has a delta.
 */
 export const hasChoices = (value: unknown): boolean => {
-	const {choices} = asFields(value);
+	const {choices} = readFields(value);
 	return Array.isArray(choices) && choices.length > 0;
 };
 
--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -58,7 +58,7 @@
 const graceForActs = 300_000; // Milliseconds: an act is not cut off when its caller's time is up
 const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
-const ended = (outcome: AttemptOutcome, fields: Partial<WorkEnd> = {}): WorkEnd => ({
+const describeEnd = (outcome: AttemptOutcome, fields: Partial<WorkEnd> = {}): WorkEnd => ({
 	outcome, tokens: 0, status: 0, contentType: '', parts: 0, body: undefined, isUsageStated: false, ...fields,
 });
 
@@ -124,7 +124,7 @@
 		},
 	});
 
-	const describe = (outcome: AttemptOutcome): WorkEnd => ended(outcome, {
+	const describe = (outcome: AttemptOutcome): WorkEnd => describeEnd(outcome, {
 		tokens: countTokens(work, tally), status: 200, contentType: 'text/event-stream', parts: tally.parts, isUsageStated: tally.usage !== undefined,
 	});
 
@@ -178,7 +178,7 @@
 const passWhole = async (work: Work, sink: Sink, head: Readonly<{status: number; contentType: string}>, stream: Body): Promise<WorkEnd> => {
 	const body = await readWhole(stream);
 	if (isRetriable(work, head.status)) {
-		return ended('failed', head);
+		return describeEnd('failed', head);
 	}
 
 	const parts = splitParts(body);
@@ -190,7 +190,7 @@
 	const usage = work.isChat ? readUsage(parseJson(body.toString('utf8'))) : undefined;
 	const isCharged = !work.isChat || head.status < 400;
 	const counted = work.isChat ? boundPrompt(work.body) + work.outputCap : work.cap;
-	return ended('done', {
+	return describeEnd('done', {
 		...head,
 		parts: parts.length,
 		tokens: isCharged ? Math.min(work.cap, usage === undefined ? counted : usage.prompt + usage.output) : 0,
@@ -235,7 +235,7 @@
 			try {
 				return await call(work, sink);
 			} catch (error) {
-				return ended(describeFailure(work, sink, error));
+				return describeEnd(describeFailure(work, sink, error));
 			}
 		},
 		async listModels() {
--- a/src/attempt/handle.ts
+++ b/src/attempt/handle.ts
@@ -15,14 +15,14 @@
 type Broken = string | undefined;
 type Decide<Event> = (state: AgentState, event: Event, now: number, broken: Broken) => AgentStep;
 
-const attemptsOf = (state: AgentState, router: string): readonly Attempt[] =>
+const listAttempts = (state: AgentState, router: string): readonly Attempt[] =>
 	state.attempts.valueSeq().filter(attempt => attempt.router === router).toArray();
 
 /** Makes room among the routers once the bound is reached: silent ones that left nothing behind go. */
 const dropSilent = (state: AgentState): AgentState['routers'] =>
 	state.routers.size < maxRouters
 		? state.routers
-		: state.routers.filter((view, router) => view.state !== 'silent' || attemptsOf(state, router).length > 0);
+		: state.routers.filter((view, router) => view.state !== 'silent' || listAttempts(state, router).length > 0);
 
 const openSession: Decide<AgentEvent & {kind: 'session-opened'}> = (state, {router}, _now, broken) => {
 	const view = state.routers.get(router);
@@ -35,7 +35,7 @@
 	return {
 		state: {...state, routers: dropSilent(state).set(router, next)},
 		effects: [{
-			kind: 'accept-session', router, session, kept: attemptsOf(state, router),
+			kind: 'accept-session', router, session, kept: listAttempts(state, router),
 		}],
 	};
 };
@@ -47,7 +47,7 @@
 	}
 
 	// Nobody is left to read these answers; an act goes on, since its answer is kept.
-	const orphans = attemptsOf(state, router).filter(attempt => attempt.state === 'running' && attempt.claimKey === undefined);
+	const orphans = listAttempts(state, router).filter(attempt => attempt.state === 'running' && attempt.claimKey === undefined);
 	return {
 		state: {...state, routers: state.routers.set(router, {...view, state: 'silent'})},
 		effects: orphans.map(({attempt}) => ({kind: 'cancel', attempt})),
@@ -137,7 +137,7 @@
 		return answerFence(state, call, {state: 'full', usages: []});
 	}
 
-	const usages = attemptsOf(state, router);
+	const usages = listAttempts(state, router);
 	const running = usages.filter(attempt => attempt.state === 'running');
 	const fenced: AgentState = {...state, routers: state.routers.set(router, {state: 'fenced', session: view?.session ?? 0})};
 	const cancels = running.filter(attempt => attempt.claimKey === undefined).map(({attempt}): AgentEffect => ({kind: 'cancel', attempt}));
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -231,7 +231,7 @@
 	router: string;
 	row: string;
 	revision: number;
-	agents: ReadonlyArray<Readonly<{agent: string; address: string; link: string; isLeaving: boolean}>>;
+	agents: ReadonlyArray<Readonly<{agent: string; address: string; link: string; isLeaving: boolean; revision: number}>>;
 	peers: ReadonlyArray<Readonly<{router: string}>>;
 	pots: ReadonlyArray<Readonly<{budget: string; granted: number; reserved: number; unsettled: number}>>;
 }>;
--- a/src/bench/record.ts
+++ b/src/bench/record.ts
@@ -33,7 +33,7 @@
 	return response.text();
 };
 
-const order = async (fleet: Fleet, name: string): Promise<string> => {
+const sendOrder = async (fleet: Fleet, name: string): Promise<string> => {
 	const response = await fetch(`http://${fleet.routers[0]!.address}/v1/services/shop/orders`, {
 		method: 'POST', headers: {...key, 'idempotency-key': name}, body: '{}',
 	});
@@ -43,12 +43,12 @@
 const pauseTime = 2500; // Milliseconds
 
 const failures: readonly Failure[] = [
-	{name: 'calm', run: async fleet => Promise.all([ask(fleet, 'one'), ask(fleet, 'two'), order(fleet, 'calm')])},
+	{name: 'calm', run: async fleet => Promise.all([ask(fleet, 'one'), ask(fleet, 'two'), sendOrder(fleet, 'calm')])},
 	{
 		name: 'store-outage', async run(fleet) {
 			await ask(fleet, 'before');
 			fleet.table.faults.set({isDown: true});
-			await Promise.all([ask(fleet, 'during'), order(fleet, 'down')]);
+			await Promise.all([ask(fleet, 'during'), sendOrder(fleet, 'down')]);
 			await sleep(pauseTime);
 			fleet.table.faults.set({isDown: false});
 		},
@@ -56,9 +56,9 @@
 	{
 		name: 'lost-replies', async run(fleet) {
 			fleet.table.faults.set({loseReplies: 1});
-			await Promise.all([ask(fleet, 'lost'), order(fleet, 'lost')]);
+			await Promise.all([ask(fleet, 'lost'), sendOrder(fleet, 'lost')]);
 			fleet.table.faults.set({loseReplies: 0});
-			await order(fleet, 'lost');
+			await sendOrder(fleet, 'lost');
 		},
 	},
 	{
@@ -66,8 +66,8 @@
 			fleet.replicas.forEach(replica => replica.engine?.faults.set({breakStreams: 1, breakAfter: 10}));
 			fleet.replicas.forEach(replica => replica.service?.faults.set({loseReplies: 1}));
 			await ask(fleet, 'breaks');
-			await order(fleet, 'breaks');
-			await order(fleet, 'breaks');
+			await sendOrder(fleet, 'breaks');
+			await sendOrder(fleet, 'breaks');
 		},
 	},
 	{
--- a/src/bin/galena-local.ts
+++ b/src/bin/galena-local.ts
@@ -9,7 +9,7 @@
 import {openLog} from '../log/index.js';
 import type {Log} from '../log/index.js';
 import {runInBackground} from '../loop/index.js';
-import {exitCodes, version} from './program.js';
+import {exitCodes, failUsage, version} from './program.js';
 
 const deployments: Readonly<Record<string, Deployment>> = {studio, association};
 
@@ -76,8 +76,5 @@
 	.demandCommand(1, 'name a command')
 	.strict()
 	.version(version)
-	.fail((message, error) => {
-		process.stderr.write(`${message || String(error)}\n`);
-		process.exit(exitCodes.usage);
-	})
+	.fail(failUsage)
 	.parseAsync();
--- a/src/bin/galena-replay.ts
+++ b/src/bin/galena-replay.ts
@@ -4,7 +4,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {replayTrace} from '../trace/index.js';
-import {exitCodes, version} from './program.js';
+import {exitCodes, failUsage, version} from './program.js';
 
 const options = await yargs(hideBin(process.argv))
 	.scriptName('galena-replay')
@@ -12,10 +12,7 @@
 	.command('$0 <file..>', false, builder => builder.positional('file', {type: 'string', array: true, demandOption: true}))
 	.strict()
 	.version(version)
-	.fail((message, error) => {
-		process.stderr.write(`${message || String(error)}\n`);
-		process.exit(exitCodes.usage);
-	})
+	.fail(failUsage)
 	.parseAsync();
 
 const replayFile = (file: string): boolean => {
--- a/src/bin/galenactl.ts
+++ b/src/bin/galenactl.ts
@@ -9,7 +9,7 @@
 } from '../control/commands.js';
 import type {Outcome} from '../control/commands.js';
 import {duration} from '../settings/index.js';
-import {exitCodes, version} from './program.js';
+import {exitCodes, failUsage, version} from './program.js';
 
 type Common = Readonly<{router: string; key: string; json: boolean}>;
 
@@ -97,8 +97,5 @@
 	.demandCommand(1, 'name a command')
 	.strict()
 	.version(version)
-	.fail((message, error) => {
-		process.stderr.write(`${message || String(error)}\n`);
-		process.exit(exitCodes.usage);
-	})
+	.fail(failUsage)
 	.parseAsync();
--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -23,6 +23,17 @@
 	start: (settings: z.output<Schema>) => Promise<Running>;
 }>;
 
+/**
+Ends a program whose command line is wrong.
+
+@param message - What is wrong.
+@param error - Thrown while it was read.
+*/
+export const failUsage = (message: string, error: Error): never => {
+	process.stderr.write(`${message || String(error)}\n`);
+	process.exit(exitCodes.usage);
+};
+
 /**
 Reads settings, or ends the program with the reason.
 
@@ -53,10 +64,7 @@
 		.strict()
 		.version(version)
 		.exitProcess(true)
-		.fail((message, error) => {
-			process.stderr.write(`${message || String(error)}\n`);
-			process.exit(exitCodes.usage);
-		})
+		.fail(failUsage)
 		.parseAsync();
 	const settings = requireSettings(readSettings(options.settings, daemon.schema));
 	if (options.check) {
--- a/src/budget/state.ts
+++ b/src/budget/state.ts
@@ -91,7 +91,7 @@
 	settledAt: now,
 });
 
-const changeOf = (pot: Pot): Change | undefined => pot.sync.step === 'idle' ? undefined : pot.sync.change;
+const findChange = (pot: Pot): Change | undefined => pot.sync.step === 'idle' ? undefined : pot.sync.change;
 
 /**
 Counts the tokens that new reservations may take.
@@ -100,6 +100,6 @@
 @returns Tokens, never negative while the invariant holds.
 */
 export const countFree = (pot: Pot): number => {
-	const returning = Math.max(0, -(changeOf(pot)?.delta ?? 0));
+	const returning = Math.max(0, -(findChange(pot)?.delta ?? 0));
 	return pot.granted - pot.reserved - sumBills(pot.unsettled) - returning;
 };
--- a/src/check/explore.ts
+++ b/src/check/explore.ts
@@ -4,8 +4,9 @@
 import type {Violation} from './properties.js';
 import {serializeWorld} from './serialize.js';
 import {settleWorld} from './settle.js';
-import {listMoves, makeMove} from './world.js';
-import type {Move, World} from './world.js';
+import {listMoves} from './moves.js';
+import {makeMove} from './world.js';
+import type {Move, World} from './state.js';
 
 /** What an exploration came to. */
 export type Exploration = Readonly<{
--- a/src/check/properties.ts
+++ b/src/check/properties.ts
@@ -5,8 +5,8 @@
 import type {BudgetBody, GrantBody} from '../budget/index.js';
 import type {Revision} from '../config/index.js';
 import type {Row} from '../table/index.js';
-import {listGone} from './world.js';
-import type {World} from './world.js';
+import {listGone} from './moves.js';
+import type {World} from './state.js';
 
 /** A promise that a world breaks, in words. */
 export type Violation = Readonly<{property: string; detail: string}>;
--- a/src/check/random.ts
+++ b/src/check/random.ts
@@ -4,8 +4,9 @@
 import type {Violation} from './properties.js';
 import {createStorm} from './scenarios.js';
 import {settleWorld} from './settle.js';
-import {listMoves, makeMove} from './world.js';
-import type {Move, World} from './world.js';
+import {listMoves} from './moves.js';
+import {makeMove} from './world.js';
+import type {Move, World} from './state.js';
 
 /** A schedule: each number chooses among the moves that are possible then. */
 export type Schedule = readonly number[];
--- a/src/check/scenarios.ts
+++ b/src/check/scenarios.ts
@@ -6,8 +6,8 @@
 import type {Random} from '../random/index.js';
 import {giveUpTime} from './freeze.js';
 import {tickAll} from './settle.js';
-import {createWorld, noFaults, startWatching} from './world.js';
-import type {FaultBudget, Plan, World} from './world.js';
+import {createWorld, noFaults, startWatching} from './state.js';
+import type {FaultBudget, Plan, World} from './state.js';
 
 /** A small world to explore, with the faults that it allows. */
 export type Scenario = Readonly<{
--- a/src/check/serialize.ts
+++ b/src/check/serialize.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import {isCollection, isIndexed, isKeyed} from 'immutable';
-import type {World} from './world.js';
+import type {World} from './state.js';
 
 const compareText = (a: string, b: string): number => (a < b ? -1 : (a > b ? 1 : 0));
 
--- a/src/check/settle.ts
+++ b/src/check/settle.ts
@@ -1,9 +1,9 @@
 import {lastTick} from './freeze.js';
 import {serializeWorld} from './serialize.js';
-import {
-	addRouter, listMoves, makeMove, noFaults, postRouter, startWatching,
-} from './world.js';
-import type {Move, World} from './world.js';
+import {listMoves} from './moves.js';
+import {addRouter, noFaults, startWatching} from './state.js';
+import {makeMove, postRouter} from './world.js';
+import type {Move, World} from './state.js';
 
 const maxRounds = 60;
 const maxDeliveries = 300;
--- a/src/check/world.ts
+++ b/src/check/world.ts
@@ -1,248 +1,19 @@
-import {List, Map, Set} from 'immutable';
+import {List, type Map} from 'immutable';
 import {createAgentState, handleAgent} from '../attempt/index.js';
 import type {
-	AgentEffect, AgentEvent, AgentState, FenceAnswer, Order as AgentOrder, SealAnswer,
+	AgentEffect, AgentEvent, AgentState, Order as AgentOrder,
 } from '../attempt/index.js';
 import {answers} from '../errors/index.js';
 import {handleRouter} from '../router/handle.js';
-import type {RouterEffect, RouterEvent, StoreTag} from '../router/messages.js';
-import {createRouterState} from '../router/state.js';
-import type {Order} from '../request/state.js';
-import type {RouterState} from '../router/state.js';
+import type {RouterEffect, RouterEvent} from '../router/messages.js';
 import {applyCall} from '../table/index.js';
-import type {Rows, StoreCall} from '../table/index.js';
 import {freezeTimes, lateTick} from './freeze.js';
-
-/**
-A whole small fleet as one value: the project's own handlers for routers and
-agents, one table, and a network that the checker steers. Every step is a pure
-function, so a checker can explore all of them, and a random schedule can be
-played again from its seed.
-*/
-
-/** Faults that may still happen. */
-export type FaultBudget = Readonly<{
-	/** Writes whose reply is lost after they took effect. */
-	loseReply: number;
-	/** Writes whose reply is lost and that take effect later, or never. */
-	delayWrite: number;
-	/** Calls between processes that are lost. */
-	loseCall: number;
-	/** Calls between processes whose request arrives twice. */
-	repeatCall: number;
-	/** Sessions that break. */
-	breakSession: number;
-	/** Routers that die. */
-	crashRouter: number;
-	/** Agents that die and start again as a new incarnation. */
-	restartAgent: number;
-	/** Callers who leave. */
-	leave: number;
-}>;
-
-/** No faults at all. */
-export const noFaults: FaultBudget = {
-	loseReply: 0, delayWrite: 0, loseCall: 0, repeatCall: 0, breakSession: 0, crashRouter: 0, restartAgent: 0, leave: 0,
-};
-
-/** A router in the world. */
-export type RouterNode = Readonly<{state: RouterState; isAlive: boolean; broken: string | undefined}>;
-
-/** An agent in the world, at an address that outlives its incarnations. */
-export type AgentNode = Readonly<{state: AgentState; incarnation: number}>;
-
-type Message =
-	| Readonly<{kind: 'order'; order: AgentOrder}>
-	| Readonly<{kind: 'settled'; attempts: readonly string[]}>
-	| Readonly<{kind: 'cancel'; attempt: string}>;
-
-type Report =
-	| Readonly<{kind: 'hello'; agent: string; kept: readonly string[]; session: number}>
-	| Readonly<{kind: 'closed'; agent: string}>
-	| Readonly<{kind: 'event'; event: RouterEvent}>;
-
-/** The session between a router and an agent. Messages within it keep their order. */
-export type Link = Readonly<{
-	/** The agent's number for the session; 0 while there is none. */
-	session: number;
-	/** True if the agent has not noticed yet that the session broke. */
-	isStale: boolean;
-	toAgent: List<Message>;
-	toRouter: List<Report>;
-}>;
-
-/** A call between processes that is under way. */
-export type Call =
-	| Readonly<{kind: 'seal'; from: string; to: number; request: string; attempt: string; agent: string}>
-	| Readonly<{kind: 'fence'; from: string; to: number; router: string; agent: string; probe: boolean}>
-	| Readonly<{kind: 'seal-reply'; from: string; request: string; attempt: string; answer: SealAnswer | undefined}>
-	| Readonly<{kind: 'fence-reply'; from: string; router: string; agent: string; answer: FenceAnswer}>;
-
-/** A write under way. A late one has been given up by its router. */
-export type Write = Readonly<{router: string; tag: StoreTag; call: StoreCall; isLate: boolean}>;
-
-/** What callers were told. */
-export type Told = Readonly<{arrival: string; kind: string; outcome: 'complete' | 'not-run' | 'unknown'; text: string}>;
-
-/** What endpoints did. */
-export type Execution = Readonly<{attempt: string; request: string; claimKey: string | undefined}>;
-
-/** What operators were told of a change. */
-export type ChangeEnd = Readonly<{id: string; kind: string; fault: string | undefined; revision: number}>;
-
-/** The whole world. */
-export type World = Readonly<{
-	rows: Rows;
-	routers: Map<string, RouterNode>;
-	agents: List<AgentNode>;
-	links: Map<string, Link>;
-	writes: List<Write>;
-	calls: List<Call>;
-	faults: FaultBudget;
-	/** Events from outside that are still to come, by router. */
-	inputs: List<Readonly<{router: string; event: RouterEvent}>>;
-	/** What each arrival asked for. */
-	orders: Map<string, Order>;
-	/** Which arrival each attempt was sent for. */
-	sent: Map<string, string>;
-	told: List<Told>;
-	/** Arrivals whose caller has gone. */
-	left: Set<string>;
-	executions: List<Execution>;
-	/** Arrivals that were told "not run" although their act had run. */
-	lies: List<string>;
-	changes: List<ChangeEnd>;
-	/** The highest configuration revision that each process has had in force. */
-	revisions: Map<string, number>;
-	/** True if routers tell one another of revisions. */
-	canGossip: boolean;
-	/** True if a revision fell somewhere. */
-	hasReverted: boolean;
-	/** Tokens that each attempt uses. */
-	cost: number;
-	now: number;
-}>;
-
-/** One thing that happens next. */
-export type Move =
-	| Readonly<{type: 'input'; index: number}>
-	| Readonly<{type: 'write'; index: number; how: 'apply' | 'lose-reply' | 'delay'}>
-	| Readonly<{type: 'to-agent' | 'to-router'; link: string}>
-	| Readonly<{type: 'connect' | 'break' | 'notice'; link: string}>
-	| Readonly<{type: 'finish'; agent: number; attempt: string}>
-	| Readonly<{type: 'call'; index: number; how: 'deliver' | 'lose' | 'repeat'}>
-	| Readonly<{type: 'crash'; router: string}>
-	| Readonly<{type: 'restart'; agent: number}>
-	| Readonly<{type: 'leave'; router: string; request: string}>
-	| Readonly<{type: 'tick'; router: string}>
-	/** A revision that one router has had in force reaches another, whenever and as often as it likes. */
-	| Readonly<{type: 'gossip'; from: string; to: string; revision: number}>;
-
-const closedLink: Link = {
-	session: 0, isStale: false, toAgent: List(), toRouter: List(),
-};
-
-const nameLink = (router: string, agent: number): string => `${router}>${agent}`;
-const splitLink = (name: string): Readonly<{router: string; agent: number}> => {
-	const [router = '', agent = ''] = name.split('>');
-	return {router, agent: Number(agent)};
-};
-
-const nameAgent = (index: number, incarnation: number): string => `a${index}-${incarnation}`;
-const readSlot = (agent: string): number => Number(agent.slice(1).split('-')[0]);
-
-/** What a world starts with. */
-export type Plan = Readonly<{
-	routers: readonly string[];
-	agents: number;
-	rows: Rows;
-	inputs: World['inputs'];
-	faults: FaultBudget;
-	cost: number;
-	canGossip?: boolean;
-	/** A safety rule to switch off. */
-	broken?: string;
-	/** Milliseconds of the clock that handlers see; the checker keeps it at 0. */
-	now?: number;
-}>;
-
-/** A router that looks for silent ones takes every other one for silent at each tick. */
-const watch = (state: RouterState, others: readonly string[]): RouterState => ({
-	...state,
-	scannedAt: others.length === 0 ? Number.POSITIVE_INFINITY : 0,
-	peers: Map(others.filter(other => other !== state.incarnation).map(other => [other, {
-		router: other, address: other, heardAt: 0, revision: 0,
-	}])),
-});
-
-/**
-Lets a router look for silent ones, and take back what they hold.
-
-@param world - The world.
-@param name - The router.
-@returns The world.
-*/
-export const startWatching = (world: World, name: string): World => ({
-	...world,
-	routers: world.routers.map(node => node.state.incarnation === name ? {...node, state: watch(node.state, world.routers.keySeq().toArray())} : node),
-});
-
-const createNode = (name: string, plan: Pick<Plan, 'cost' | 'broken'>): RouterNode => {
-	const state = createRouterState({incarnation: name, address: name, dataCentre: 'here'}, {
-		kind: 'fixed', size: plan.cost, horizon: 0, share: 1, refusalCost: 1,
-	});
-	return {state: {...watch(state, []), ...(plan.broken !== undefined && {broken: plan.broken})}, isAlive: true, broken: plan.broken};
-};
-
-/**
-Adds a fresh router, as a host that was replaced does.
-
-@param world - The world.
-@param name - The router.
-@returns The world with it.
-*/
-export const addRouter = (world: World, name: string): World => {
-	const broken = world.routers.first()?.broken;
-	const links = Map(world.agents.toArray().map((_node, index): [string, Link] => [nameLink(name, index), closedLink]));
-	const node = createNode(name, {cost: world.cost, ...(broken !== undefined && {broken})});
-	return {...world, routers: world.routers.set(name, node), links: world.links.merge(links)};
-};
-
-/**
-Creates a world in which nothing has happened yet.
-
-@param plan - What it starts with.
-@returns The world.
-*/
-export const createWorld = (plan: Plan): World => {
-	const routers = Map(plan.routers.map((name): [string, RouterNode] => [name, createNode(name, plan)]));
-	const agents = List(Array.from({length: plan.agents}, (_, index): AgentNode => ({state: createAgentState(nameAgent(index, 0), 4), incarnation: 0})));
-	const links = Map(plan.routers.flatMap(router => Array.from({length: plan.agents}, (_, index): [string, Link] => [nameLink(router, index), closedLink])));
-	return {
-		rows: plan.rows,
-		routers,
-		agents,
-		links,
-		writes: List(),
-		calls: List(),
-		faults: plan.faults,
-		inputs: plan.inputs,
-		orders: Map(),
-		sent: Map(),
-		told: List(),
-		left: Set(),
-		executions: List(),
-		lies: List(),
-		changes: List(),
-		revisions: Map(),
-		canGossip: plan.canGossip ?? false,
-		hasReverted: false,
-		cost: plan.cost,
-		now: plan.now ?? 0,
-	};
-};
-
-// Routers
+import {
+	closedLink, nameLink, splitLink, nameAgent, readSlot,
+} from './state.js';
+import type {
+	FaultBudget, Message, Report, Link, Call, Told, World, Move,
+} from './state.js';
 
 const putLink = (world: World, name: string, change: (link: Link) => Link): World =>
 	({...world, links: world.links.update(name, closedLink, change)});
@@ -270,7 +41,7 @@
 	...(effect.attempt.isAct && {claimKey: effect.request.key ?? ''}),
 });
 
-/** Reads are answered at once: what follows them is where processes interleave. */
+/** Reads are answered at once: what canFollow them is where processes interleave. */
 const callStore: Follow<'store'> = (world, router, effect) => {
 	if (effect.call.kind === 'write') {
 		return {
@@ -352,7 +123,7 @@
 };
 
 /**
-Hands an event to a router and follows up its effects.
+Hands an event to a router and canFollow up its effects.
 
 @param world - The world.
 @param name - The router.
@@ -476,7 +247,7 @@
 };
 
 /**
-Hands an event to an agent and follows up its effects.
+Hands an event to an agent and canFollow up its effects.
 
 @param world - The world.
 @param index - The agent's place.
@@ -654,14 +425,6 @@
 		});
 };
 
-const listGossip = (world: World): readonly Move[] => world.canGossip
-	? world.routers.entrySeq().toArray().flatMap(([from, node]) => world.routers.keySeq().toArray()
-		.filter(to => to !== from)
-		.flatMap(to => node.state.config.recent.toArray().map(({revision}) => ({
-			type: 'gossip', from, to, revision,
-		} as const))))
-	: [];
-
 const linkMoves: Readonly<Record<'connect' | 'break' | 'notice', (world: World, name: string) => World>> = {
 	connect(world, name) {
 		const {router, agent} = splitLink(name);
@@ -747,66 +510,3 @@
 		}
 	}
 };
-
-// Which moves are possible
-
-const listWrites = (world: World): readonly Move[] => world.writes.toArray().flatMap((write, index): readonly Move[] => [
-	{type: 'write', index, how: 'apply'},
-	...(!write.isLate && world.faults.loseReply > 0 ? [{type: 'write', index, how: 'lose-reply'} as const] : []),
-	...(!write.isLate && world.faults.delayWrite > 0 ? [{type: 'write', index, how: 'delay'} as const] : []),
-]);
-
-const listCalls = (world: World): readonly Move[] => world.calls.toArray().flatMap((call, index): readonly Move[] => [
-	{type: 'call', index, how: 'deliver'},
-	...(world.faults.loseCall > 0 ? [{type: 'call', index, how: 'lose'} as const] : []),
-	...(world.faults.repeatCall > 0 && (call.kind === 'seal' || call.kind === 'fence') ? [{type: 'call', index, how: 'repeat'} as const] : []),
-]);
-
-const listLinks = (world: World): readonly Move[] => world.links.entrySeq().toArray().flatMap(([name, link]): readonly Move[] => {
-	const {router} = splitLink(name);
-	const isAlive = world.routers.get(router)?.isAlive === true;
-	return [
-		...(isAlive && link.session === 0 ? [{type: 'connect', link: name} as const] : []),
-		...(link.isStale ? [{type: 'notice', link: name} as const] : []),
-		...(link.toAgent.isEmpty() ? [] : [{type: 'to-agent', link: name} as const]),
-		...(link.toRouter.isEmpty() ? [] : [{type: 'to-router', link: name} as const]),
-		...(world.faults.breakSession > 0 && link.session > 0 && !link.isStale ? [{type: 'break', link: name} as const] : []),
-	];
-});
-
-const listAgents = (world: World): readonly Move[] => world.agents.toArray().flatMap((node, agent): readonly Move[] => [
-	...node.state.attempts.valueSeq().toArray()
-		.filter(attempt => attempt.state === 'running')
-		.map(attempt => ({type: 'finish', agent, attempt: attempt.attempt} as const)),
-	...(world.faults.restartAgent > 0 ? [{type: 'restart', agent} as const] : []),
-]);
-
-const listRouters = (world: World): readonly Move[] => world.routers.entrySeq().toArray()
-	.filter(([, node]) => node.isAlive)
-	.flatMap(([router, node]): readonly Move[] => [
-		{type: 'tick', router},
-		...(world.faults.crashRouter > 0 ? [{type: 'crash', router} as const] : []),
-		...(world.faults.leave > 0
-			? node.state.requests.valueSeq().toArray().filter(request => !request.isAnswered).map(request => ({type: 'leave', router, request: request.id} as const))
-			: []),
-	]);
-
-/**
-Lists everything that may happen next.
-
-@param world - The world.
-@returns The moves.
-*/
-export const listMoves = (world: World): readonly Move[] => [
-	...world.inputs.toArray().map((_input, index) => ({type: 'input', index} as const)),
-	...listWrites(world),
-	...listCalls(world),
-	...listLinks(world),
-	...listAgents(world),
-	...listRouters(world),
-	...listGossip(world),
-];
-
-/** Agents whose incarnation at that place is no more. */
-export const listGone = (world: World): Set<string> => Set(world.agents.toArray().flatMap((node, index) =>
-	Array.from({length: node.incarnation}, (_, incarnation) => nameAgent(index, incarnation))));
--- a/src/config/handle.ts
+++ b/src/config/handle.ts
@@ -111,7 +111,7 @@
 };
 
 /**
-Decides what follows for the configuration in force.
+Decides what canFollow for the configuration in force.
 
 @param config - The configuration's state.
 @param event - What happened.
--- a/src/config/state.ts
+++ b/src/config/state.ts
@@ -9,7 +9,7 @@
 export type Revision = Readonly<{
 	revision: number;
 	changes: readonly EntryChange[];
-	/** Set if the revision holds every entry, so that it follows any older one. */
+	/** Set if the revision holds every entry, so that it canFollow any older one. */
 	isSnapshot?: boolean;
 }>;
 
@@ -126,7 +126,7 @@
 	return change.value === null ? entries.delete(change.name) : entries.set(change.name, {value: change.value, revision});
 };
 
-const follows = (config: ConfigState, revision: Revision, broken: string | undefined): boolean =>
+const canFollow = (config: ConfigState, revision: Revision, broken: string | undefined): boolean =>
 	broken === 'config-highest-wins'
 	|| (revision.isSnapshot ? revision.revision > config.revision : revision.revision === config.revision + 1);
 
@@ -139,7 +139,7 @@
 @returns The state; unchanged if the revision is old or comes too early.
 */
 export const applyRevision = (config: ConfigState, revision: Revision, broken?: string): ConfigState => {
-	if (!follows(config, revision, broken)) {
+	if (!canFollow(config, revision, broken)) {
 		return config;
 	}
 
--- a/src/link/outbox.ts
+++ b/src/link/outbox.ts
@@ -7,7 +7,7 @@
 }>;
 
 /** Milliseconds between two batches: what comes sooner waits and shares a message. */
-export const flushWindow = 4;
+export const flushWindow = 15;
 
 /**
 Creates a queue whose reader takes everything that has gathered at once. The
--- a/src/local/demo.ts
+++ b/src/local/demo.ts
@@ -86,12 +86,12 @@
 
 const countExecutions = (fleet: Fleet): number => fleet.replicas.reduce((sum, replica) => sum + (replica.service?.executions().length ?? 0), 0);
 
-const modelOf = (deployment: Deployment): string => deployment.pools.find(pool => pool.kind === 'engine')?.model ?? '';
+const findModel = (deployment: Deployment): string => deployment.pools.find(pool => pool.kind === 'engine')?.model ?? '';
 
 const showAnswers = async (fleet: Fleet, seen: Seen[]): Promise<Finding> => {
 	const {organisations} = fleet.deployment;
 	const questions = Array.from({length: chatCount}, (_, index): Question => ({
-		organisation: organisations[index % (organisations.length - 1)]!, model: modelOf(fleet.deployment), content: `question ${index}`, isStream: index % 2 === 0,
+		organisation: organisations[index % (organisations.length - 1)]!, model: findModel(fleet.deployment), content: `question ${index}`, isStream: index % 2 === 0,
 	}));
 	const answers = await Promise.all(questions.map(async (question, index) => askChat(pickRouter(fleet, index), question)));
 	seen.push(...answers);
@@ -104,7 +104,7 @@
 	fleet.replicas.forEach(replica => replica.engine?.faults.set({breakStreams: 1, breakAfter: cutAfter}));
 	const content = 'a question whose stream breaks';
 	const answer = await askChat(pickRouter(fleet, 0), {
-		organisation: organisation!, model: modelOf(fleet.deployment), content, isStream: true,
+		organisation: organisation!, model: findModel(fleet.deployment), content, isStream: true,
 	});
 	fleet.replicas.forEach(replica => replica.engine?.faults.set({breakStreams: 0}));
 	seen.push(answer);
@@ -141,7 +141,7 @@
 const showExhaustion = async (fleet: Fleet, seen: Seen[]): Promise<Finding> => {
 	const organisation = fleet.deployment.organisations.at(-1)!;
 	const answers = await Promise.all(Array.from({length: chatCount}, async (_, index) => askChat(pickRouter(fleet, index), {
-		organisation, model: modelOf(fleet.deployment), content: `small ${index}`, isStream: false,
+		organisation, model: findModel(fleet.deployment), content: `small ${index}`, isStream: false,
 	})));
 	seen.push(...answers.filter(answer => answer.status === 200));
 	const refused = answers.filter(answer => answer.status === 402 && answer.outcome === 'not-run').length;
@@ -155,7 +155,7 @@
 	const leaving = fleet.replicas.find(replica => replica.engine !== undefined)!;
 	const questions = Array.from({length: chatCount / 2}, (_, index) => `leaving ${index}`);
 	const asked = questions.map(async (content, index) => askChat(pickRouter(fleet, index), {
-		organisation: organisation!, model: modelOf(fleet.deployment), content, isStream: true,
+		organisation: organisation!, model: findModel(fleet.deployment), content, isStream: true,
 	}));
 	const drained = leaving.agent.drain();
 	const answers = await Promise.all(asked);
@@ -171,7 +171,7 @@
 	const router = fleet.routers.at(-1)!;
 	const questions = Array.from({length: 8}, (_, index) => `shutdown ${index}`);
 	const asked = questions.map(async content => askChat(router.address, {
-		organisation: organisation!, model: modelOf(fleet.deployment), content, isStream: true,
+		organisation: organisation!, model: findModel(fleet.deployment), content, isStream: true,
 	}));
 	await waitFor('streams to open', () => router.getState().attempts.size === questions.length);
 	const drained = router.drain();
--- a/src/reach/index.ts
+++ b/src/reach/index.ts
@@ -1,4 +1,4 @@
-export {countsIn, createReach, handleReach} from './reach.js';
+export {canDispatch, createReach, handleReach} from './reach.js';
 export type {
 	Reach, ReachEffect, ReachEvent, RouterBody,
 } from './reach.js';
--- a/src/reach/reach.ts
+++ b/src/reach/reach.ts
@@ -17,7 +17,7 @@
 /**
 The router's own row: whether it may draw and whom it may dispatch to.
 
-Invariant: `countsIn` holds for an agent only if the row names it, whatever
+Invariant: `canDispatch` holds for an agent only if the row names it, whatever
 write is still under way. A reclaimer that fences every agent of the row has
 therefore fenced every agent that this router can make work for it.
 */
@@ -78,7 +78,7 @@
 @param agent - The agent's incarnation.
 @returns True if the row names it now and after any write under way.
 */
-export const countsIn = (reach: Reach, agent: string): boolean =>
+export const canDispatch = (reach: Reach, agent: string): boolean =>
 	(reach.row === 'active' || reach.row === 'closing') && reach.members.has(agent)
 	&& (reach.sync.step === 'idle' || reach.sync.next.has(agent));
 
--- a/src/reclaim/reclaim.ts
+++ b/src/reclaim/reclaim.ts
@@ -103,11 +103,11 @@
 const writeState = (reclaim: Reclaim, step: Reclaim['step'], state: string): ReclaimStep =>
 	askStore({...reclaim, step}, {kind: 'write', writes: [putRow(rowKeys.router(reclaim.router), reclaim.version, reclaim.body as Json, state)]});
 
-const agentsOf = (reclaim: Reclaim): readonly string[] =>
+const listReach = (reclaim: Reclaim): readonly string[] =>
 	(reclaim.body?.reach ?? []).filter(agent => !reclaim.resolved.includes(agent));
 
 const askAgents = (reclaim: Reclaim, probe: boolean, now: number): ReclaimStep => {
-	const missing = agentsOf(reclaim).filter(agent => !(probe ? reclaim.silent : reclaim.usages).has(agent));
+	const missing = listReach(reclaim).filter(agent => !(probe ? reclaim.silent : reclaim.usages).has(agent));
 	return {
 		state: {...reclaim, retryAt: now + retryInterval},
 		effects: missing.map(agent => ({
@@ -117,7 +117,7 @@
 };
 
 const probeAgents = (reclaim: Reclaim, now: number): ReclaimStep =>
-	agentsOf(reclaim).every(agent => reclaim.silent.has(agent))
+	listReach(reclaim).every(agent => reclaim.silent.has(agent))
 		? writeState(reclaim, 'fencing', 'fencing')
 		: askAgents({...reclaim, step: 'probing'}, true, now);
 
@@ -127,7 +127,7 @@
 	});
 
 const collectUsages = (reclaim: Reclaim, now: number, broken: Broken): ReclaimStep =>
-	agentsOf(reclaim).every(agent => reclaim.usages.has(agent)) || broken === 'fence-before-return'
+	listReach(reclaim).every(agent => reclaim.usages.has(agent)) || broken === 'fence-before-return'
 		? listGrants(reclaim)
 		: askAgents({...reclaim, step: 'collecting'}, false, now);
 
@@ -275,7 +275,7 @@
 	claiming: (reclaim, rows) => finishClaim(reclaim, rows[0]),
 };
 
-/** What follows a write that took effect, or one that met a newer row: both read again. */
+/** What canFollow a write that took effect, or one that met a newer row: both read again. */
 const proceed: Readonly<Partial<Record<Reclaim['step'], (reclaim: Reclaim, now: number, broken: Broken) => ReclaimStep>>> = {
 	fencing: reclaim => readRouter(reclaim),
 	settling: reclaim => readGrant(reclaim),
@@ -304,7 +304,7 @@
 		}
 
 		const next = {...reclaim, silent: reclaim.silent.set(agent, true)};
-		return next.step === 'probing' && agentsOf(next).every(other => next.silent.has(other)) ? probeAgents(next, now) : stay(next);
+		return next.step === 'probing' && listReach(next).every(other => next.silent.has(other)) ? probeAgents(next, now) : stay(next);
 	}
 
 	if (answer.state !== 'fenced') {
@@ -312,7 +312,7 @@
 	}
 
 	const next = {...reclaim, usages: reclaim.usages.set(agent, answer.usages)};
-	return next.step === 'collecting' && agentsOf(next).every(other => next.usages.has(other)) ? collectUsages(next, now, broken) : stay(next);
+	return next.step === 'collecting' && listReach(next).every(other => next.usages.has(other)) ? collectUsages(next, now, broken) : stay(next);
 };
 
 type Decide<Event> = (reclaim: Reclaim, event: Event, now: number, broken: Broken) => ReclaimStep;
--- a/src/request/common.ts
+++ b/src/request/common.ts
@@ -109,7 +109,7 @@
 };
 
 /** Another try under the same key may have run while this one waited, so the claim has the last word. */
-const needsConfirmation = (request: Request, fault: Fault): boolean =>
+const hasToConfirm = (request: Request, fault: Fault): boolean =>
 	request.kind === 'act' && !request.isAnswered && answers[fault.kind].outcome === 'not-run' && fault.kind !== 'key-conflict';
 
 /** Reads the claim of an act before its caller is told that it has not run. */
@@ -138,7 +138,7 @@
 export const refuseRequest = (state: RouterState, id: string, fault: Fault, now: number): RouterStep =>
 	withRequest(state, id, request => {
 		const told = weakenFault(request, fault);
-		return needsConfirmation(request, told) ? confirmRefusal(state, request, told) : tellFault(state, request, told, now);
+		return hasToConfirm(request, told) ? confirmRefusal(state, request, told) : tellFault(state, request, told, now);
 	});
 
 /**
--- a/src/request/grant.ts
+++ b/src/request/grant.ts
@@ -35,7 +35,7 @@
 };
 
 /** Running attempts rarely cost all that is reserved for them: while the target allows, what they leave is waited for. */
-const mayBeFreed = (state: RouterState, request: Request, now: number): boolean => {
+const canBeFreed = (state: RouterState, request: Request, now: number): boolean => {
 	const pot = findPot(state, request.budget, now);
 	const isEarly = now - request.arrivedAt < request.firstToken * waitShare;
 	return isEarly && countFree(pot) + pot.reserved >= request.cap;
@@ -62,7 +62,7 @@
 	}
 
 	// A forwarded request is served from what is held here, so that peers never draw for one another.
-	return mayBeFreed(waiting, request, now)
+	return canBeFreed(waiting, request, now)
 		? stay(waiting)
 		: refuseRequest(waiting, request.id, createFault('budget-exhausted', `budget "${request.budget}" has no grant here`), now);
 };
@@ -134,7 +134,7 @@
 			return seekAgent(reserved, request.id, now);
 		}
 
-		return reason === 'drawn' || mayBeFreed(current, request, now) ? stay(current) : forwardOrRefuse(current, request, reason, now);
+		return reason === 'drawn' || canBeFreed(current, request, now) ? stay(current) : forwardOrRefuse(current, request, reason, now);
 	});
 	return reason === 'drawn' ? chain(step, current => wantDraw(current, budget, now)) : step;
 };
--- a/src/request/send.ts
+++ b/src/request/send.ts
@@ -3,7 +3,7 @@
 import {chainAll, stay} from '../loop/index.js';
 import {noteSent} from '../member/index.js';
 import type {Member} from '../member/index.js';
-import {countsIn} from '../reach/index.js';
+import {canDispatch} from '../reach/index.js';
 import {chooseAgent} from '../route/index.js';
 import type {Choice} from '../route/index.js';
 import {rowKeys} from '../table/index.js';
@@ -126,7 +126,7 @@
 		model: request.model,
 		dataCentre: state.dataCentre,
 		excluded: request.excluded,
-		mayDispatch: agent => countsIn(state.reach, agent) || state.broken === 'reach-before-dispatch',
+		mayDispatch: agent => canDispatch(state.reach, agent) || state.broken === 'reach-before-dispatch',
 		seed: state.counter,
 		now,
 	});
--- a/src/route/choose.ts
+++ b/src/route/choose.ts
@@ -34,7 +34,7 @@
 /** Milliseconds over which a new endpoint takes on its full share. */
 const warmUp = 10_000;
 
-const servesModel = (member: Member, model: string | undefined): boolean =>
+const hasModel = (member: Member, model: string | undefined): boolean =>
 	model === undefined || member.models.length === 0 || member.models.includes(model);
 
 /**
@@ -80,7 +80,7 @@
 */
 export const chooseAgent = (members: Members, query: RouteQuery): Choice => {
 	const pool = members.valueSeq().toArray().filter(member => member.pool === query.pool && member.link === 'open');
-	const serving = pool.filter(member => servesModel(member, query.model));
+	const serving = pool.filter(member => hasModel(member, query.model));
 	if (pool.length > 0 && serving.length === 0) {
 		return {kind: 'no-model'};
 	}
--- a/src/router/caller.ts
+++ b/src/router/caller.ts
@@ -41,9 +41,12 @@
 	delivery: Delivery;
 	/** Parts of an answer that is handed on only when it is whole. */
 	whole: Uint8Array[];
-	/** Events of a stream that were handed on, for a resumption. */
-	events: string[];
-	eventBytes: number;
+	/** Events of a stream that were handed on. */
+	delivered: number;
+	/** Their text, for a resumption. */
+	text: string;
+	/** True while the stream is nothing but text, and short enough to be kept. */
+	isPlain: boolean;
 	hasHead: boolean;
 	isEnded: boolean;
 	isBlocked: boolean;
@@ -52,8 +55,8 @@
 	resumes: boolean;
 };
 
-/** Bytes of a stream that are kept for a resumption. */
-export const maxEventBytes = 1024 * 1024;
+/** Characters of a stream that are kept for a resumption. */
+const maxText = 1024 * 1024;
 
 /**
 Makes an HTTP response the place where an answer goes.
@@ -85,7 +88,7 @@
 	}
 };
 
-type StreamEvent = Readonly<{id?: string; model?: string; choices?: ReadonlyArray<Readonly<{delta?: Readonly<Record<string, unknown>>}>>}>;
+type StreamEvent = Readonly<{id?: string; model?: string; choices?: ReadonlyArray<Readonly<{delta?: Readonly<Record<string, unknown>>; finish_reason?: string | null}>>}>;
 
 const parseEvent = (data: string): StreamEvent => {
 	try {
@@ -95,9 +98,10 @@
 	}
 };
 
+type Delta = Readonly<Record<string, unknown>>;
+
 /** A resumed stream keeps the first attempt's id, and does not name its role again. */
-const rewriteEvent = (caller: Caller, data: string): string => {
-	const event = parseEvent(data);
+const rewriteEvent = (caller: Caller, event: StreamEvent): string => {
 	const choices = event.choices?.map(choice => {
 		const {role: _role, ...delta} = choice.delta ?? {};
 		return {...choice, delta};
@@ -105,6 +109,20 @@
 	return JSON.stringify({...event, ...(caller.streamId !== undefined && {id: caller.streamId}), ...(choices !== undefined && {choices})});
 };
 
+const isPlainDelta = (delta: Delta): boolean =>
+	Object.entries(delta).every(([name, value]) => name === 'role' || (name === 'content' && typeof value === 'string') || value === null);
+
+/** Keeps of an event what a resumption needs: its text, and whether there is more to it than text. */
+const noteEvent = (caller: Caller, event: StreamEvent) => {
+	const [choice] = event.choices ?? [];
+	const delta: Delta = choice?.delta ?? {};
+	const isFinal = choice?.finish_reason !== undefined && choice.finish_reason !== null;
+	caller.streamId ??= event.id;
+	caller.delivered += 1;
+	caller.text += typeof delta.content === 'string' ? delta.content : '';
+	caller.isPlain &&= isPlainDelta(delta) && !isFinal && caller.text.length <= maxText;
+};
+
 /**
 Hands an event of a stream on.
 
@@ -114,46 +132,19 @@
 */
 export const passEvent = (caller: Caller, data: string): boolean => {
 	startStream(caller);
-	const passed = caller.resumes ? rewriteEvent(caller, data) : data;
-	if (caller.events.length === 0) {
-		caller.streamId = parseEvent(data).id;
-	}
-
-	caller.eventBytes += passed.length;
-	if (caller.eventBytes <= maxEventBytes) {
-		caller.events.push(passed);
-	}
-
-	return writeEvent(caller, passed);
+	const event = parseEvent(data);
+	noteEvent(caller, event);
+	return writeEvent(caller, caller.resumes ? rewriteEvent(caller, event) : data);
 };
 
-type Delta = Readonly<Record<string, unknown>>;
-
-const readDelta = (data: string): Delta | undefined => parseEvent(data).choices?.[0]?.delta;
-
-const isPlain = (delta: Delta | undefined): boolean =>
-	delta === undefined || Object.entries(delta).every(([name, value]) => name === 'role' || (name === 'content' && typeof value === 'string') || value === null);
-
 /**
 Tells whether another attempt can go on where this stream broke off: it must be
-plain text with one choice, kept whole.
+plain text with one choice, and not be at its end.
 
 @param caller - The caller.
 @returns True if it can.
 */
-export const canResume = (caller: Caller): boolean =>
-	caller.checked.choices === 1 && caller.eventBytes <= maxEventBytes && caller.events.every(data => isPlain(readDelta(data)));
-
-/**
-Joins the text that the caller has got of a stream.
-
-@param caller - The caller.
-@returns The text.
-*/
-export const joinText = (caller: Caller): string => caller.events.map(data => {
-	const content = readDelta(data)?.content;
-	return typeof content === 'string' ? content : '';
-}).join('');
+export const canResume = (caller: Caller): boolean => caller.checked.choices === 1 && caller.isPlain;
 
 /**
 Builds the body for an attempt that goes on where the last one broke off: the
@@ -164,12 +155,12 @@
 @returns The body.
 */
 export const buildBody = (caller: Caller): Buffer => {
-	if (!caller.resumes || caller.events.length === 0) {
+	if (!caller.resumes || caller.text === '') {
 		return caller.body;
 	}
 
 	const body = JSON.parse(caller.body.toString('utf8')) as {messages: readonly unknown[]};
-	const messages = [...body.messages, {role: 'assistant', content: joinText(caller)}];
+	const messages = [...body.messages, {role: 'assistant', content: caller.text}];
 	return Buffer.from(JSON.stringify({
 		...body, messages, continue_final_message: true, add_generation_prompt: false,
 	}));
--- a/src/router/operator.ts
+++ b/src/router/operator.ts
@@ -41,7 +41,7 @@
 const maxBody = 2_000_000; // Bytes
 const maxAuditRows = 1000;
 
-const reply = (body: Json, headers: Readonly<Record<string, string>> = {}): Reply => succeed({body, headers});
+const createReply = (body: Json, headers: Readonly<Record<string, string>> = {}): Reply => succeed({body, headers});
 
 const topUp = z.strictObject({
 	change: z.string().regex(/^[\w.\-]{1,100}$/v, 'use up to 100 of letters, digits, "_", "." and "-"'),
@@ -64,7 +64,7 @@
 
 const getConfig: Handle = async (_request, ports) => {
 	const {config} = ports.getState();
-	return reply({revision: config.revision, config: joinConfig(config)}, {etag: `"${config.revision}"`});
+	return createReply({revision: config.revision, config: joinConfig(config)}, {etag: `"${config.revision}"`});
 };
 
 const readRevision = (ifMatch: string | undefined): Result<number> => {
@@ -101,7 +101,7 @@
 
 	const changes = compareConfig(config, splitConfig(checked.val));
 	if (changes.length === 0) {
-		return reply({revision: config.revision}, {etag: `"${config.revision}"`});
+		return createReply({revision: config.revision}, {etag: `"${config.revision}"`});
 	}
 
 	const before = changes.map(change => ({name: change.name, value: config.entries.get(change.name)?.value ?? null}));
@@ -163,7 +163,7 @@
 
 const maxStatusPots = 100;
 
-const getStatus: Handle = async (_request, ports) => reply(describeStatus(ports.getState()));
+const getStatus: Handle = async (_request, ports) => createReply(describeStatus(ports.getState()));
 
 const getAudit: Handle = async (request, ports) => {
 	const since = request.url.searchParams.get('since') ?? undefined;
@@ -171,7 +171,7 @@
 		kind: 'query', table: 'audit', prefix: '', limit: maxAuditRows, ...(since !== undefined && {after: since}),
 	});
 	return rows.kind === 'rows'
-		? reply({changes: rows.rows.flatMap(row => row === undefined ? [] : [row.body])})
+		? createReply({changes: rows.rows.flatMap(row => row === undefined ? [] : [row.body])})
 		: fail(createFault('store-unavailable', 'the audit trail cannot be read at present'));
 };
 
@@ -215,7 +215,7 @@
 		return fail(ended.val);
 	}
 
-	return await ports.drainAgent(agent) ? reply({agent, state: 'leaving'}) : fail(createFault('not-found', `agent: "${agent}" cannot be reached from here`));
+	return await ports.drainAgent(agent) ? createReply({agent, state: 'leaving'}) : fail(createFault('not-found', `agent: "${agent}" cannot be reached from here`));
 };
 
 type Route = Readonly<{pattern: RegExp; methods: Readonly<Record<string, Handle>>}>;
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -1,14 +1,11 @@
 import {Buffer} from 'node:buffer';
-import {createServer} from 'node:http2';
-import type {AddressInfo} from 'node:net';
 import {createClient} from '@connectrpc/connect';
 import type {Client, ConnectRouter} from '@connectrpc/connect';
-import {connectNodeAdapter, createConnectTransport} from '@connectrpc/connect-node';
+import {createConnectTransport} from '@connectrpc/connect-node';
 import type {Revision} from '../config/index.js';
 import {PeerService} from '../gen/galena/v1/peer_pb.js';
 import type {ForwardPart, ForwardRequest} from '../gen/galena/v1/peer_pb.js';
 import {createOutbox} from '../link/index.js';
-import type {Endpoint} from '../server/index.js';
 import type {Caller, Sink} from './caller.js';
 
 /** What peers and agents may ask of a router. */
@@ -22,9 +19,6 @@
 	onForward: (request: ForwardRequest, sink: Sink) => () => void;
 }>;
 
-/** A server for peers and agents. */
-export type PeerServer = Readonly<{address: string; close: () => void}>;
-
 type Part = Readonly<{status?: number; headers?: Record<string, string>; data?: Uint8Array; end?: boolean}>;
 
 const combineParts = (parts: readonly Part[]) => ({
@@ -72,7 +66,13 @@
 	return {sink, readParts};
 };
 
-const createPeerRoutes = (ports: PeerPorts) => (router: ConnectRouter): ConnectRouter => router.service(PeerService, {
+/**
+Builds a router's side of the protocol between routers, and with agents that announce themselves.
+
+@param ports - What it asks the router.
+@returns Routes for the connect adapter.
+*/
+export const createPeerRoutes = (ports: PeerPorts) => (router: ConnectRouter): ConnectRouter => router.service(PeerService, {
 	beat(request) {
 		ports.onBeat(request.routerIncarnation, request.address, request.configRevision);
 		return {
@@ -96,36 +96,6 @@
 	},
 });
 
-/**
-Starts a router's server for peers and agents.
-
-@param at - Where it listens.
-@param ports - What it asks the router.
-@returns The server.
-*/
-export const startPeerServer = async (at: Endpoint, ports: PeerPorts): Promise<PeerServer> => {
-	const server = createServer(connectNodeAdapter({routes: createPeerRoutes(ports)}));
-	const connections = new Set<{destroy: () => void}>();
-	server.on('session', session => {
-		connections.add(session);
-		session.once('close', () => connections.delete(session));
-	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(at.port, at.host, resolve);
-	});
-	const bound = server.address() as AddressInfo;
-	return {
-		address: `${bound.address}:${bound.port}`,
-		close() {
-			connections.forEach(connection => {
-				connection.destroy();
-			});
-			server.close();
-		},
-	};
-};
-
 /** Clients of other routers, one connection each. */
 export type PeerClients = Readonly<{get: (address: string) => Client<typeof PeerService>; keep: (addresses: readonly string[]) => void}>;
 
--- a/src/router/pots.ts
+++ b/src/router/pots.ts
@@ -71,7 +71,7 @@
 };
 
 /**
-Hands an event to a budget's pot and follows up what it asks for.
+Hands an event to a budget's pot and canFollow up what it asks for.
 
 @param state - The router.
 @param budget - The budget.
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -3,31 +3,35 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import {createRandom} from '../random/index.js';
-import type {AttemptOutcome, FenceAnswer, SealAnswer} from '../attempt/index.js';
 import type {GrantPolicy} from '../budget/index.js';
 import type {Revision} from '../config/index.js';
 import {
 	createFault, describeFault, fail, succeed,
 } from '../errors/index.js';
 import type {ErrorKind, Fault, Result} from '../errors/index.js';
-import type {Chunk, End} from '../gen/galena/v1/agent_pb.js';
 import type {Log} from '../log/index.js';
 import {runInBackground, startLoop} from '../loop/index.js';
 import type {Loop} from '../loop/index.js';
 import type {Change} from '../operation/index.js';
-import {listen, readBody, sendJson} from '../server/index.js';
+import {
+	listen, readBody, sendJson, startControlServer,
+} from '../server/index.js';
 import type {Endpoint} from '../server/index.js';
 import type {Json, Table} from '../table/index.js';
 import {
-	buildBody, canResume, createHttpSink, endStream, passEvent, sendAnswer, sendFault,
+	askFence, askSeal, callTimeout, closeRouter,
+} from './calls.js';
+import {
+	buildBody, canResume, createHttpSink, endStream, sendAnswer, sendFault,
 } from './caller.js';
 import type {Caller, Sink} from './caller.js';
+import {createDeliveries} from './delivery.js';
 import {checkCall} from './front.js';
 import {handleRouter, listMissing} from './handle.js';
 import type {HostList} from './hosts.js';
 import type {RouterEffect, RouterEvent} from './messages.js';
 import {serveOperator} from './operator.js';
-import {createPeerClients, forwardTo, startPeerServer} from './peers.js';
+import {createPeerClients, createPeerRoutes, forwardTo} from './peers.js';
 import {createSessions} from './sessions.js';
 import {createRouterState} from './state.js';
 import type {RouterState} from './state.js';
@@ -70,16 +74,29 @@
 const tickInterval = 250; // Milliseconds
 const beatInterval = 1000; // Milliseconds
 const beatFanout = 3;
-const callTimeout = 1500; // Milliseconds
 const hostInterval = 1000; // Milliseconds, while no agent is known
 /** Milliseconds between two reads of the list once agents are known, who announce themselves anyway. */
 const listInterval = 5000;
 /** Milliseconds that each host adds to the interval, since the list comes whole. */
 const intervalPerHost = 100;
-const creditStep = 32 * 1024; // Bytes
 /** Milliseconds after which an address that left the host list is given up. */
 const forgetAfter = 60_000;
 
+/** An operator's change whose outcome is awaited. */
+type PendingChange = Readonly<{outcome: Promise<Result<Json>>; settle: (result: Result<Json>) => void}>;
+
+const createPending = (): PendingChange => {
+	let settle: (result: Result<Json>) => void = () => undefined;
+	const outcome = new Promise<Result<Json>>(resolve => {
+		settle = resolve;
+	});
+	return {
+		outcome, settle(result) {
+			settle(result);
+		},
+	};
+};
+
 const copyHeaders = (request: IncomingMessage): Readonly<Record<string, string>> =>
 	Object.fromEntries(['authorization', 'galena-class', 'idempotency-key', 'content-type']
 		.flatMap((name): Array<[string, string]> => {
@@ -98,8 +115,7 @@
 	const {log, table} = options;
 	const random = createRandom(options.seed);
 	const callers = new Map<string, Caller>();
-	const byAttempt = new Map<string, Caller>();
-	const changes = new Map<string, (result: Result<Json>) => void>();
+	const changes = new Map<string, PendingChange>();
 	const forwards = new Map<string, AbortController>();
 	const seenOnList = new Map<string, number>();
 	const peerClients = createPeerClients();
@@ -121,69 +137,6 @@
 
 	// Agents
 
-	const passWhole = (caller: Caller, data: Uint8Array): boolean => {
-		caller.whole.push(data);
-		return true;
-	};
-
-	const returnCredit = (caller: Caller) => {
-		if (caller.attempt !== undefined && caller.agent !== undefined && caller.delivery.owed > 0) {
-			sessions.send(caller.agent, {credits: [{attemptId: caller.attempt, bytes: caller.delivery.owed}]});
-			caller.delivery = {...caller.delivery, owed: 0};
-		}
-	};
-
-	const noteWritten = (caller: Caller, bytes: number, isOpen: boolean) => {
-		caller.delivery = {next: caller.delivery.next + 1, owed: caller.delivery.owed + bytes};
-		if (!isOpen && !caller.isBlocked) {
-			caller.isBlocked = true;
-			caller.sink.onDrain(() => {
-				caller.isBlocked = false;
-				returnCredit(caller);
-			});
-		}
-
-		if (!caller.isBlocked && caller.delivery.owed >= creditStep) {
-			returnCredit(caller);
-		}
-	};
-
-	const receiveChunk = (chunk: Chunk) => {
-		const caller = byAttempt.get(chunk.attemptId);
-		// A part of an attempt that was given up belongs to nobody.
-		if (caller?.attempt !== chunk.attemptId || caller.isEnded || chunk.sequence !== caller.delivery.next) {
-			return;
-		}
-
-		if (chunk.sequence === 0) {
-			post({kind: 'attempt-began', attempt: chunk.attemptId});
-		}
-
-		const isOpen = caller.checked.order.isStream ? passPart(caller, chunk.data) : passWhole(caller, chunk.data);
-		noteWritten(caller, chunk.data.byteLength, isOpen);
-	};
-
-	const passPart = (caller: Caller, data: Uint8Array): boolean => passEvent(caller, Buffer.from(data).toString('utf8'));
-
-	const receiveEnd = (agent: string, end: End) => {
-		const caller = byAttempt.get(end.attemptId);
-		byAttempt.delete(end.attemptId);
-		const isWhole = caller === undefined || caller.delivery.next === end.chunkCount;
-		const outcome = (end.outcome === 'done' && !isWhole ? 'failed' : end.outcome) as AttemptOutcome;
-		// A stream's request may be answered with a whole body, such as an error's.
-		const isBody = caller !== undefined && (!caller.checked.order.isStream || end.contentType !== 'text/event-stream');
-		post({
-			kind: 'attempt-ended',
-			attempt: end.attemptId,
-			agent,
-			outcome,
-			tokens: end.tokens,
-			...(isBody && outcome === 'done' && {answer: {status: end.status, contentType: end.contentType, body: Buffer.concat(caller.whole)}}),
-			delivered: caller?.checked.order.isStream === true ? caller.events.length : 0,
-			canResume: caller !== undefined && canResume(caller),
-		});
-	};
-
 	const sessions = createSessions({
 		getIncarnation: () => getState().incarnation,
 		getRevision: () => getState().config.revision,
@@ -199,13 +152,13 @@
 		},
 		onBatch(agent, batch) {
 			batch.chunks.forEach(chunk => {
-				receiveChunk(chunk);
+				deliveries.receiveChunk(chunk);
 			});
 			batch.refusals.forEach(refusal => {
 				post({kind: 'attempt-refused', attempt: refusal.attemptId, error: refusal.kind as ErrorKind});
 			});
 			batch.ends.forEach(end => {
-				receiveEnd(agent, end);
+				deliveries.receiveEnd(agent, end);
 			});
 			if (batch.forgotten.length > 0) {
 				post({kind: 'attempts-forgotten', attempts: batch.forgotten});
@@ -221,7 +174,7 @@
 			log.event('session-closed', {agent});
 			const broken = [...callers.values()]
 				.filter(caller => caller.agent === agent && caller.attempt !== undefined)
-				.map(caller => ({attempt: caller.attempt ?? '', delivered: caller.events.length, canResume: canResume(caller)}));
+				.map(caller => ({attempt: caller.attempt ?? '', delivered: caller.delivered, canResume: canResume(caller)}));
 			post({kind: 'session-closed', agent, broken});
 		},
 		onRefused() {
@@ -230,6 +183,8 @@
 		draw: random.draw,
 	});
 
+	const deliveries = createDeliveries({post, send: sessions.send});
+
 	// Effects
 
 	const callStore = async (effect: RouterEffect & {kind: 'store'}) => {
@@ -252,7 +207,7 @@
 		caller.delivery = {next: 0, owed: 0};
 		caller.whole = [];
 		caller.resumes = request.resumes;
-		byAttempt.set(attempt.id, caller);
+		deliveries.start(attempt.id, caller);
 		sessions.sendOn(attempt.agent, attempt.session, {
 			dispatches: [{
 				attemptId: attempt.id,
@@ -270,7 +225,7 @@
 				contentType: caller.contentType,
 				body: new Uint8Array(buildBody(caller)),
 				priority: request.priority,
-				outputCap: Math.max(1, request.outputCap - (request.resumes ? caller.events.length : 0)),
+				outputCap: Math.max(1, request.outputCap - (request.resumes ? caller.delivered : 0)),
 				remainingMs: Math.max(1, Math.round(request.giveUp - (performance.now() - request.arrivedAt))),
 			}],
 		});
@@ -305,61 +260,7 @@
 		post({kind: 'forward-ended', request: request.id, outcome});
 	};
 
-	const askSeal = async (effect: RouterEffect & {kind: 'ask-seal'}) => {
-		try {
-			const reply = await sessions.getClient(effect.address).seal({attemptId: effect.attempt, agentIncarnation: effect.agent}, {timeoutMs: callTimeout});
-			const answer: SealAnswer = {
-				state: reply.state as SealAnswer['state'],
-				tokens: reply.tokens,
-				...(reply.state === 'done' && {answer: {status: reply.status, contentType: reply.contentType, body: reply.body}}),
-			};
-			post({
-				kind: 'seal-answered', request: effect.request, attempt: effect.attempt, answer,
-			});
-		} catch {
-			post({
-				kind: 'seal-answered', request: effect.request, attempt: effect.attempt, answer: undefined,
-			});
-		}
-	};
-
-	const askFence = async (effect: RouterEffect & {kind: 'ask-fence'}) => {
-		if (effect.address === undefined) {
-			return;
-		}
-
-		try {
-			const reply = await sessions.getClient(effect.address).fence({routerIncarnation: effect.router, agentIncarnation: effect.agent, probe: effect.probe}, {timeoutMs: callTimeout});
-			const answer: FenceAnswer = {
-				state: reply.state as FenceAnswer['state'],
-				usages: reply.usages.map(usage => ({
-					attempt: usage.attemptId,
-					request: usage.requestId,
-					agent: effect.agent,
-					organisation: usage.organisation,
-					budget: usage.budget,
-					cap: usage.tokens,
-					keyed: usage.keyed,
-					router: effect.router,
-					state: 'ended',
-					outcome: usage.outcome as AttemptOutcome,
-					tokens: usage.tokens,
-					...(usage.claimKey !== '' && {claimKey: usage.claimKey}),
-					...(usage.status !== 0 && {answer: {status: usage.status, contentType: usage.contentType, body: usage.answer}}),
-				})),
-			};
-			post({
-				kind: 'fence-answered', router: effect.router, agent: effect.agent, answer,
-			});
-		} catch {
-			// The reclaim asks again.
-		}
-	};
-
-	const closeRouter = async (effect: RouterEffect & {kind: 'close-router'}) => {
-		await Promise.allSettled(effect.addresses.map(async address =>
-			sessions.getClient(address).close({routerIncarnation: effect.router}, {timeoutMs: callTimeout})));
-	};
+	const calls = {post, getClient: sessions.getClient};
 
 	const withCaller = (request: string, act: (caller: Caller) => void) => {
 		const caller = callers.get(request);
@@ -402,20 +303,20 @@
 			runInBackground(async () => forward(effect));
 		},
 		'ask-seal'(effect) {
-			runInBackground(async () => askSeal(effect));
+			runInBackground(async () => askSeal(effect, calls));
 		},
 		'ask-fence'(effect) {
-			runInBackground(async () => askFence(effect));
+			runInBackground(async () => askFence(effect, calls));
 		},
 		'close-router'(effect) {
-			runInBackground(async () => closeRouter(effect));
+			runInBackground(async () => closeRouter(effect, calls));
 		},
 		'config-in-force'(effect) {
 			log.event('config-in-force', {revision: effect.revision});
 			sessions.broadcast({configRevision: effect.revision});
 		},
 		'operation-ended'(effect) {
-			changes.get(effect.operation)?.(effect.fault === undefined ? succeed(effect.result) : fail(effect.fault));
+			changes.get(effect.operation)?.settle(effect.fault === undefined ? succeed(effect.result) : fail(effect.fault));
 			changes.delete(effect.operation);
 		},
 		closed() {
@@ -489,8 +390,9 @@
 		agent: undefined,
 		delivery: {next: 0, owed: 0},
 		whole: [],
-		events: [],
-		eventBytes: 0,
+		delivered: 0,
+		text: '',
+		isPlain: true,
 		hasHead: false,
 		isEnded: false,
 		isBlocked: false,
@@ -540,10 +442,18 @@
 	const operatorPorts = {
 		getState,
 		operators: options.operators,
-		change: async (change: Change) => new Promise<Result<Json>>(resolve => {
-			changes.set(change.id, resolve);
+		async change(change: Change) {
+			// The same change sent twice at once is one change with one outcome.
+			const known = changes.get(change.id);
+			if (known !== undefined) {
+				return known.outcome;
+			}
+
+			const pending = createPending();
+			changes.set(change.id, pending);
 			post({kind: 'change-asked', change});
-		}),
+			return pending.outcome;
+		},
 		read: table.call,
 		drainAgent,
 		createId: () => `c-${randomUUID()}`,
@@ -600,7 +510,7 @@
 
 	// Peers and hosts
 
-	const peerServer = await startPeerServer(options.control, {
+	const peerServer = await startControlServer(options.control, createPeerRoutes({
 		getIncarnation: () => getState().incarnation,
 		getRevision: () => getState().config.revision,
 		listMissing: revision => listMissing(getState(), revision),
@@ -629,7 +539,7 @@
 				leave(id);
 			};
 		},
-	});
+	}));
 	const control = peerServer.address;
 	loop = startCore();
 	const http = await listen(server, options.listen);
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -1,3 +1,5 @@
+export {startControlServer} from './control.js';
+export type {ControlServer} from './control.js';
 export {
 	createHttpServer, listen, parseAddress, readBody, sendJson,
 } from './http.js';
--- a/src/table/protocol.ts
+++ b/src/table/protocol.ts
@@ -74,7 +74,7 @@
 	...(item.st?.S !== undefined && {state: item.st.S}),
 });
 
-const nextVersion = (condition: Condition): number => condition.kind === 'version' ? condition.version + 1 : 1;
+const computeVersion = (condition: Condition): number => condition.kind === 'version' ? condition.version + 1 : 1;
 
 const encodeWrite: Readonly<Record<Write['op'], (write: Write, tableName: string) => TransactItem>> = {
 	put: (write, tableName) => ({
@@ -83,7 +83,7 @@
 			Item: encodeRow({
 				table: write.table,
 				id: write.id,
-				version: nextVersion(write.condition),
+				version: computeVersion(write.condition),
 				body: write.body ?? null,
 				...(write.state !== undefined && {state: write.state}),
 			}),
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -2,6 +2,7 @@
 import {
 	afterAll, beforeAll, describe, expect, test,
 } from 'vitest';
+import {describeConfig, studio} from '../src/local/deployments.js';
 import {waitFor} from '../src/local/fleet.js';
 import {expectAnswer} from '../src/standin/index.js';
 import {
@@ -156,6 +157,40 @@
 		expect(await listExecutions(fleet)).toHaveLength(1);
 	});
 
+	test('a top-up sent twice at once, and once more elsewhere, is applied once', async () => {
+		const [first, second] = fleet.routers;
+		const before = await showBudget(fleet, first!);
+		const body = {change: 'twice', add: 1000};
+		const sent = await Promise.all([first!, first!, second!].map(async router => fleet.operate(router, 'POST', '/operator/v1/budgets/studio-1', body)));
+		const after = await showBudget(fleet, second!);
+		const other = await fleet.operate(second!, 'POST', '/operator/v1/budgets/studio-1', {...body, add: 5});
+		expect(sent.map(response => response.status)).toEqual([200, 200, 200]);
+		expect(after.limit - before.limit).toBe(1000);
+		expect(await other.json()).toMatchObject({kind: 'key-conflict'});
+	});
+
+	test('of two operators who change the configuration at once, one is told what differs', async () => {
+		const [first, second] = fleet.routers;
+		const put = async (router: Program, price: number) => {
+			const config = describeConfig(studio);
+			return fleet.operate(router, 'PUT', '/operator/v1/config?why=race', {
+				...config, classes: {...config.classes, 'shop-lookup': {...config.classes['shop-lookup'], price}},
+			}, {'if-match': '1'});
+		};
+
+		const sent = await Promise.all([put(first!, 2), put(second!, 3)]);
+		expect(new Set(sent.map(response => response.status))).toEqual(new Set([200, 412]));
+		await waitFor('the revision to be in force everywhere', async () => {
+			const statuses = await Promise.all([readStatus(fleet, first!), readStatus(fleet, second!)]);
+			return statuses.every(status => status.revision === 2 && status.agents.every(agent => agent.revision === 2));
+		});
+		const late = await put(first!, 4);
+		expect(await late.json()).toMatchObject({kind: 'revision-conflict', detail: expect.stringContaining('class/shop-lookup') as string});
+		const audit = await fleet.operate(first!, 'GET', '/operator/v1/audit');
+		const {changes} = await audit.json() as Readonly<{changes: ReadonlyArray<Readonly<{kind: string; who: string; why: string}>>}>;
+		expect(changes.filter(change => change.why === 'race')).toMatchObject([{kind: 'config', who: 'tester'}]);
+	});
+
 	test('with the store down, work goes on from the grant and acts are refused at once', async () => {
 		const [router] = fleet.routers;
 		await fleet.setFaults(fleet.table, {isDown: true});
