--- a/xo.config.js
+++ b/xo.config.js
@@ -33,8 +33,8 @@
 		files: [
 			'src/table/{protocol,client}.ts',
 			'src/standin/**/*.ts',
-			'src/agent/chat.ts',
-			'src/router/{front,front.test,hosts,caller,operator}.ts',
+			'src/agent/{chat,chat.test}.ts',
+			'src/router/{front,front.test,delivery.test,hosts,caller,operator}.ts',
 			'src/settings/settings.ts',
 			'src/local/demo.ts',
 			'src/bench/{processes,capacity,overhead,record}.ts',
