Let a leaving agent say that it ends, and a leaving router not wait for ever

Cause: an agent that was told to leave with nothing running ended at once, and the refusals of orders under way went down with its connections.

Ruled out: load (the machine was idle), and requests left unanswered (there were none: all had been retried elsewhere).

Change: an agent lets orders under way be refused, and with nothing kept says farewell, after which what it has not answered never ran. A router leaves its row open to a reclaimer after 30 s of waiting for agents or the store.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -54,6 +54,8 @@
 /** Milliseconds that each router adds to the interval, so that a large fleet is not flooded. */
 const announcePerRouter = 500;
 const announceTimeout = 1000; // Milliseconds
+const refusalGrace = 500; // Milliseconds
+const farewellGrace = 200; // Milliseconds for the last message to leave
 const drainGrace = 15_000; // Milliseconds for the routers to make the last bills durable
 
 const describeWork = (dispatch: Dispatch, kind: AgentOptions['kind']): Work => ({
@@ -334,6 +336,13 @@
 			await drained;
 			// The routers say when every bill is durable; an agent that left before would strand it.
 			await waitUntil(() => loop.state().attempts.isEmpty(), drainGrace);
+			// Orders that were under way when the agent began to leave still get their refusal.
+			await sleep(refusalGrace);
+			if (loop.state().attempts.isEmpty()) {
+				tellAll({farewell: true});
+				await sleep(farewellGrace);
+			}
+
 			log.event('agent-drained', {agent: incarnation, kept: loop.state().attempts.size});
 			await kill();
 		},
@@ -342,13 +351,15 @@
 
 const pollInterval = 50; // Milliseconds
 
+const sleep = async (milliseconds: number) => new Promise<void>(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
 const waitUntil = async (holds: () => boolean, limit: number): Promise<void> => {
 	if (holds() || limit <= 0) {
 		return;
 	}
 
-	await new Promise(resolve => {
-		setTimeout(resolve, pollInterval);
-	});
+	await sleep(pollInterval);
 	await waitUntil(holds, limit - pollInterval);
 };
--- a/src/agent/service.ts
+++ b/src/agent/service.ts
@@ -43,6 +43,7 @@
 		batch.forgotten.push(...each.forgotten);
 		batch.hello = each.hello ?? batch.hello;
 		batch.load = each.load ?? batch.load;
+		batch.farewell ||= each.farewell;
 		batch.configRevision = Math.max(batch.configRevision, each.configRevision);
 	});
 	return batch;
--- a/src/check/freeze.ts
+++ b/src/check/freeze.ts
@@ -22,6 +22,8 @@
 	...state,
 	// Every tick of the check looks at every pot.
 	ticks: 0,
+	// The check lets a leaving router wait as long as it takes.
+	leavingAt: Number.POSITIVE_INFINITY,
 	pots: state.pots.map(pot => ({
 		...pot,
 		usedAt: 0,
--- a/src/local/demo.ts
+++ b/src/local/demo.ts
@@ -165,16 +165,25 @@
 	return {what: 'an agent that leaves interrupts nothing', isGood: whole === questions.length, detail: `${whole} of ${questions.length} whole`};
 };
 
+/** How many times slower engines get while streams have to stay open. */
+const slowEngine = 20;
+
+const setSlowness = (fleet: Fleet, slowness: number) => {
+	fleet.replicas.forEach(replica => replica.engine?.faults.set({slowness}));
+};
+
 /** A router shuts down with streams open: they end, and it returns what it holds. */
 const showShutdown = async (fleet: Fleet, seen: Seen[]): Promise<Finding> => {
 	const [, organisation] = fleet.deployment.organisations;
 	const router = fleet.routers.at(-1)!;
 	const questions = Array.from({length: 8}, (_, index) => `shutdown ${index}`);
+	setSlowness(fleet, slowEngine);
 	const asked = questions.map(async content => askChat(router.address, {
 		organisation: organisation!, model: findModel(fleet.deployment), content, isStream: true,
 	}));
 	await waitFor('streams to open', () => router.getState().attempts.size === questions.length);
 	const drained = router.drain();
+	setSlowness(fleet, 1);
 	const answers = await Promise.all(asked);
 	seen.push(...answers);
 	await drained;
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -242,6 +242,23 @@
 	return chain(buried, current => forgetPlaces(current, agent, now));
 };
 
+/**
+Takes in that an agent incarnation has ended in good order, with nothing kept.
+What it has not answered never ran and goes elsewhere.
+
+@param state - The router.
+@param agent - The agent's incarnation.
+@param now - The time in ms.
+@returns The router and what it does.
+*/
+export const releaseAgent = (state: RouterState, agent: string, now: number): RouterStep => {
+	const left: RouterState = {...state, members: updateMember(state.members, agent, member => ({...member, link: 'gone'}))};
+	const attempts = left.attempts.valueSeq().toArray().filter(attempt => attempt.agent === agent);
+	const refused = chainAll(left, attempts, (current, attempt) =>
+		refuseAttempt(current, {kind: 'attempt-refused', attempt: attempt.id, error: 'not-ready'}, now));
+	return chain(refused, current => forgetPlaces(current, agent, now));
+};
+
 /** The agent kept usages that nobody will ask for again. */
 const forgetPlaces = (state: RouterState, agent: string, now: number): RouterStep => {
 	const forgotten = state.pots.valueSeq().toArray()
--- a/src/router/handle.ts
+++ b/src/router/handle.ts
@@ -11,7 +11,7 @@
 import {createReclaim, handleReclaim} from '../reclaim/index.js';
 import type {ReclaimEffect, ReclaimEvent} from '../reclaim/index.js';
 import {
-	beginAttempt, buryAgent, closeUnseen, endAttempt, forgetAttempts, leaveRequest, loseSession, refuseAttempt,
+	beginAttempt, buryAgent, closeUnseen, endAttempt, forgetAttempts, leaveRequest, loseSession, refuseAttempt, releaseAgent,
 } from '../request/attempts.js';
 import {receiveClaimReply, receiveSeal, retryClaim} from '../request/claims.js';
 import {putRequest, refuseRequest, withRequest} from '../request/common.js';
@@ -265,22 +265,35 @@
 		refuseRequest(current, request.id, createFault('not-ready', 'this router is being replaced'), now));
 };
 
+/** Milliseconds that a leaving router waits for the store, and for agents that do not answer. */
+const leaveTimeout = 30_000;
+
+/** What is still held then is left to a reclaimer: the row stays open. */
+const leaveOpen = (state: RouterState, now: number): RouterStep => now - state.leavingAt < leaveTimeout
+	? stay(state)
+	: {state: {...state, phase: 'closed'}, effects: [logEvent('router-left-open', {router: state.incarnation, attempts: state.attempts.size}), {kind: 'closed'}]};
+
 /** Once nothing runs, all is settled and returned, and the row is closed. */
 const leaveFleet = (state: RouterState, now: number): RouterStep => {
 	if (!isLeaving(state) || state.requests.size > 0) {
 		return stay(state);
 	}
 
+	if (state.leavingAt === 0) {
+		// A fenced router was not asked to leave.
+		return stay({...state, leavingAt: now});
+	}
+
 	const open = state.pots.valueSeq().toArray().filter(pot => !isSpentOut(pot)).map(pot => pot.budget);
 	if (open.length > 0) {
-		return chainAll(state, open, (current, budget) => updatePot(current, budget, {kind: 'return-wanted'}, now));
+		return now - state.leavingAt >= leaveTimeout ? leaveOpen(state, now) : chainAll(state, open, (current, budget) => updatePot(current, budget, {kind: 'return-wanted'}, now));
 	}
 
 	if (state.phase === 'fenced' || state.reach.row === 'unregistered') {
 		return {state: {...state, phase: 'closed'}, effects: [{kind: 'closed'}]};
 	}
 
-	return state.attempts.size > 0 ? stay(state) : updateReach(state, {kind: 'close-wanted'}, now);
+	return state.attempts.size > 0 ? leaveOpen(state, now) : updateReach(state, {kind: 'close-wanted'}, now);
 };
 
 const tick = (state: RouterState, _event: RouterEvent & {kind: 'tick'}, now: number): RouterStep => {
@@ -311,6 +324,7 @@
 	'session-refused': state => ({state: {...state, phase: state.phase === 'closed' ? 'closed' : 'fenced'}, effects: [logEvent('router-fenced', {router: state.incarnation})]}),
 	'load-reported': reportLoad,
 	'agent-leaving': (state, event) => stay({...state, members: updateMember(state.members, event.agent, member => ({...member, isLeaving: true}))}),
+	'agent-left': (state, event, now) => releaseAgent(state, event.agent, now),
 	'agent-gone': (state, event, now) => buryAgent(state, event.agent, now),
 	'attempt-refused': refuseAttempt,
 	'attempt-began': (state, event, now) => beginAttempt(state, event.attempt, now),
@@ -325,7 +339,7 @@
 		const operations = step.state === undefined ? state.operations : state.operations.set(event.change.id, step.state);
 		return followOperation({...state, operations}, event.change.id, step.effects);
 	},
-	'drain-asked': state => stay({...state, phase: state.phase === 'serving' ? 'draining' : state.phase}),
+	'drain-asked': (state, _event, now) => stay({...state, phase: state.phase === 'serving' ? 'draining' : state.phase, leavingAt: now}),
 	tick,
 };
 
--- /dev/null
+++ b/src/router/leave.test.ts
@@ -0,0 +1,74 @@
+import {List, Map} from 'immutable';
+import {describe, expect, test} from 'vitest';
+import {createWorld, noFaults} from '../check/state.js';
+import type {World} from '../check/state.js';
+import {deliverAll, tickAll} from '../check/settle.js';
+import {makeMove, postRouter} from '../check/world.js';
+import type {Order} from '../request/state.js';
+
+const hour = 3_600_000; // Milliseconds
+
+const order: Order = {
+	id: 'r1:1',
+	billId: 'r1:1',
+	organisation: 'o',
+	budget: 'b',
+	workClass: 'c',
+	pool: 'pool',
+	model: undefined,
+	kind: 'chat',
+	isStream: false,
+	key: undefined,
+	digest: 'd',
+	cap: 1,
+	outputCap: 1,
+	priority: 1,
+	firstToken: hour,
+	giveUp: hour,
+	isForwarded: false,
+};
+
+/** A router with two agents, and one request dispatched that its agent has not seen. */
+const dispatchOne = (): Readonly<{world: World; agent: string}> => {
+	const rows = Map([['budget/b', {
+		table: 'budget', id: 'b', version: 1, body: {limit: 2, granted: 0},
+	}]]);
+	const cold = createWorld({
+		routers: ['r1'], agents: 2, rows, inputs: List(), faults: noFaults, cost: 1, now: 1000,
+	});
+	const warm = tickAll(tickAll(cold));
+	const arrived = postRouter(warm, 'r1', {kind: 'request-arrived', order});
+	const world = makeMove(arrived, {type: 'write', index: 0, how: 'apply'});
+	return {world, agent: stateOf(world).attempts.first()?.agent ?? ''};
+};
+
+const stateOf = (world: World) => world.routers.get('r1')!.state;
+
+describe('an agent that leaves in good order', () => {
+	test('gives its unseen work back at once, to be run elsewhere and billed once', () => {
+		const {world, agent} = dispatchOne();
+		expect(stateOf(world).attempts.size).toBe(1);
+		const left = postRouter(world, 'r1', {kind: 'agent-left', agent});
+		expect(stateOf(left).attempts.first()?.agent).not.toBe(agent);
+		expect(stateOf(left).pots.get('b')?.reserved).toBe(1);
+	});
+});
+
+describe('a router that leaves', () => {
+	const loseAgent = () => {
+		const {world, agent} = dispatchOne();
+		const lost = postRouter(world, 'r1', {kind: 'session-closed', agent, broken: [{attempt: 'r1.1', delivered: 1, canResume: false}]});
+		return deliverAll(postRouter(lost, 'r1', {kind: 'drain-asked'}), 100);
+	};
+
+	test('waits for an agent that may have run its work', () => {
+		const waiting = deliverAll(postRouter(loseAgent(), 'r1', {kind: 'tick'}, 20_000), 100);
+		expect(stateOf(waiting).phase).toBe('draining');
+	});
+
+	test('leaves its row open after a while, for a reclaimer', () => {
+		const late = deliverAll(postRouter(loseAgent(), 'r1', {kind: 'tick'}, 40_000), 100);
+		expect(stateOf(late).phase).toBe('closed');
+		expect(late.rows.get('router/r1')?.state).toBe('active');
+	});
+});
--- a/src/router/messages.ts
+++ b/src/router/messages.ts
@@ -27,6 +27,8 @@
 	| Readonly<{kind: 'session-refused'}>
 	| Readonly<{kind: 'load-reported'; agent: string; running: number; waiting: number; isLeaving: boolean; revision: number}>
 	| Readonly<{kind: 'agent-leaving'; agent: string}>
+	/** The agent ends and keeps nothing: an attempt that it has not answered never ran. */
+	| Readonly<{kind: 'agent-left'; agent: string}>
 	| Readonly<{kind: 'agent-gone'; agent: string}>
 	| Readonly<{kind: 'attempt-refused'; attempt: string; error: ErrorKind}>
 	| Readonly<{kind: 'attempt-began'; attempt: string}>
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -164,6 +164,10 @@
 				post({kind: 'attempts-forgotten', attempts: batch.forgotten});
 			}
 
+			if (batch.farewell) {
+				post({kind: 'agent-left', agent});
+			}
+
 			if (batch.load !== undefined) {
 				post({
 					kind: 'load-reported', agent, running: batch.load.running, waiting: batch.load.waiting, isLeaving: batch.load.leaving, revision: batch.configRevision,
--- a/src/router/state.ts
+++ b/src/router/state.ts
@@ -43,6 +43,8 @@
 	/** Retries that may still be made; grows with each request. */
 	retryAllowance: number;
 	policy: GrantPolicy;
+	/** When it was asked to leave, in ms. */
+	leavingAt: number;
 	/** Ticks so far. */
 	ticks: number;
 	/** When rows of unknown routers were last looked for, in ms. */
@@ -77,6 +79,7 @@
 	counter: 0,
 	retryAllowance: 10,
 	policy,
+	leavingAt: 0,
 	ticks: 0,
 	scannedAt: 0,
 });
