Let one piece of code serve where several did the same

Found by reading the whole change; behaviour and tests stay as they are.

- The wait of shells stood in six places: sleep in src/loop.
- Stopping on a signal stood in program.ts and galena-local.ts: stopOnSignal.
- An agent that is gone and one that has left closed their attempts in twin functions: endAgent, with what each does with an attempt.
- listMissing only passed on to listRevisions: removed.

Left: three formulas of backoff (pot, router's row, sessions), which differ in their bounds.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -7,7 +7,7 @@
 import {createCredit} from '../link/index.js';
 import type {Credit} from '../link/index.js';
 import type {Log} from '../log/index.js';
-import {runInBackground, startLoop} from '../loop/index.js';
+import {runInBackground, sleep, startLoop} from '../loop/index.js';
 import {startControlServer} from '../server/index.js';
 import type {Endpoint} from '../server/index.js';
 import {openEndpoint} from './endpoint.js';
@@ -351,10 +351,6 @@
 
 const pollInterval = 50; // Milliseconds
 
-const sleep = async (milliseconds: number) => new Promise<void>(resolve => {
-	setTimeout(resolve, milliseconds);
-});
-
 const waitUntil = async (holds: () => boolean, limit: number): Promise<void> => {
 	if (holds() || limit <= 0) {
 		return;
--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -13,8 +13,9 @@
 import {createRouterState} from '../router/state.js';
 import type {RouterState} from '../router/state.js';
 import type {Json} from '../table/index.js';
+import {sleep} from '../loop/index.js';
 import {
-	fitLine, measureCall, measureHeap, readUsage, sleep,
+	fitLine, measureCall, measureHeap, readUsage,
 } from './measure.js';
 import {register, startProcesses, stopPrograms} from './processes.js';
 import type {ProcessFleet} from './processes.js';
--- a/src/bench/measure.ts
+++ b/src/bench/measure.ts
@@ -83,12 +83,3 @@
 	const error = Math.max(...points.map(([x, y]) => Math.abs(y - intercept - (slope * x)) / Math.max(Math.abs(y), Number.EPSILON)));
 	return {slope, intercept, error};
 };
-
-/**
-Waits.
-
-@param milliseconds - How long.
-*/
-export const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, milliseconds);
-});
--- a/src/bench/overhead.ts
+++ b/src/bench/overhead.ts
@@ -1,7 +1,8 @@
 import process from 'node:process';
 import {build} from 'hdr-histogram-js';
 import type {Histogram} from 'hdr-histogram-js';
-import {fitLine, readUsage, sleep} from './measure.js';
+import {sleep} from '../loop/index.js';
+import {fitLine, readUsage} from './measure.js';
 import {startProcesses, stopPrograms} from './processes.js';
 import type {ProcessFleet, Program} from './processes.js';
 
--- a/src/bench/record.ts
+++ b/src/bench/record.ts
@@ -10,7 +10,7 @@
 	collectTold, formatEntry, formatHead, formatTold,
 } from '../trace/index.js';
 import type {TraceEntry} from '../trace/index.js';
-import {sleep} from './measure.js';
+import {sleep} from '../loop/index.js';
 
 /** Something that goes wrong while a trace is recorded at the first router. */
 type Failure = Readonly<{name: string; run: (fleet: Fleet) => Promise<unknown>}>;
--- a/src/bin/galena-local.ts
+++ b/src/bin/galena-local.ts
@@ -8,8 +8,9 @@
 import {startFleet} from '../local/fleet.js';
 import {openLog} from '../log/index.js';
 import type {Log} from '../log/index.js';
-import {runInBackground} from '../loop/index.js';
-import {exitCodes, failUsage, version} from './program.js';
+import {
+	exitCodes, failUsage, stopOnSignal, version,
+} from './program.js';
 
 const deployments: Readonly<Record<string, Deployment>> = {studio, association};
 
@@ -45,18 +46,12 @@
 	write(`${deployment.name} is up. Ask it something:\n`);
 	write(`curl -N http://${router?.address}/v1/chat/completions -H 'Authorization: Bearer ${organisation?.key}' -H 'Content-Type: application/json' -d '${body}'\n`);
 	write(`See what it knows:\n\nGALENA_ROUTER=http://${router?.address} GALENA_KEY=${fleet.operatorKey} npx galenactl status\n`);
-	const stop = async () => {
-		await Promise.all(fleet.routers.map(async each => each.drain()));
-		await fleet.stop();
-		process.exit(exitCodes.success);
-	};
-
-	const stopOnce = () => {
-		runInBackground(stop);
-	};
-
-	process.once('SIGTERM', stopOnce);
-	process.once('SIGINT', stopOnce);
+	stopOnSignal({
+		async stop() {
+			await Promise.all(fleet.routers.map(async each => each.drain()));
+			await fleet.stop();
+		},
+	});
 };
 
 /** The commands' own options hide the type of the common one. */
--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -49,6 +49,25 @@
 	return settings.val;
 };
 
+/**
+Stops what runs in good order on SIGTERM or SIGINT, then ends the program.
+
+@param running - What runs.
+*/
+export const stopOnSignal = (running: Running): void => {
+	const stop = async () => {
+		await running.stop();
+		process.exit(exitCodes.success);
+	};
+
+	const stopOnce = () => {
+		runInBackground(stop);
+	};
+
+	process.once('SIGTERM', stopOnce);
+	process.once('SIGINT', stopOnce);
+};
+
 /**
 Runs a daemon: reads its settings, starts it, and stops it in good order on
 SIGTERM or SIGINT.
@@ -73,15 +92,5 @@
 	}
 
 	const running = await daemon.start(settings);
-	const stop = async () => {
-		await running.stop();
-		process.exit(exitCodes.success);
-	};
-
-	const stopOnce = () => {
-		runInBackground(stop);
-	};
-
-	process.once('SIGTERM', stopOnce);
-	process.once('SIGINT', stopOnce);
+	stopOnSignal(running);
 };
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -3,6 +3,7 @@
 import type {ConfigDocument} from '../config/index.js';
 import {formatLine} from '../log/index.js';
 import type {Field} from '../log/index.js';
+import {sleep} from '../loop/index.js';
 import type {Json} from '../table/index.js';
 import type {OperatorClient, OperatorReply} from './client.js';
 import {parseConfigFile} from './config-file.js';
@@ -65,9 +66,7 @@
 		return behind;
 	}
 
-	await new Promise(resolve => {
-		setTimeout(resolve, pollInterval);
-	});
+	await sleep(pollInterval);
 	return waitForRevision(client, revision, limit - pollInterval);
 };
 
--- a/src/local/fleet.ts
+++ b/src/local/fleet.ts
@@ -4,6 +4,7 @@
 import {defaultPolicy} from '../budget/index.js';
 import type {GrantPolicy} from '../budget/index.js';
 import type {Log} from '../log/index.js';
+import {sleep} from '../loop/index.js';
 import {hashKey} from '../router/front.js';
 import {openHostList} from '../router/hosts.js';
 import {startRouter} from '../router/router.js';
@@ -175,9 +176,7 @@
 		throw new Error(`gave up waiting for ${what}`);
 	}
 
-	await new Promise(resolve => {
-		setTimeout(resolve, pollInterval);
-	});
+	await sleep(pollInterval);
 	await waitFor(what, holds, limit - pollInterval);
 };
 
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -227,6 +227,13 @@
 	return request.isAnswered ? closeRequest(closed, next, now) : stay(putRequest(closed, next));
 };
 
+/** Closes all that an agent incarnation holds that will not be heard again. */
+const endAgent = (state: RouterState, agent: string, now: number, close: (state: RouterState, attempt: OpenAttempt) => RouterStep): RouterStep => {
+	const gone: RouterState = {...state, members: updateMember(state.members, agent, member => ({...member, link: 'gone'}))};
+	const attempts = gone.attempts.valueSeq().toArray().filter(attempt => attempt.agent === agent);
+	return chain(chainAll(gone, attempts, close), current => forgetPlaces(current, agent, now));
+};
+
 /**
 Takes in that an agent incarnation is gone for good.
 
@@ -235,12 +242,8 @@
 @param now - The time in ms.
 @returns The router and what it does.
 */
-export const buryAgent = (state: RouterState, agent: string, now: number): RouterStep => {
-	const attempts = state.attempts.valueSeq().toArray().filter(attempt => attempt.agent === agent);
-	const gone: RouterState = {...state, members: updateMember(state.members, agent, member => ({...member, link: 'gone'}))};
-	const buried = chainAll(gone, attempts, (current, attempt) => buryAttempt(current, attempt, now));
-	return chain(buried, current => forgetPlaces(current, agent, now));
-};
+export const buryAgent = (state: RouterState, agent: string, now: number): RouterStep =>
+	endAgent(state, agent, now, (current, attempt) => buryAttempt(current, attempt, now));
 
 /**
 Takes in that an agent incarnation has ended in good order, with nothing kept.
@@ -251,13 +254,9 @@
 @param now - The time in ms.
 @returns The router and what it does.
 */
-export const releaseAgent = (state: RouterState, agent: string, now: number): RouterStep => {
-	const left: RouterState = {...state, members: updateMember(state.members, agent, member => ({...member, link: 'gone'}))};
-	const attempts = left.attempts.valueSeq().toArray().filter(attempt => attempt.agent === agent);
-	const refused = chainAll(left, attempts, (current, attempt) =>
+export const releaseAgent = (state: RouterState, agent: string, now: number): RouterStep =>
+	endAgent(state, agent, now, (current, attempt) =>
 		refuseAttempt(current, {kind: 'attempt-refused', attempt: attempt.id, error: 'not-ready'}, now));
-	return chain(refused, current => forgetPlaces(current, agent, now));
-};
 
 /** The agent kept usages that nobody will ask for again. */
 const forgetPlaces = (state: RouterState, agent: string, now: number): RouterStep => {
--- a/src/router/handle.ts
+++ b/src/router/handle.ts
@@ -1,5 +1,5 @@
-import {handleConfig, listRevisions} from '../config/index.js';
-import type {ConfigEffect, ConfigEvent, Revision} from '../config/index.js';
+import {handleConfig} from '../config/index.js';
+import type {ConfigEffect, ConfigEvent} from '../config/index.js';
 import {createFault} from '../errors/index.js';
 import {isSpentOut} from '../budget/index.js';
 import {chain, chainAll, stay} from '../loop/index.js';
@@ -355,12 +355,3 @@
 	const decide = handlers[event.kind] as Decide<RouterEvent>;
 	return decide(state, event, now);
 };
-
-/**
-Chooses the revisions that a peer lacks.
-
-@param state - The router.
-@param revision - The peer's revision.
-@returns Revisions in order.
-*/
-export const listMissing = (state: RouterState, revision: number): readonly Revision[] => listRevisions(state.config, revision);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -4,6 +4,7 @@
 import {createServer} from 'node:http';
 import {createRandom} from '../random/index.js';
 import type {GrantPolicy} from '../budget/index.js';
+import {listRevisions} from '../config/index.js';
 import type {Revision} from '../config/index.js';
 import {
 	createFault, describeFault, fail, succeed,
@@ -27,7 +28,7 @@
 import type {Caller, Sink} from './caller.js';
 import {createDeliveries} from './delivery.js';
 import {checkCall} from './front.js';
-import {handleRouter, listMissing} from './handle.js';
+import {handleRouter} from './handle.js';
 import type {HostList} from './hosts.js';
 import type {RouterEffect, RouterEvent} from './messages.js';
 import {serveOperator} from './operator.js';
@@ -517,7 +518,7 @@
 	const peerServer = await startControlServer(options.control, createPeerRoutes({
 		getIncarnation: () => getState().incarnation,
 		getRevision: () => getState().config.revision,
-		listMissing: revision => listMissing(getState(), revision),
+		listMissing: revision => listRevisions(getState().config, revision),
 		onBeat(router, address, revision) {
 			post({
 				kind: 'peer-heard', router, address, revision, revisions: [],
--- a/src/standin/faults.ts
+++ b/src/standin/faults.ts
@@ -41,12 +41,3 @@
 		},
 	};
 };
-
-/**
-Waits.
-
-@param milliseconds - How long.
-*/
-export const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, milliseconds);
-});
--- a/src/standin/hosts.ts
+++ b/src/standin/hosts.ts
@@ -1,9 +1,9 @@
 import process from 'node:process';
+import {sleep} from '../loop/index.js';
 import {
 	createHttpServer, listen, readBody, sendJson,
 } from '../server/index.js';
 import type {Endpoint, Listening} from '../server/index.js';
-import {pause} from './faults.js';
 
 /** A process on the platform's host list. */
 export type HostEntry = Readonly<{
@@ -49,7 +49,7 @@
 	let entries: ReadonlyMap<string, HostEntry> = new Map();
 
 	const change = async (update: (current: ReadonlyMap<string, HostEntry>) => ReadonlyMap<string, HostEntry>) => {
-		await pause(options.lag);
+		await sleep(options.lag);
 		entries = update(entries);
 	};
 
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -1,10 +1,11 @@
 import process from 'node:process';
 import {createHash} from 'node:crypto';
+import {sleep} from '../loop/index.js';
 import {
 	createHttpServer, listen, readBody, sendJson,
 } from '../server/index.js';
 import type {Endpoint, Listening} from '../server/index.js';
-import {createSwitchboard, pause} from './faults.js';
+import {createSwitchboard} from './faults.js';
 import type {Switchboard} from './faults.js';
 
 /** Faults of the stand-in service. */
@@ -58,7 +59,7 @@
 			return;
 		}
 
-		await pause(delay);
+		await sleep(delay);
 		const digest = createHash('sha256').update(body.unwrap()).digest('hex');
 		const execution: Execution = {path: url.pathname, digest, at: Date.now()};
 		executions = [...executions, execution];
--- a/src/standin/table.ts
+++ b/src/standin/table.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {Map} from 'immutable';
 import {createRandom} from '../random/index.js';
+import {sleep} from '../loop/index.js';
 import {
 	createHttpServer, listen, readBody, sendJson,
 } from '../server/index.js';
@@ -9,7 +10,7 @@
 	applyCall, decodeCall, encodeRow, targetPrefix,
 } from '../table/index.js';
 import type {Row, Rows, StoreReply} from '../table/index.js';
-import {createSwitchboard, pause} from './faults.js';
+import {createSwitchboard} from './faults.js';
 import type {Switchboard} from './faults.js';
 
 /** Faults of the stand-in table service. */
@@ -107,7 +108,7 @@
 			return;
 		}
 
-		await pause(delay);
+		await sleep(delay);
 		const operation = String(request.headers['x-amz-target']).slice(targetPrefix.length);
 		const call = decodeCall(operation, JSON.parse(body.unwrap().toString()) as Parameters<typeof decodeCall>[1]);
 		const isWrite = call.kind === 'write';
