--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -1,10 +1,11 @@
+import {watchFile} from 'node:fs';
 import process from 'node:process';
 import {createRequire} from 'node:module';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import type {z} from 'zod';
 import type {Result} from '../errors/index.js';
-import {runInBackground} from '../loop/index.js';
+import {runInBackground} from '../loop/background.js';
 import {readSettings} from '../settings/index.js';
 
 /** Exit codes of every program. */
@@ -14,13 +15,22 @@
 export const {version} = (createRequire(import.meta.url)('../../package.json') as {version: string});
 
 /** A program that runs until it is told to stop. */
-export type Running = Readonly<{stop: () => Promise<void>}>;
+export type Running<Settings = unknown> = Readonly<{
+	stop: () => Promise<void>;
+	/** Told the settings again on SIGHUP, and when the file has changed: the new ones, or what is wrong with them. */
+	reload?: (settings: Result<Settings>) => void;
+}>;
+
+/** Milliseconds between looks at whether the settings file has changed without a signal. */
+const settingsInterval = 5000;
 
 type Daemon<Schema extends z.ZodType> = Readonly<{
 	name: string;
 	description: string;
 	schema: Schema;
-	start: (settings: z.output<Schema>) => Promise<Running>;
+	/** The settings file unless the command line names one. */
+	defaultSettings?: string | undefined;
+	start: (settings: z.output<Schema>) => Promise<Running<z.output<Schema>>>;
 }>;
 
 /**
@@ -54,7 +64,7 @@
 
 @param running - What runs.
 */
-export const stopOnSignal = (running: Running): void => {
+export const stopOnSignal = (running: Pick<Running, 'stop'>): void => {
 	const stop = async () => {
 		await running.stop();
 		process.exit(exitCodes.success);
@@ -68,6 +78,16 @@
 	process.once('SIGINT', stopOnce);
 };
 
+/** Reads the settings again on SIGHUP, which would otherwise end the process, and when the file has changed. */
+const reloadOnChange = <Settings>(path: string, read: () => Result<Settings>, reload: (settings: Result<Settings>) => void): void => {
+	process.on('SIGHUP', () => {
+		reload(read());
+	});
+	watchFile(path, {interval: settingsInterval, persistent: false}, () => {
+		reload(read());
+	});
+};
+
 /**
 Runs a daemon: reads its settings, starts it, and stops it in good order on
 SIGTERM or SIGINT.
@@ -78,19 +98,25 @@
 	const options = await yargs(hideBin(process.argv))
 		.scriptName(daemon.name)
 		.usage(`$0 --settings FILE\n\n${daemon.description}`)
-		.option('settings', {type: 'string', demandOption: true, describe: 'settings file, in INI'})
+		.option('settings', {
+			type: 'string', demandOption: daemon.defaultSettings === undefined, default: daemon.defaultSettings, describe: 'settings file, in INI',
+		})
 		.option('check', {type: 'boolean', default: false, describe: 'only check the settings'})
 		.strict()
 		.version(version)
 		.exitProcess(true)
 		.fail(failUsage)
 		.parseAsync();
-	const settings = requireSettings(readSettings(options.settings, daemon.schema));
+	const path = options.settings!;
+	const settings = requireSettings(readSettings(path, daemon.schema));
 	if (options.check) {
-		process.stdout.write(`${options.settings}: ok\n`);
+		process.stdout.write(`${path}: ok\n`);
 		return;
 	}
 
 	const running = await daemon.start(settings);
 	stopOnSignal(running);
+	if (running.reload !== undefined) {
+		reloadOnChange(path, () => readSettings(path, daemon.schema), running.reload);
+	}
 };
--- /dev/null
+++ b/src/edge/edge.ts
@@ -0,0 +1,310 @@
+import {Buffer} from 'node:buffer';
+import {randomBytes} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {periodic} from 'most';
+import type {AllowanceBounds} from '../allowance/index.js';
+import {createFault} from '../errors/index.js';
+import type {Result} from '../errors/index.js';
+import type {BoundedLog} from '../log/bounded.js';
+import {runInBackground} from '../loop/background.js';
+import {startLoop} from '../loop/loop.js';
+import {sleep} from '../loop/sleep.js';
+import {
+	configurationKey, decodeCall, decodeCatalog, decodeEntry, openStore, tables,
+} from '../platform/index.js';
+import type {StoredRow} from '../store/index.js';
+import {openCarrier, sendFault} from './carrier.js';
+import {followTable} from './feeds.js';
+import type {FeedEvent} from './feeds.js';
+import {handleEdge} from './handle.js';
+import type {EdgeEffect, EdgeEvent} from './messages.js';
+import {openMetrics} from './metrics.js';
+import type {EdgeSettings} from './settings.js';
+import {createEdge, isReady} from './state.js';
+
+/** Milliseconds between looks at what is due. */
+const tickInterval = 20;
+
+/** Bytes of headers that are read at the most; a configured limit may be lower. */
+const maxHeaderBytes = 65_536;
+
+/** Bytes of a body before a configuration is known. */
+const defaultBodyBytes = 4_194_304;
+
+/** Milliseconds after the signal to stop during which new connections still come: the entry takes two probes, a second apart, to notice. */
+const entryDelay = 3000;
+
+/** Milliseconds before the kill at which the process ends in any case. */
+const exitMargin = 500;
+
+/** Milliseconds between looks at whether all calls have ended. */
+const drainInterval = 50;
+
+/** A running edge. */
+export type Edge = Readonly<{stop: () => Promise<void>; reload: (settings: Result<EdgeSettings>) => void}>;
+
+const describeRepeats = ({bounds}: EdgeSettings): AllowanceBounds => ({ratio: bounds['repeat-ratio'], slack: bounds['repeat-slack']});
+
+/**
+Starts the edge.
+
+@param settings - Its settings.
+@param log - Its log.
+@returns How to stop it.
+*/
+export const startEdge = async (settings: EdgeSettings, log: BoundedLog): Promise<Edge> => {
+	const incarnation = randomBytes(6).toString('hex');
+	const clock = () => performance.now();
+	const random = () => Math.random();
+	const store = openStore(settings.store.address);
+	const metrics = openMetrics();
+	let isStopping = false;
+	let {grace} = settings.bounds;
+	let calls = 0;
+
+	const carrier = openCarrier({
+		post(event) {
+			loop.post(event);
+		}, isClosing: () => isStopping, random,
+	});
+
+	const callStore = async (effect: EdgeEffect & {kind: 'store'}) => {
+		const {call} = effect;
+		const reply = call.kind === 'read' ? await store.read(call.table) : await store.transact(call.writes);
+		loop.post({kind: 'store-replied', reply, random: random()});
+	};
+
+	const performers: Readonly<{[Kind in EdgeEffect['kind']]: (effect: EdgeEffect & {kind: Kind}) => void}> = {
+		send: carrier.send,
+		abort(effect) {
+			carrier.abort(effect.call);
+		},
+		deliver(effect) {
+			carrier.deliver(effect.call);
+		},
+		relay(effect) {
+			carrier.relay(effect.call);
+		},
+		refuse(effect) {
+			carrier.refuse(effect.call, effect.fault);
+		},
+		cut(effect) {
+			carrier.cut(effect.call);
+		},
+		store(effect) {
+			runInBackground(async () => callStore(effect));
+		},
+		log(effect) {
+			log.write(effect.level, effect.event, effect.fields);
+		},
+		count: metrics.apply,
+		observe: metrics.apply,
+	};
+
+	const loop = startLoop<ReturnType<typeof createEdge>, EdgeEvent, EdgeEffect>({
+		initial: createEdge({
+			dataCentre: settings.host['data-centre'],
+			router: `${settings.host.name}/${settings.host.address}`,
+			incarnation,
+			repeats: describeRepeats(settings),
+		}),
+		handle: handleEdge,
+		perform(effect) {
+			(performers[effect.kind] as (effect: EdgeEffect) => void)(effect);
+		},
+		clock,
+	});
+
+	const readConfiguration = (rows: readonly StoredRow[]) => {
+		// A feed may bring several versions of one row, in order.
+		const row = rows.findLast(each => each.key === configurationKey);
+		if (row === undefined) {
+			return;
+		}
+
+		const catalog = decodeCatalog(row.value);
+		if (catalog.err) {
+			log.write('failure', 'configuration-unreadable', {version: row.version, reason: catalog.val.detail});
+			return;
+		}
+
+		const {limits} = catalog.val;
+		server.keepAliveTimeout = limits.idleTimeout;
+		server.headersTimeout = limits.headerTimeout;
+		loop.post({kind: 'catalog-read', catalog: catalog.val});
+	};
+
+	const readEntry = (row: StoredRow) => {
+		if (row.value === undefined) {
+			return undefined;
+		}
+
+		const listing = decodeEntry(row.key, row.value);
+		if (listing.err) {
+			log.write('failure', 'entry-unreadable', {endpoint: row.key, version: row.version, reason: listing.val.detail});
+			return undefined;
+		}
+
+		return listing.val;
+	};
+
+	const logFeed = (table: string, event: FeedEvent) => {
+		if (event.kind === 'lost') {
+			log.write('failure', 'feed-lost', {table, reason: event.reason});
+		} else if (event.kind === 'regained') {
+			log.write('routine', 'feed-regained', {table});
+		}
+	};
+
+	const configurationHandlers: Readonly<{[Kind in FeedEvent['kind']]: (event: FeedEvent & {kind: Kind}) => void}> = {
+		all(event) {
+			readConfiguration(event.rows);
+		},
+		changes(event) {
+			readConfiguration(event.rows);
+		},
+		lost: () => undefined,
+		regained: () => undefined,
+	};
+	const registryHandlers: Readonly<{[Kind in FeedEvent['kind']]: (event: FeedEvent & {kind: Kind}) => void}> = {
+		all(event) {
+			loop.post({kind: 'endpoints-listed', listings: event.rows.flatMap(row => readEntry(row) ?? [])});
+		},
+		changes(event) {
+			event.rows.forEach(row => {
+				loop.post({kind: 'endpoint-changed', id: row.key, listing: readEntry(row)});
+			});
+		},
+		lost() {
+			loop.post({kind: 'registry-lost'});
+		},
+		regained() {
+			loop.post({kind: 'registry-regained'});
+		},
+	};
+
+	const readBody = (incoming: IncomingMessage, limit: number, onWhole: (body: Buffer) => void, onTooLarge: () => void) => {
+		let chunks: readonly Buffer[] = [];
+		let size = 0;
+		incoming.on('data', (chunk: Buffer) => {
+			size += chunk.length;
+			if (size <= limit) {
+				chunks = [...chunks, chunk];
+			}
+		});
+		incoming.on('end', () => {
+			if (size > limit) {
+				onTooLarge();
+			} else {
+				onWhole(Buffer.concat(chunks));
+			}
+		});
+		incoming.on('error', () => undefined);
+	};
+
+	const receiveCall = (incoming: IncomingMessage, response: ServerResponse) => {
+		response.on('error', () => undefined);
+		const head = decodeCall({
+			method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
+		});
+		if (head.err) {
+			incoming.resume();
+			log.write('failure', 'call-malformed', {reason: head.val.detail});
+			sendFault(response, head.val, isStopping);
+			return;
+		}
+
+		const limit = loop.state().catalog?.limits.bodyBytes ?? defaultBodyBytes;
+		readBody(incoming, limit, body => {
+			calls += 1;
+			carrier.accept(calls, head.val, incoming.headers.host ?? '', body, response);
+			loop.post({
+				kind: 'call-arrived', call: calls, head: head.val, random: random(),
+			});
+		}, () => {
+			log.write('failure', 'call-malformed', {call: head.val.key, reason: `body: is larger than ${limit} bytes`});
+			sendFault(response, createFault('too-large', `body: is larger than ${limit} bytes`), isStopping);
+		});
+	};
+
+	const server = createServer({
+		maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000, noDelay: true,
+	}, receiveCall);
+	const readyServer = createServer((incoming, response) => {
+		incoming.resume();
+		response.writeHead(isReady(loop.state()) ? 200 : 503, {'content-length': 0}).end();
+	});
+	const metricsServer = createServer((incoming, response) => {
+		incoming.resume();
+		runInBackground(async () => {
+			response.end(await metrics.format());
+		});
+	});
+
+	const open = async (which: Server, at: Readonly<{host: string; port: number}>) => new Promise<void>((resolve, reject) => {
+		which.once('error', reject);
+		which.listen(at.port, at.host, resolve);
+	});
+
+	await Promise.all([open(server, settings.listen.callers), open(readyServer, settings.listen.ready), open(metricsServer, settings.listen.metrics)]);
+	const {user, system} = process.cpuUsage();
+	log.write('routine', 'started', {
+		incarnation, dataCentre: settings.host['data-centre'], uptime: Math.round(process.uptime() * 1000), processorTime: Math.round((user + system) / 1000),
+	});
+
+	runInBackground(async () => followTable(store, tables.configuration, event => {
+		logFeed(tables.configuration, event);
+		(configurationHandlers[event.kind] as (event: FeedEvent) => void)(event);
+	}));
+	runInBackground(async () => followTable(store, tables.endpoints, event => {
+		logFeed(tables.endpoints, event);
+		(registryHandlers[event.kind] as (event: FeedEvent) => void)(event);
+	}));
+	runInBackground(async () => periodic(tickInterval).observe(() => {
+		loop.post({kind: 'tick', random: random()});
+	}));
+	runInBackground(async () => periodic(1000).observe(() => {
+		log.tick(clock());
+	}));
+
+	const awaitDrained = async (deadline: number): Promise<void> => {
+		if (clock() >= deadline || loop.state().flights.isEmpty()) {
+			return;
+		}
+
+		server.closeIdleConnections();
+		await sleep(drainInterval);
+		return awaitDrained(deadline);
+	};
+
+	return {
+		reload(changed) {
+			if (changed.err) {
+				log.write('failure', 'settings-unreadable', {reason: changed.val.detail});
+				return;
+			}
+
+			const next = changed.val;
+			const isMoved = JSON.stringify([settings.host, settings.listen, settings.store]) !== JSON.stringify([next.host, next.listen, next.store]);
+			grace = next.bounds.grace;
+			loop.post({kind: 'bounds-changed', repeats: describeRepeats(next)});
+			// Addresses are taken over at the next start alone.
+			log.write('routine', 'settings-reloaded', {grace, repeatSlack: next.bounds['repeat-slack'], needsRestart: isMoved});
+		},
+		async stop() {
+			isStopping = true;
+			log.write('routine', 'stopping', {incarnation, calls: loop.state().flights.size});
+			loop.post({kind: 'stop-wanted'});
+			const deadline = clock() + grace - exitMargin;
+			await sleep(entryDelay);
+			server.close();
+			await awaitDrained(deadline);
+			log.write('routine', 'stopped', {incarnation, calls: loop.state().flights.size});
+			store.close();
+			carrier.close();
+		},
+	};
+};
--- /dev/null
+++ b/src/edge/handle.ts
@@ -0,0 +1,97 @@
+import {adoptCatalog} from '../catalog/index.js';
+import {chain, chainAll, stay} from '../loop/step.js';
+import {
+	changeListing, dropMissing, loseRegistry, regainRegistry, replaceListings,
+} from '../registry/index.js';
+import type {Registry} from '../registry/index.js';
+import {arriveCall} from './arrive.js';
+import {
+	expireFlight, leaveCall, receiveEndpointAnswer, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd,
+} from './attempt.js';
+import {expireGrant, updatePurse} from './grant.js';
+import type {EdgeEffect, EdgeEvent} from './messages.js';
+import {placeWaiting} from './place.js';
+import type {EdgeState, EdgeStep} from './state.js';
+
+type Decide<Kind extends EdgeEvent['kind']> = (state: EdgeState, event: EdgeEvent & {kind: Kind}, now: number) => EdgeStep;
+
+const logBelief = (event: string, fields: Readonly<Record<string, string | number>>, level: 'routine' | 'failure' = 'routine'): EdgeEffect => ({
+	kind: 'log', level, event, fields,
+});
+
+const readCatalog: Decide<'catalog-read'> = (state, event) => {
+	const catalog = adoptCatalog(state.catalog, event.catalog);
+	return {
+		state: {...state, catalog},
+		effects: catalog === state.catalog
+			? []
+			: [logBelief('configuration-in-force', {version: catalog.version, before: state.catalog?.version ?? 0, routes: catalog.routes.size})],
+	};
+};
+
+/** One line for each endpoint that came or went. */
+const logEndpoints = (before: Registry, after: Registry): readonly EdgeEffect[] => {
+	const came = after.endpoints.valueSeq().toArray().filter(endpoint => before.endpoints.get(endpoint.id)?.bornAt !== endpoint.bornAt);
+	const went = before.endpoints.keySeq().toArray().filter(id => !after.endpoints.has(id));
+	return [
+		...came.map(({id, service, address, dataCentre}) => logBelief('endpoint-came', {
+			endpoint: id, service, address, dataCentre,
+		})),
+		...went.map(id => logBelief('endpoint-went', {endpoint: id})),
+	];
+};
+
+const setRegistry = (state: EdgeState, registry: Registry): EdgeStep => ({
+	state: {...state, registry}, effects: logEndpoints(state.registry, registry),
+});
+
+/** Milliseconds that a call waits for tokens: a store that answers at all takes a few, a slow one a quarter of a second. */
+const longestGrant = 300;
+
+const expireCalls: Decide<'tick'> = (state, event, now) => {
+	const flights = state.flights.valueSeq().toArray();
+	const expired = flights.filter(flight => now >= flight.expiresAt);
+	const ungranted = flights.filter(flight => now < flight.expiresAt && flight.phase === 'granting' && now - flight.phaseAt >= longestGrant);
+	return chain(
+		chainAll(state, expired, (current, flight) => expireFlight(current, flight, event.random, now)),
+		current => chainAll(current, ungranted, (later, flight) => expireGrant(later, flight.id, event.random, now)),
+	);
+};
+
+const receiveTick: Decide<'tick'> = (state, event, now) => {
+	const expired = expireCalls(state, event, now);
+	const settled = chain(expired, current => updatePurse(current, {kind: 'tick'}, event.random, now));
+	const dropped = chain(settled, current => setRegistry(current, dropMissing(current.registry, now)));
+	return chain(dropped, current => placeWaiting(current, event.random, now));
+};
+
+const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Decide<Kind>}> = {
+	'call-arrived': arriveCall,
+	'caller-left': leaveCall,
+	'endpoint-answered': receiveEndpointAnswer,
+	'endpoint-failed': receiveEndpointFailure,
+	'stream-began': receiveFirstOutput,
+	'stream-ended': receiveStreamEnd,
+	'catalog-read': readCatalog,
+	'endpoints-listed': (state, event, now) => setRegistry({...state, hasRegistry: true}, replaceListings(state.registry, event.listings, now)),
+	'endpoint-changed': (state, event, now) => setRegistry(state, changeListing(state.registry, event.id, event.listing, now)),
+	'registry-lost': state => stay({...state, registry: loseRegistry(state.registry)}),
+	'registry-regained': (state, _event, now) => stay({...state, registry: regainRegistry(state.registry, now)}),
+	'store-replied': (state, event, now) => updatePurse(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
+	tick: receiveTick,
+	'bounds-changed': (state, event) => stay({...state, repeats: event.repeats}),
+	'stop-wanted': state => stay({...state, isStopping: true}),
+};
+
+/**
+Decides what the edge does about an event.
+
+@param state - The edge.
+@param event - What happened.
+@param now - The time in ms, of a clock that never goes back.
+@returns The edge, and what it does.
+*/
+export const handleEdge = (state: EdgeState, event: EdgeEvent, now: number): EdgeStep => {
+	const decide = handlers[event.kind] as Decide<EdgeEvent['kind']>;
+	return decide(state, event, now);
+};
--- /dev/null
+++ b/src/edge/metrics.ts
@@ -0,0 +1,48 @@
+import {Counter, Histogram, Registry} from 'prom-client';
+import type {Counter as CounterName, EdgeEffect, Timer as TimerName} from './messages.js';
+
+/** Upper bounds of the histograms, in ms: around the targets of 0.2 to 0.5 s, up to the longest timeouts. */
+const buckets = [5, 10, 20, 50, 100, 150, 200, 300, 400, 500, 750, 1000, 1500, 2000, 3000, 5000, 10_000, 15_000];
+
+/** Counters and histograms of a process. */
+export type Metrics = Readonly<{
+	apply: (effect: EdgeEffect & {kind: 'count' | 'observe'}) => void;
+	/** Writes all of them in the text format that scrapers read. */
+	format: () => Promise<string>;
+}>;
+
+/**
+Opens the metrics.
+
+@returns The metrics, all at zero.
+*/
+export const openMetrics = (): Metrics => {
+	const registry = new Registry();
+	const registers = [registry];
+	const counters: Readonly<Record<CounterName, Counter>> = {
+		calls: new Counter({
+			name: 'galena_calls_total', help: 'Calls by route and outcome.', labelNames: ['route', 'outcome'], registers,
+		}),
+		attemptsFailed: new Counter({
+			name: 'galena_attempts_failed_total', help: 'Attempts that failed on their way, by service and how far they got.', labelNames: ['service', 'stage'], registers,
+		}),
+	};
+	const histograms: Readonly<Record<TimerName, Histogram>> = {
+		call: new Histogram({
+			name: 'galena_call_milliseconds', help: 'Time from a call\'s arrival to its end, by route.', labelNames: ['route'], buckets, registers,
+		}),
+		firstOutput: new Histogram({
+			name: 'galena_first_output_milliseconds', help: 'Time from a call\'s arrival to the first event, by route.', labelNames: ['route'], buckets, registers,
+		}),
+	};
+	return {
+		apply(effect) {
+			if (effect.kind === 'count') {
+				counters[effect.metric].inc(effect.labels, 1);
+			} else {
+				histograms[effect.metric].observe(effect.labels, effect.milliseconds);
+			}
+		},
+		format: async () => registry.metrics(),
+	};
+};
--- /dev/null
+++ b/src/edge/place.ts
@@ -0,0 +1,115 @@
+import {createFault} from '../errors/index.js';
+import type {Flight} from '../flight/index.js';
+import {chainAll, stay} from '../loop/step.js';
+import {chooseEndpoint} from '../place/index.js';
+import type {Placement} from '../place/index.js';
+import {orderWaiting, suggestReturn} from '../queue/index.js';
+import type {Endpoint} from '../registry/index.js';
+import {learnEndpoint, putFlight, refuseFlight} from './common.js';
+import type {EdgeState, EdgeStep} from './state.js';
+
+/** Parts that are remembered for one endpoint; the oldest half goes beyond that. */
+const maxParts = 2000;
+
+const rememberParts = (endpoint: Endpoint, flight: Flight, now: number): Endpoint['parts'] => {
+	const parts = (flight.head.work?.parts ?? []).reduce((known, part) => known.set(part.id, now), endpoint.parts);
+	return parts.size <= maxParts ? parts : parts.sortBy(at => -at).take(maxParts / 2);
+};
+
+const sendFlight = (state: EdgeState, flight: Flight, placement: Placement & {kind: 'endpoint'}, now: number): EdgeStep => {
+	const {endpoint, predicted, newTokens} = placement;
+	const sent: Flight = {
+		...flight,
+		phase: 'sent',
+		phaseAt: now,
+		attempt: flight.attempt + 1,
+		tried: [...flight.tried, endpoint.id],
+		pending: newTokens,
+		predicted,
+		sentAt: now,
+	};
+	const learned = learnEndpoint(putFlight(state, sent), endpoint.id, current => ({
+		...current,
+		open: current.open + 1,
+		pending: current.pending + newTokens,
+		sentSince: current.sentSince + 1,
+		parts: rememberParts(current, flight, now),
+	}));
+	return {
+		state: learned,
+		effects: [
+			{
+				kind: 'send',
+				call: flight.id,
+				attempt: sent.attempt,
+				address: endpoint.address,
+				maxConnections: state.catalog?.services.get(flight.service)?.maxConnections ?? endpoint.slots,
+				sending: {
+					endpoint: endpoint.id,
+					remaining: flight.expiresAt - now,
+					organisation: flight.organisation,
+					urgency: undefined,
+					resumeAfter: flight.lastEvent ?? flight.head.resumeAfter,
+				},
+			},
+			{
+				kind: 'log', level: 'routine', event: 'call-sent', fields: {
+					call: flight.head.key,
+					attempt: sent.attempt,
+					endpoint: endpoint.id,
+					waited: Math.round(now - flight.arrivedAt),
+					predicted: Math.round(predicted),
+					newTokens,
+					open: endpoint.open,
+					running: endpoint.load?.running,
+					loadAge: endpoint.load === undefined ? undefined : Math.round(now - endpoint.load.at),
+				},
+			},
+		],
+	};
+};
+
+const queueFlight = (state: EdgeState, flight: Flight, now: number): EdgeStep =>
+	stay(putFlight(state, flight.phase === 'queued' ? flight : {...flight, phase: 'queued', phaseAt: now}));
+
+/**
+Sends a call to an endpoint, lets it wait, or turns it away.
+
+@param state - The edge.
+@param flight - The flight, whose tokens are reserved.
+@param random - In [0, 1).
+@param now - The time in ms.
+@returns The edge, and what it does.
+*/
+export const placeFlight = (state: EdgeState, flight: Flight, random: number, now: number): EdgeStep => {
+	const service = state.catalog?.services.get(flight.service);
+	const endpoints = state.registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.service === flight.service);
+	const choice: Placement = service === undefined
+		? {kind: 'none'}
+		: chooseEndpoint(endpoints, {
+			service, work: flight.head.work, dataCentre: state.dataCentre, tried: flight.tried, now,
+		});
+	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
+		endpoint: placement => sendFlight(state, flight, placement, now),
+		busy: () => queueFlight(state, flight, now),
+		none: () => refuseFlight(state, flight, flight.mayHaveRun
+			? createFault('endpoint-failed', 'the endpoint failed, and there is no other')
+			: createFault('not-ready', `service ${flight.service} has no endpoint`, suggestReturn(flight.expiresAt - now, random)), now),
+	};
+	return (handlers[choice.kind] as (placement: Placement) => EdgeStep)(choice);
+};
+
+/**
+Looks again at calls that wait for an endpoint.
+
+@param state - The edge.
+@param random - In [0, 1).
+@param now - The time in ms.
+@returns The edge, and what it does.
+*/
+export const placeWaiting = (state: EdgeState, random: number, now: number): EdgeStep => {
+	const waiting = state.flights.valueSeq().toArray().filter(flight => flight.phase === 'queued');
+	return waiting.length === 0
+		? stay(state)
+		: chainAll(state, orderWaiting(waiting), (current, flight) => placeFlight(current, flight, random, now));
+};
--- /dev/null
+++ b/src/edge/state.ts
@@ -0,0 +1,64 @@
+import {Map} from 'immutable';
+import {createAllowance} from '../allowance/index.js';
+import type {Allowance, AllowanceBounds} from '../allowance/index.js';
+import type {Catalog} from '../catalog/index.js';
+import type {Flight} from '../flight/index.js';
+import type {Step} from '../loop/loop.js';
+import {createPurse} from '../purse/index.js';
+import type {Purse} from '../purse/index.js';
+import {emptyRegistry} from '../registry/index.js';
+import type {Registry} from '../registry/index.js';
+import type {EdgeEffect} from './messages.js';
+
+/** What an edge knows and has under way. */
+export type EdgeState = Readonly<{
+	dataCentre: string;
+	repeats: AllowanceBounds;
+	catalog: Catalog | undefined;
+	registry: Registry;
+	/** True once the registry has been read. */
+	hasRegistry: boolean;
+	purse: Purse;
+	allowance: Allowance;
+	flights: Map<number, Flight>;
+	isStopping: boolean;
+}>;
+
+/** A decision of the edge. */
+export type EdgeStep = Step<EdgeState, EdgeEffect>;
+
+/** What a process is told at its start. */
+export type EdgeOptions = Readonly<{
+	dataCentre: string;
+	/** Key of its row in the store. */
+	router: string;
+	incarnation: string;
+	repeats: AllowanceBounds;
+}>;
+
+/**
+Creates the state of a process that has just started.
+
+@param options - What it is told.
+@returns The state: nothing is known, and no call can be served.
+*/
+export const createEdge = (options: EdgeOptions): EdgeState => ({
+	dataCentre: options.dataCentre,
+	repeats: options.repeats,
+	catalog: undefined,
+	registry: emptyRegistry,
+	hasRegistry: false,
+	purse: createPurse(options.router, options.incarnation),
+	allowance: createAllowance(),
+	flights: Map(),
+	isStopping: false,
+});
+
+/**
+Tells whether new connections are welcome.
+
+@param state - The edge.
+@returns True once configuration and registry are known, until the process is told to stop.
+*/
+export const isReady = (state: EdgeState): boolean =>
+	!state.isStopping && state.catalog !== undefined && state.hasRegistry && (state.purse.isOpen || state.catalog.budgets.isEmpty());
--- a/src/errors/kinds.ts
+++ b/src/errors/kinds.ts
@@ -43,6 +43,9 @@
 	'store-unavailable': {
 		status: 503, title: 'The platform\'s store does not answer', outcome: 'not-run', retryAfter: 5,
 	},
+	'budget-held': {
+		status: 503, title: 'Other routers hold what is left of the budget', outcome: 'not-run', retryAfter: 1,
+	},
 	'claim-unread': {
 		status: 503, title: 'Whether the work has run cannot be told at present', outcome: 'unknown', retryAfter: 5,
 	},
--- /dev/null
+++ b/src/flight/index.ts
@@ -0,0 +1,4 @@
+export {createFlight} from './flight.js';
+export type {
+	AnswerHead, CallHead, Flight, Phase, Sending, Work,
+} from './flight.js';
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -1,2 +1,5 @@
-export {formatLine, openLog} from './log.js';
-export type {Field, Log} from './log.js';
+export type {BoundedLog, Level} from './bounded.js';
+export {formatLine} from './line.js';
+export type {Field, Fields} from './line.js';
+export {openLog} from './log.js';
+export type {Log} from './log.js';
--- a/src/log/log.ts
+++ b/src/log/log.ts
@@ -1,8 +1,7 @@
 import {StatsD} from 'hot-shots';
 import winston from 'winston';
-
-/** A value of a log line. */
-export type Field = string | number | boolean | undefined;
+import {formatLine} from './line.js';
+import type {Field} from './line.js';
 
 /** Writes one line of key=value pairs for each event, and counts it. */
 export type Log = Readonly<{
@@ -22,25 +21,6 @@
 	metrics: Readonly<{host: string; port: number}> | undefined;
 }>;
 
-const needsQuotes = /[\s="\\]/v;
-
-const formatValue = (value: Field): string => {
-	const text = String(value);
-	return text === '' || needsQuotes.test(text) ? JSON.stringify(text) : text;
-};
-
-/**
-Formats an event as one line.
-
-@param fields - The fields in the order in which they appear.
-@returns Pairs of key=value, separated by spaces; undefined values are left out.
-*/
-export const formatLine = (fields: Readonly<Record<string, Field>>): string =>
-	Object.entries(fields)
-		.filter(([, value]) => value !== undefined)
-		.map(([key, value]) => `${key}=${formatValue(value)}`)
-		.join(' ');
-
 const lineFormat = winston.format.printf(info => {
 	const {level, message, ...fields} = info as Readonly<Record<string, Field>>;
 	return formatLine({
--- /dev/null
+++ b/src/place/place.ts
@@ -0,0 +1,151 @@
+import type {Service} from '../catalog/index.js';
+import type {Work} from '../flight/index.js';
+import {hashText} from '../random/index.js';
+import type {Endpoint} from '../registry/index.js';
+
+/** What a choice of endpoint rests on. */
+export type PlaceQuery = Readonly<{
+	service: Service;
+	work: Work | undefined;
+	/** Where this router is. */
+	dataCentre: string;
+	/** Endpoints that got the call before: passed over while there are others. */
+	tried: readonly string[];
+	now: number;
+}>;
+
+/** What the choice came to. */
+export type Placement =
+	| Readonly<{kind: 'endpoint'; endpoint: Endpoint; predicted: number; newTokens: number}>
+	/** Every endpoint is full. */
+	| Readonly<{kind: 'busy'}>
+	/** The service has no endpoint. */
+	| Readonly<{kind: 'none'}>;
+
+/** Prompt tokens that an engine reads in a ms beside the output of others: half of what it reads alone. */
+const readRate = 60;
+
+/** Milliseconds of an engine's step for each request in its batch. */
+const stepPerRequest = 0.15;
+
+/** Milliseconds to the first output of an idle engine. */
+const engineBase = 15;
+
+/** Milliseconds of work of a plain call, for want of better knowledge. */
+const plainWork = 80;
+
+/** Milliseconds that a call to another data centre counts as: its bytes are paid for. */
+const remotePenalty = 6;
+
+/** Milliseconds for which an engine is thought to remember a part that was sent to it. */
+const partLifetime = 20_000;
+
+/** Weight of the reading that a choice causes, beside the time that the call itself waits: it delays all others there. */
+const readingWeight = 0.5;
+
+/** Milliseconds after which what an endpoint said of its load no longer counts. */
+const loadLifetime = 2000;
+
+/**
+Counts the prompt tokens that an endpoint would have to read: a part is remembered only if all before it are.
+
+@param endpoint - The endpoint.
+@param work - The request.
+@param now - The time in ms.
+@returns Tokens.
+*/
+export const countNewTokens = (endpoint: Endpoint, work: Work, now: number): number => {
+	const known = work.parts.findIndex(part => now - (endpoint.parts.get(part.id) ?? Number.NEGATIVE_INFINITY) > partLifetime);
+	const remembered = work.parts.slice(0, known === -1 ? undefined : known).reduce((sum, part) => sum + part.tokens, 0);
+	return Math.max(0, work.promptTokens - remembered);
+};
+
+/** Calls at an endpoint, as far as this router can tell. */
+const countCalls = (endpoint: Endpoint, now: number): number => {
+	const {load} = endpoint;
+	return load === undefined || now - load.at > loadLifetime ? endpoint.open : Math.max(endpoint.open, load.running + load.waiting + endpoint.sentSince);
+};
+
+/**
+Tells whether an endpoint would only queue one more call.
+
+@param endpoint - The endpoint.
+@param now - The time in ms.
+@returns True if all its slots are taken.
+*/
+export const isFull = (endpoint: Endpoint, now: number): boolean => endpoint.slots > 0 && countCalls(endpoint, now) >= endpoint.slots;
+
+/**
+Predicts the time to the first output.
+
+@param endpoint - The endpoint.
+@param query - What is asked.
+@returns Milliseconds.
+*/
+export const predictFirstOutput = (endpoint: Endpoint, query: PlaceQuery): number => {
+	const calls = countCalls(endpoint, query.now);
+	if (query.service.engine === undefined || query.work === undefined) {
+		return plainWork * endpoint.slowness * (1 + (calls / Math.max(1, endpoint.slots)));
+	}
+
+	const reading = (endpoint.pending + countNewTokens(endpoint, query.work, query.now)) / readRate;
+	return endpoint.slowness * (engineBase + reading + (calls * stepPerRequest));
+};
+
+/** The part of a prompt that decides where its like goes: the last one that others share. */
+const pickAffinity = (work: Work | undefined): string | undefined => work?.parts.at(-2)?.id ?? work?.parts.at(-1)?.id;
+
+/** Rank of an endpoint for a part: the same at every router. */
+const rankEndpoint = (part: string, endpoint: Endpoint): number => hashText(`${part}/${endpoint.id}`);
+
+const weighEndpoint = (endpoint: Endpoint, query: PlaceQuery): number => {
+	const distance = endpoint.dataCentre === query.dataCentre ? 0 : remotePenalty;
+	const reading = query.work === undefined ? 0 : countNewTokens(endpoint, query.work, query.now) / readRate;
+	return (predictFirstOutput(endpoint, query) / Math.max(0.1, 1 - endpoint.failureShare)) + distance + (readingWeight * reading);
+};
+
+/** Keeps the endpoints that fit, or all if none does. */
+const prefer = (endpoints: readonly Endpoint[], fits: (endpoint: Endpoint) => boolean): readonly Endpoint[] => {
+	const fitting = endpoints.filter(endpoint => fits(endpoint));
+	return fitting.length > 0 ? fitting : endpoints;
+};
+
+/**
+Chooses the endpoint for a call.
+
+Load pattern: prompts share long parts, and reading one again delays every other
+request there. The two endpoints that rank first for a part take its requests, the
+sooner one of both, unless another would still be sooner after reading the part.
+
+@param endpoints - All endpoints of the service.
+@param query - What the call needs.
+@returns The choice, or why there is none.
+*/
+export const chooseEndpoint = (endpoints: readonly Endpoint[], query: PlaceQuery): Placement => {
+	if (endpoints.length === 0) {
+		return {kind: 'none'};
+	}
+
+	const fresh = prefer(endpoints, endpoint => !query.tried.includes(endpoint.id));
+	const sound = prefer(fresh, endpoint => endpoint.ejectedUntil <= query.now);
+	const free = sound.filter(endpoint => !isFull(endpoint, query.now));
+	const affinity = pickAffinity(query.work);
+	const ranked = affinity === undefined ? [] : free.toSorted((a, b) => rankEndpoint(affinity, b) - rankEndpoint(affinity, a)).slice(0, 2);
+	const [best] = free
+		.map(endpoint => ({endpoint, weight: weighEndpoint(endpoint, query) - (ranked.includes(endpoint) ? affinityBonus(query) : 0)}))
+		.toSorted((a, b) => a.weight - b.weight);
+	return best === undefined
+		? {kind: 'busy'}
+		: {
+			kind: 'endpoint',
+			endpoint: best.endpoint,
+			predicted: predictFirstOutput(best.endpoint, query),
+			newTokens: query.work === undefined ? 0 : countNewTokens(best.endpoint, query.work, query.now),
+		};
+};
+
+/** Milliseconds that reading the shared parts somewhere else costs: other routers have sent them to the endpoints that rank first. */
+const affinityBonus = (query: PlaceQuery): number => {
+	const shared = query.work?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
+	return (1 + readingWeight) * shared / readRate;
+};
--- /dev/null
+++ b/src/purse/handle.ts
@@ -0,0 +1,394 @@
+import {Map} from 'immutable';
+import {z} from 'zod';
+import {stay} from '../loop/step.js';
+import type {Step} from '../loop/loop.js';
+import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
+import type {PurseContext, PurseEffect, PurseEvent} from './messages.js';
+import {countFree, getHold} from './state.js';
+import type {
+	BudgetRow, Change, Hold, Purse, Sync,
+} from './state.js';
+
+type PurseStep = Step<Purse, PurseEffect>;
+
+/** Tables that the routers keep. */
+const tables = {budgets: 'budgets', holds: 'holds'} as const;
+
+/** Seconds of use that are drawn ahead while the balance is ample: the store's outages, of up to 9 s, and as much again for uneven demand. */
+const horizon = 15;
+
+/** Tokens below which drawing ahead is not worth a call: a few short calls. */
+const minimumDraw = 4000;
+
+/** Seconds of use that a router keeps once the balance is scarce. */
+const scarceHorizon = 0.5;
+
+/** Milliseconds between settlements: what a successor must write off grows with it, and so do the calls with its inverse. */
+const settleInterval = 1000;
+
+/** Milliseconds between readings of all rows. */
+const readInterval = 1000;
+
+/** Milliseconds that drawn tokens stay before they may go back, so that they do not travel to and fro. */
+const returnDelay = 500;
+
+/** Milliseconds after the first failure; doubled with each further one. */
+const firstBackoff = 100;
+const longestBackoff = 800;
+
+/** Time constant of the average demand, in ms. */
+const demandTime = 3000;
+
+/** By organisation: tokens held, and tokens reserved a second. */
+const holdSchema = z.object({change: z.string(), holds: z.record(z.string(), z.tuple([z.number(), z.number()]))});
+const budgetSchema = z.object({taken: z.number()});
+
+const decodeValue = <Schema extends z.ZodType>(schema: Schema, text: string | undefined): z.output<Schema> | undefined => {
+	if (text === undefined) {
+		return undefined;
+	}
+
+	// These rows are written by routers alone: one that cannot be read is a fault of ours, and must not be taken for an empty one.
+	return schema.parse(JSON.parse(text));
+};
+
+const findRow = (rows: readonly StoredRow[], table: string, key: string): StoredRow | undefined =>
+	rows.find(row => row.table === table && row.key === key);
+
+/** What may be drawn of a budget. */
+const countUntaken = (purse: Purse, organisation: string, context: PurseContext): number =>
+	Math.max(0, (context.budgets.get(organisation) ?? 0) - (purse.budgets.get(organisation)?.taken ?? 0));
+
+/** Tokens of a budget that routers hold or may draw, without those of calls under way. */
+const countPool = (purse: Purse, organisation: string, context: PurseContext): number =>
+	countUntaken(purse, organisation, context) + Math.max(0, countFree(getHold(purse, organisation)))
+	+ purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.held ?? 0), 0);
+
+/** This router's part of the demand for a budget, 0 to 1, as the routers' rows state theirs. */
+const countPart = (purse: Purse, organisation: string): number => {
+	const own = getHold(purse, organisation).demand;
+	const others = purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.demand ?? 0), 0);
+	return own <= 0 ? 0 : own / (own + others);
+};
+
+/** The free tokens that a router should have: seconds of its use, or its part of the pool once that is smaller. */
+const computeTarget = (purse: Purse, organisation: string, context: PurseContext): number =>
+	Math.min(getHold(purse, organisation).demand * horizon, countPool(purse, organisation, context) * countPart(purse, organisation));
+
+/**
+Decides how many tokens to draw: up to the target once half of it is gone, and
+in any case what waiting calls need, if there is as much.
+*/
+const chooseDraw = (purse: Purse, organisation: string, context: PurseContext): number => {
+	const hold = getHold(purse, organisation);
+	const free = countFree(hold);
+	const untaken = countUntaken(purse, organisation, context);
+	const target = computeTarget(purse, organisation, context);
+	const ahead = Math.min(target - free, untaken);
+	const worthwhile = free < target / 2 && ahead >= minimumDraw ? ahead : 0;
+	const needed = hold.wanted - free;
+	const least = hold.least - free;
+	if (needed <= 0) {
+		return Math.floor(worthwhile);
+	}
+
+	if (needed <= untaken) {
+		return Math.ceil(Math.max(needed, Math.min(ahead, untaken)));
+	}
+
+	return least > 0 && least <= untaken ? Math.floor(untaken) : 0;
+};
+
+/** Decides how many free tokens to give back: what is far above the target, once the others may need it. */
+const chooseReturn = (purse: Purse, organisation: string, context: PurseContext, now: number): number => {
+	const hold = getHold(purse, organisation);
+	const free = countFree(hold);
+	const target = Math.max(computeTarget(purse, organisation, context), hold.demand * scarceHorizon);
+	const isScarce = countUntaken(purse, organisation, context) < free;
+	const isMuch = free > (2 * target) + minimumDraw || (target === 0 && free > 0);
+	return isScarce && isMuch && hold.wanted === 0 && now - hold.drawnAt >= returnDelay ? Math.floor(free - target) : 0;
+};
+
+const countDelta = (purse: Purse, organisation: string, context: PurseContext, now: number): number => {
+	const drawn = chooseDraw(purse, organisation, context);
+	return drawn > 0 ? drawn : -chooseReturn(purse, organisation, context, now);
+};
+
+const writeRow = (table: string, key: string, version: number, value: unknown): StoreWrite =>
+	({
+		table, key, version, value: JSON.stringify(value),
+	});
+
+const planChange = (purse: Purse, context: PurseContext, now: number): Change => {
+	const organisations = [...new Set([...purse.holds.keys(), ...context.budgets.keys()])];
+	const settled = purse.holds.map(hold => hold.charged);
+	const drawn = Map(organisations.map(organisation => [organisation, countDelta(purse, organisation, context, now)] as const)).filter(delta => delta !== 0);
+	const taken = drawn.map((delta, organisation) => (purse.budgets.get(organisation)?.taken ?? 0) + delta);
+	const holds = Object.fromEntries(organisations
+		.map(organisation => {
+			const hold = getHold(purse, organisation);
+			return [organisation, [hold.held - (settled.get(organisation) ?? 0) + (drawn.get(organisation) ?? 0), Math.round(hold.demand)]] as const;
+		})
+		.filter(([, [held, demand]]) => held > 0 || demand > 0));
+	const id = `${purse.incarnation}.${purse.changes + 1}`;
+	return {
+		id,
+		writes: [
+			writeRow(tables.holds, purse.router, purse.version, {change: id, holds}),
+			...taken.entrySeq().toArray().map(([organisation, total]) =>
+				writeRow(tables.budgets, organisation, purse.budgets.get(organisation)?.version ?? 0, {taken: total})),
+		],
+		settled,
+		drawn,
+		taken,
+		opens: false,
+	};
+};
+
+const writeChange = (purse: Purse, change: Change, failures: number): PurseStep => ({
+	state: {...purse, sync: {step: 'writing', change, failures}},
+	effects: [{kind: 'store', call: {kind: 'transact', writes: change.writes}}],
+});
+
+const readRows = (purse: Purse, table: 'holds' | 'budgets'): PurseStep => ({
+	state: {...purse, sync: {step: 'reading', table}},
+	effects: [{kind: 'store', call: {kind: 'read', table: tables[table]}}],
+});
+
+/** Takes over the row of a process that ran here before. What it held may have been spent, and counts as spent. */
+const planOpening = (purse: Purse): Change => {
+	const id = `${purse.incarnation}.0`;
+	return {
+		id,
+		writes: [writeRow(tables.holds, purse.router, purse.version, {change: id, holds: {}})],
+		settled: Map(),
+		drawn: Map(),
+		taken: Map(),
+		opens: true,
+	};
+};
+
+const isSettlingDue = (purse: Purse, now: number): boolean =>
+	now - purse.settledAt >= settleInterval && purse.holds.some(hold => hold.charged > 0);
+
+const isMoving = (purse: Purse, context: PurseContext, now: number): boolean =>
+	context.budgets.keySeq().some(organisation => countDelta(purse, organisation, context, now) !== 0);
+
+/** Starts the next exchange with the store if one is due and none is under way. */
+const startSync = (purse: Purse, context: PurseContext, now: number): PurseStep => {
+	if (purse.sync.step !== 'idle') {
+		return stay(purse);
+	}
+
+	if (!purse.isOpen || now - purse.readAt >= readInterval) {
+		return readRows(purse, 'holds');
+	}
+
+	return isSettlingDue(purse, now) || isMoving(purse, context, now)
+		? writeChange(purse, planChange(purse, context, now), 0)
+		: stay(purse);
+};
+
+const acceptOpening = (purse: Purse, change: Change): PurseStep => ({
+	state: {...purse, isOpen: true},
+	effects: [{
+		kind: 'log', event: 'holds-opened', isFailure: false, fields: {version: purse.version, change: change.id},
+	}],
+});
+
+const acceptHolds = (purse: Purse, change: Change, now: number): Map<string, Hold> => {
+	const touched = [...new Set([...change.settled.keys(), ...change.drawn.keys()])];
+	return touched.reduce((holds, organisation) => {
+		const hold = getHold({...purse, holds}, organisation);
+		const settled = change.settled.get(organisation) ?? 0;
+		const drawn = change.drawn.get(organisation) ?? 0;
+		return holds.set(organisation, {
+			...hold, held: hold.held - settled + drawn, charged: hold.charged - settled, drawnAt: drawn > 0 ? now : hold.drawnAt,
+		});
+	}, purse.holds);
+};
+
+const logDraws = (change: Change): readonly PurseEffect[] => change.drawn.entrySeq().toArray().map(([organisation, tokens]) => ({
+	kind: 'log', event: tokens > 0 ? 'tokens-drawn' : 'tokens-returned', isFailure: false, fields: {
+		organisation, tokens: Math.abs(tokens), taken: change.taken.get(organisation) ?? 0, change: change.id,
+	},
+}));
+
+/** Takes over a change that is known to have been made, at a version of the router's row. */
+const acceptChange = (purse: Purse, change: Change, version: number, context: PurseContext, now: number): PurseStep => {
+	const accepted: Purse = {
+		...purse,
+		version,
+		changes: purse.changes + 1,
+		holds: acceptHolds(purse, change, now),
+		budgets: purse.budgets.merge(change.taken.map((taken): BudgetRow => ({version, taken}))),
+		settledAt: change.opens ? purse.settledAt : now,
+		sync: {step: 'idle'},
+	};
+	const opened = change.opens ? acceptOpening(accepted, change) : {state: accepted, effects: logDraws(change)};
+	const next = startSync(opened.state, context, now);
+	return {state: next.state, effects: [...opened.effects, {kind: 'changed'}, ...next.effects]};
+};
+
+/** The budgets' rows that a transaction named, as they are. */
+const adoptBudgets = (purse: Purse, organisations: readonly string[], rows: readonly StoredRow[]): Purse => ({
+	...purse,
+	budgets: organisations.reduce((budgets, organisation) => {
+		const row = findRow(rows, tables.budgets, organisation);
+		return budgets.set(organisation, {version: row?.version ?? 0, taken: decodeValue(budgetSchema, row?.value)?.taken ?? 0});
+	}, purse.budgets),
+});
+
+const fence = (purse: Purse): PurseStep => ({
+	state: {...purse, isOpen: false, sync: {step: 'fenced'}},
+	effects: [{
+		kind: 'log', event: 'holds-fenced', isFailure: true, fields: {reason: 'another process has taken over this router\'s row', version: purse.version},
+	}, {kind: 'changed'}],
+});
+
+/** A row had moved on: the change was made before, or can no longer be made. */
+const receiveConflict = (purse: Purse, change: Change, rows: readonly StoredRow[], context: PurseContext, now: number): PurseStep => {
+	const own = findRow(rows, tables.holds, purse.router);
+	if (decodeValue(holdSchema, own?.value)?.change === change.id) {
+		return acceptChange(purse, change, own?.version ?? 0, context, now);
+	}
+
+	if (change.opens) {
+		return readRows({...purse, sync: {step: 'idle'}}, 'holds');
+	}
+
+	if ((own?.version ?? 0) !== purse.version) {
+		return fence(purse);
+	}
+
+	const known = adoptBudgets({...purse, sync: {step: 'idle'}}, [...change.drawn.keys()], rows);
+	const next = startSync(known, context, now);
+	return {state: next.state, effects: [{kind: 'changed'}, ...next.effects]};
+};
+
+const receiveHolds = (purse: Purse, rows: readonly StoredRow[]): PurseStep => {
+	const own = findRow(rows, tables.holds, purse.router);
+	const others = Map(rows.filter(row => row.key !== purse.router)
+		.map(row => [row.key, Map(Object.entries(decodeValue(holdSchema, row.value)?.holds ?? {}).map(([organisation, [held, demand]]) => [organisation, {held, demand}] as const))] as const));
+	return readRows({...purse, others, version: purse.isOpen ? purse.version : own?.version ?? 0}, 'budgets');
+};
+
+const receiveBudgets = (purse: Purse, rows: readonly StoredRow[], context: PurseContext, now: number): PurseStep => {
+	const read = adoptBudgets({...purse, readAt: now, sync: {step: 'idle'}}, rows.map(row => row.key), rows);
+	if (!purse.isOpen) {
+		return writeChange(read, planOpening(read), 0);
+	}
+
+	const next = startSync(read, context, now);
+	return {state: next.state, effects: [{kind: 'changed'}, ...next.effects]};
+};
+
+const computeBackoff = (failures: number, random: number): number =>
+	Math.min(longestBackoff, firstBackoff * (2 ** failures)) * (0.5 + (random / 2));
+
+const waitForRetry = (purse: Purse, reason: string, now: number, random: number): PurseStep => {
+	const {sync} = purse;
+	const failures = sync.step === 'writing' ? sync.failures : 0;
+	const change = sync.step === 'writing' ? sync.change : undefined;
+	return {
+		state: {
+			...purse,
+			sync: {
+				step: 'waiting', until: now + computeBackoff(failures, random), change, failures: failures + 1,
+			},
+		},
+		effects: [
+			...(failures === 0
+				? [{
+					kind: 'log', event: 'holds-store-lost', isFailure: true, fields: {reason, step: sync.step},
+				} as const]
+				: []),
+			{kind: 'changed'},
+		],
+	};
+};
+
+type Answered<Step extends Sync['step']> = (purse: Purse, sync: Sync & {step: Step}, reply: StoreReply & {kind: 'done'}, context: PurseContext, now: number) => PurseStep;
+
+const readers: Readonly<Record<'holds' | 'budgets', Answered<'reading'>>> = {
+	holds: (purse, _sync, reply) => receiveHolds(purse, reply.rows),
+	budgets: (purse, _sync, reply, context, now) => receiveBudgets(purse, reply.rows, context, now),
+};
+
+const receiveReply = (purse: Purse, event: PurseEvent & {kind: 'replied'}, now: number, context: PurseContext): PurseStep => {
+	const {sync} = purse;
+	const {reply} = event;
+	if (sync.step !== 'reading' && sync.step !== 'writing') {
+		return stay(purse);
+	}
+
+	if (sync.step === 'writing' && reply.kind === 'conflict') {
+		return receiveConflict(purse, sync.change, reply.rows, context, now);
+	}
+
+	if (reply.kind !== 'done') {
+		return waitForRetry(purse, 'reason' in reply ? reply.reason : reply.kind, now, event.random);
+	}
+
+	return sync.step === 'reading'
+		? readers[sync.table](purse, sync, reply, context, now)
+		: acceptChange(purse, sync.change, reply.version, context, now);
+};
+
+const averageDemand = (purse: Purse, now: number): Purse => {
+	const elapsed = now - purse.tickedAt;
+	if (elapsed <= 0) {
+		return purse;
+	}
+
+	const weight = 1 - Math.exp(-elapsed / demandTime);
+	return {
+		...purse,
+		tickedAt: now,
+		holds: purse.holds.map(hold => ({
+			...hold, used: 0, demand: hold.demand + (((hold.used * 1000 / elapsed) - hold.demand) * weight),
+		})),
+	};
+};
+
+const receiveTick = (purse: Purse, now: number, context: PurseContext): PurseStep => {
+	const averaged = averageDemand(purse, now);
+	const {sync} = averaged;
+	if (sync.step !== 'waiting') {
+		return startSync(averaged, context, now);
+	}
+
+	if (now < sync.until) {
+		return stay(averaged);
+	}
+
+	// The same change is sent again unaltered, so that at most one copy can be made.
+	return sync.change === undefined
+		? readRows(averaged, 'holds')
+		: writeChange(averaged, sync.change, sync.failures);
+};
+
+const handlers: Readonly<{[Kind in PurseEvent['kind']]: (purse: Purse, event: PurseEvent & {kind: Kind}, now: number, context: PurseContext) => PurseStep}> = {
+	tick: (purse, _event, now, context) => receiveTick(purse, now, context),
+	wanted: (purse, _event, now, context) => startSync(purse, context, now),
+	replied: receiveReply,
+};
+
+/**
+Decides what a purse does next.
+
+One call to the store is under way at a time. A change whose reply was lost is
+sent again unaltered: all copies require the same version of the router's row,
+so at most one is made.
+
+@param purse - The purse.
+@param event - What happened.
+@param now - The time in ms.
+@param context - What else the decision depends on.
+@returns The purse and what it asks for.
+*/
+export const handlePurse = (purse: Purse, event: PurseEvent, now: number, context: PurseContext): PurseStep => {
+	const handle = handlers[event.kind] as (purse: Purse, event: PurseEvent, now: number, context: PurseContext) => PurseStep;
+	return handle(purse, event, now, context);
+};
+
--- /dev/null
+++ b/src/queue/index.ts
@@ -0,0 +1,1 @@
+export {orderWaiting, suggestReturn} from './queue.js';
--- a/src/random/index.ts
+++ b/src/random/index.ts
@@ -1,2 +1,3 @@
+export {hashText} from './hash.js';
 export {createRandom} from './random.js';
 export type {Random} from './random.js';
--- /dev/null
+++ b/src/registry/registry.ts
@@ -0,0 +1,164 @@
+import {Map} from 'immutable';
+
+/** What an endpoint says of itself in the platform's registry. */
+export type Listing = Readonly<{
+	id: string;
+	service: string;
+	/** IP number and port. */
+	address: string;
+	dataCentre: string;
+	slots: number;
+	isLeaving: boolean;
+	/** Milliseconds for which it stays slow after its start. */
+	coldFor: number;
+	/** The same id with another value is another incarnation. */
+	bornAt: number;
+}>;
+
+/** An endpoint, and what this router has learned of its present incarnation. */
+export type Endpoint = Listing & Readonly<{
+	/** When its entry went missing while the registry may have been wrong, in ms; undefined while it is listed. */
+	missingSince: number | undefined;
+	/** Calls of this router that it works on. */
+	open: number;
+	/** Prompt tokens of this router's calls that have given no output yet. */
+	pending: number;
+	/** What it said of itself last, and when, in ms. */
+	load: Readonly<{running: number; waiting: number; slots: number; at: number}> | undefined;
+	/** Calls sent since then. */
+	sentSince: number;
+	/** Prompt parts that this router sent it, and when last, in ms. */
+	parts: Map<string, number>;
+	/** Failures since the last success. */
+	failures: number;
+	/** Share of recent calls that failed, 0 to 1, weighted towards the latest. */
+	failureShare: number;
+	/** No new calls until then unless there is nothing else, in ms. */
+	ejectedUntil: number;
+	/** How much longer than predicted its first output takes; 1 as predicted. */
+	slowness: number;
+}>;
+
+/**
+Endpoints that may get new work.
+
+Invariant: an endpoint whose entry says that it leaves, or has gone, is not among them.
+*/
+export type Registry = Readonly<{
+	endpoints: Map<string, Endpoint>;
+	/** True while the registry cannot be read. */
+	isAway: boolean;
+	/** Until then an entry may be missing only because the registry was away, in ms. */
+	doubtUntil: number;
+}>;
+
+/** Milliseconds after the registry's return within which entries of living endpoints are back. */
+export const returnTime = 2000;
+
+/** The registry of a process that has read nothing. */
+export const emptyRegistry: Registry = {endpoints: Map(), isAway: false, doubtUntil: 0};
+
+const createEndpoint = (listing: Listing): Endpoint => ({
+	...listing,
+	missingSince: undefined,
+	open: 0,
+	pending: 0,
+	load: undefined,
+	sentSince: 0,
+	parts: Map(),
+	failures: 0,
+	failureShare: 0,
+	ejectedUntil: 0,
+	slowness: 1,
+});
+
+const isSameIncarnation = (endpoint: Endpoint, listing: Listing): boolean =>
+	endpoint.bornAt === listing.bornAt && endpoint.address === listing.address && endpoint.service === listing.service;
+
+const mergeListing = (endpoint: Endpoint | undefined, listing: Listing): Endpoint =>
+	endpoint !== undefined && isSameIncarnation(endpoint, listing) ? {...endpoint, ...listing, missingSince: undefined} : createEndpoint(listing);
+
+/** An entry that went missing while the registry was away may come back; any other is gone. */
+const missListing = (registry: Registry, id: string, now: number): Registry => {
+	const endpoint = registry.endpoints.get(id);
+	return endpoint !== undefined && (registry.isAway || now < registry.doubtUntil)
+		? {...registry, endpoints: registry.endpoints.set(id, {...endpoint, missingSince: endpoint.missingSince ?? now})}
+		: {...registry, endpoints: registry.endpoints.delete(id)};
+};
+
+/**
+Takes in one changed entry.
+
+@param registry - The registry.
+@param id - The endpoint.
+@param listing - What the entry says; undefined if it is gone or unreadable.
+@param now - The time in ms.
+@returns The registry.
+*/
+export const changeListing = (registry: Registry, id: string, listing: Listing | undefined, now: number): Registry => {
+	if (listing === undefined) {
+		return missListing(registry, id, now);
+	}
+
+	return listing.isLeaving
+		? {...registry, endpoints: registry.endpoints.delete(id)}
+		: {...registry, endpoints: registry.endpoints.set(id, mergeListing(registry.endpoints.get(id), listing))};
+};
+
+/**
+Takes in all entries at once; whatever is not among them is missing.
+
+@param registry - The registry.
+@param listings - The entries that could be read.
+@param now - The time in ms.
+@returns The registry.
+*/
+export const replaceListings = (registry: Registry, listings: readonly Listing[], now: number): Registry => {
+	const listed = new Set(listings.map(listing => listing.id));
+	const missing = registry.endpoints.keySeq().toArray().filter(id => !listed.has(id));
+	const kept = missing.reduce((current, id) => missListing(current, id, now), registry);
+	return listings.reduce((current, listing) => changeListing(current, listing.id, listing, now), kept);
+};
+
+/**
+Notes that the registry cannot be read.
+
+@param registry - The registry.
+@returns The registry, in doubt.
+*/
+export const loseRegistry = (registry: Registry): Registry => ({...registry, isAway: true});
+
+/**
+Notes that the registry can be read again.
+
+@param registry - The registry.
+@param now - The time in ms.
+@returns The registry, in doubt until entries of living endpoints must be back.
+*/
+export const regainRegistry = (registry: Registry, now: number): Registry =>
+	registry.isAway ? {...registry, isAway: false, doubtUntil: now + returnTime} : registry;
+
+/**
+Drops endpoints whose entries have not come back.
+
+@param registry - The registry.
+@param now - The time in ms.
+@returns The registry.
+*/
+export const dropMissing = (registry: Registry, now: number): Registry =>
+	registry.isAway || now < registry.doubtUntil || !registry.endpoints.some(endpoint => endpoint.missingSince !== undefined)
+		? registry
+		: {...registry, endpoints: registry.endpoints.filter(endpoint => endpoint.missingSince === undefined)};
+
+/**
+Changes what was learned of an endpoint, if it is still there.
+
+@param registry - The registry.
+@param id - The endpoint.
+@param update - The change.
+@returns The registry.
+*/
+export const updateEndpoint = (registry: Registry, id: string, update: (endpoint: Endpoint) => Endpoint): Registry => {
+	const endpoint = registry.endpoints.get(id);
+	return endpoint === undefined ? registry : {...registry, endpoints: registry.endpoints.set(id, update(endpoint))};
+};
--- a/src/server/control.ts
+++ b/src/server/control.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import type {ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import type {Endpoint} from './http.js';
+import type {Endpoint} from './address.js';
 
 /** A server for the fleet's own processes. */
 export type ControlServer = Readonly<{
--- a/src/server/http.ts
+++ b/src/server/http.ts
@@ -4,9 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
-
-/** An address as settings give it: an IP number and a port. */
-export type Endpoint = Readonly<{host: string; port: number}>;
+import type {Endpoint} from './address.js';
 
 /** A server that listens. */
 export type Listening = Readonly<{
@@ -14,17 +12,6 @@
 	close: () => Promise<void>;
 }>;
 
-/**
-Reads an address such as `127.0.0.1:8080`.
-
-@param text - The address.
-@returns Its host and port.
-*/
-export const parseAddress = (text: string): Endpoint => {
-	const index = text.lastIndexOf(':');
-	return {host: text.slice(0, index), port: Number(text.slice(index + 1))};
-};
-
 /**
 Starts a server on an address; port 0 takes a free one.
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -2,7 +2,7 @@
 import {isIP} from 'node:net';
 import ini from 'ini';
 import {z} from 'zod';
-import {parseAddress} from '../server/index.js';
+import {parseAddress} from '../server/address.js';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,3 @@
+export type {
+	RowKey, StoredRow, StoreReply, StoreWrite,
+} from './store.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -31,6 +31,8 @@
 	{
 		// Names of published protocols, which are not ours to choose.
 		files: [
+			'src/platform/*.ts',
+			'src/edge/{carrier,edge}.ts',
 			'src/table/{protocol,client}.ts',
 			'src/standin/**/*.ts',
 			'src/agent/{chat,chat.test}.ts',
