Test budgets under random faults, decoding, the store's client and what a carrier takes for whole

A stream that turned into nonsense was reported as a call without events; its stage is now 'streaming'.

--- a/src/edge/carrier.ts
+++ b/src/edge/carrier.ts
@@ -82,6 +82,15 @@
 	response.end(body);
 };
 
+/** How far a call has got at an endpoint. */
+const getStage = (upstream: Upstream): Stage => {
+	if (!upstream.isOpen) {
+		return 'unsent';
+	}
+
+	return upstream.answer?.head.isStream === true && upstream.answer.head.status === 200 ? 'streaming' : 'sent';
+};
+
 /**
 Opens a carrier.
 
@@ -261,7 +270,7 @@
 		outgoing.on('error', error => {
 			// Bytes that follow a whole answer belong to no call.
 			if (upstream.answer?.incoming.complete !== true) {
-				failAttempt(effect.call, upstream, upstream.isOpen ? 'sent' : 'unsent', error.message);
+				failAttempt(effect.call, upstream, getStage(upstream), error.message);
 			}
 		});
 		outgoing.end(own.body);
--- /dev/null
+++ b/src/platform/platform.test.ts
@@ -0,0 +1,230 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+	afterEach, describe, expect, test,
+} from 'vitest';
+import {decodeAnswer, decodeCall, encodeCall} from './wire.js';
+import {decodeCatalog, decodeEntry, openStore} from './index.js';
+
+const route = {
+	name: 'r1', host: 'Shop.example', prefix: '/a/', kind: 'streaming', timeoutMs: 3000, targetLatencyMs: 400, priority: 1, service: 's1', maxAttempts: 2, resumable: true, gapAimMs: 200,
+};
+const config = {
+	version: 7,
+	routes: [route, {
+		...route, name: 'r2', prefix: '/a/b/', kind: 'safe', service: undefined, weightedServices: [{service: 's1', weight: 90}, {service: 's2', weight: 10}],
+	}],
+	services: [{name: 's1', maxConnections: 360, engine: {slots: 64, kvCapacity: 551_016, stride: 4}}, {name: 's2', maxConnections: 100}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	tenants: [{
+		name: 'studio', apiKeys: ['k1', 'k2'], priority: 1, prepaid: 5000,
+	}],
+};
+
+describe('the configuration', () => {
+	test('is decoded into the product\'s words, longest prefix first', () => {
+		const catalog = decodeCatalog(JSON.stringify(config)).unwrap();
+		expect(catalog.routes.get('shop.example')?.map(each => [each.name, each.kind, each.target])).toEqual([['r2', 'safe', 400], ['r1', 'stream', 400]]);
+		expect(catalog.routes.get('shop.example')?.[0]?.services).toEqual([{name: 's1', weight: 90}, {name: 's2', weight: 10}]);
+		expect(catalog.organisations.get('k2')).toEqual({name: 'studio', priority: 1, budget: 5000});
+		expect(catalog.services.get('s1')?.engine).toEqual({slots: 64, capacity: 551_016, tokensPerEvent: 4});
+		expect(catalog.budgets.get('studio')).toBe(5000);
+	});
+
+	test.each([
+		['no JSON', '{', 'configuration'],
+		['nothing', undefined, 'configuration'],
+		['no version', JSON.stringify({...config, version: undefined}), 'version'],
+		['an unknown kind', JSON.stringify({...config, routes: [{...route, kind: 'odd'}]}), 'routes.0.kind'],
+		['a limit of another type', JSON.stringify({...config, limits: {...config.limits, idleTimeoutMs: 'long'}}), 'limits.idleTimeoutMs'],
+		['a key that is no text', JSON.stringify({...config, tenants: [{name: 'a', apiKeys: [1]}]}), 'tenants.0.apiKeys.0'],
+	])('with %s is refused, naming the field', (_, text, field) => {
+		const result = decodeCatalog(text);
+		expect(result.err).toBe(true);
+		expect(result.val).toMatchObject({kind: 'bad-request', detail: expect.stringContaining(field) as string});
+	});
+});
+
+const entry = {
+	service: 's1', address: '10.1.0.9:8080', zone: 'z1', slots: 64, state: 'ready', coldRemainingMs: 5, born: 12, sequence: 4,
+};
+
+describe('an endpoint\'s entry', () => {
+	test('is decoded', () => {
+		expect(decodeEntry('i-1', JSON.stringify(entry)).unwrap()).toEqual({
+			id: 'i-1', service: 's1', address: '10.1.0.9:8080', dataCentre: 'z1', slots: 64, isLeaving: false, coldFor: 5, bornAt: 12,
+		});
+	});
+
+	test.each([
+		['bytes that are no JSON', '\u0000\u00FF', 'endpoint i-1'],
+		['an unknown state', JSON.stringify({...entry, state: 'odd'}), 'state'],
+		['an address by name', JSON.stringify({...entry, address: 'host:80'}), 'address'],
+		['no service', JSON.stringify({...entry, service: undefined}), 'service'],
+		['slots as text', JSON.stringify({...entry, slots: '64'}), 'slots'],
+	])('with %s names no endpoint', (_, text, field) => {
+		const result = decodeEntry('i-1', text);
+		expect(result.err).toBe(true);
+		expect(result.val).toMatchObject({detail: expect.stringContaining(field) as string});
+	});
+});
+
+const headers = {
+	host: 'Shop.Example:80', 'attempt-id': 'a1', 'request-deadline-ms': '5000', authorization: 'Token k1', 'token-counts': '1460,80', 'prompt-prefix': '5c:800,e4:660', model: 'm', 'last-event-id': '12',
+};
+
+const toRaw = (fields: Readonly<Record<string, string>>) => Object.entries(fields).flat();
+
+const decode = (fields: Readonly<Record<string, string>>) => decodeCall({
+	method: 'POST', url: '/a/b?c', headers: fields, rawHeaders: toRaw(fields),
+});
+
+describe('a caller\'s request', () => {
+	test('is decoded once', () => {
+		expect(decode(headers).unwrap()).toMatchObject({
+			key: 'a1', host: 'shop.example', apiKey: 'k1', patience: 5000, resumeAfter: '12', work: {promptTokens: 1460, maxOutput: 80, parts: [{id: '5c', tokens: 800}, {id: 'e4', tokens: 660}]},
+		});
+	});
+
+	test.each([
+		['attempt-id', {...headers, 'attempt-id': ''}],
+		['request-deadline-ms', {...headers, 'request-deadline-ms': 'soon'}],
+		['token-counts', {...headers, 'token-counts': '12'}],
+		['token-counts', {...headers, 'token-counts': '12,-1'}],
+		['prompt-prefix', {...headers, 'prompt-prefix': 'a:b'}],
+	])('with a wrong %s is refused, naming it', (field, wrong) => {
+		const result = decode(wrong);
+		expect(result.err).toBe(true);
+		expect(result.val).toMatchObject({kind: 'bad-request', detail: expect.stringContaining(field) as string});
+	});
+
+	test('reaches the endpoint without the key and without what only the fleet may set', () => {
+		const call = decode({
+			...headers, tenant: 'thief', hold: 'h', 'pin-ms': '9', 'kv-from': 'x', 'kv-backup': 'y', 'expect-instance': 'z', 'x-own': 'kept', connection: 'close',
+		}).unwrap();
+		const sent = encodeCall(call, {
+			endpoint: 'i-1', remaining: 900.7, organisation: 'studio', urgency: undefined, resumeAfter: '14',
+		}, 'Shop.Example:80', 3);
+		const pairs = Object.fromEntries(Array.from({length: sent.length / 2}, (_, index) => [sent[2 * index]!.toLowerCase(), sent[(2 * index) + 1]!]));
+		expect(pairs).toEqual({
+			host: 'Shop.Example:80',
+			'attempt-id': 'a1',
+			'token-counts': '1460,80',
+			'prompt-prefix': '5c:800,e4:660',
+			model: 'm',
+			'x-own': 'kept',
+			'content-length': '3',
+			'request-deadline-ms': '900',
+			'expect-instance': 'i-1',
+			tenant: 'studio',
+			'last-event-id': '14',
+		});
+	});
+});
+
+describe('an endpoint\'s answer', () => {
+	test.each([
+		[503, {'not-executed': '1'}, true],
+		[421, {}, true],
+		[503, {}, false],
+		[500, {}, false],
+		[200, {'response-seal': 's'}, false],
+	])('with status %i and %j says whether it has not run: %s', (status, fields, hasNotRun) => {
+		expect(decodeAnswer({statusCode: status, headers: fields, rawHeaders: []}).hasNotRun).toBe(hasNotRun);
+	});
+
+	test('keeps what concerns one connection from the caller', () => {
+		const raw = ['Response-Seal', 's', 'Transfer-Encoding', 'chunked', 'Keep-Alive', 'timeout=5', 'Replica-Load', '3,0,8', 'X-Own', 'kept'];
+		const answer = decodeAnswer({statusCode: 200, headers: {'response-seal': 's', 'replica-load': '3,0,8'}, rawHeaders: raw});
+		expect(answer.passedOn).toEqual(['Response-Seal', 's', 'X-Own', 'kept']);
+		expect(answer.load).toEqual({running: 3, waiting: 0, slots: 8});
+	});
+});
+
+const servers: Array<ReturnType<typeof createServer>> = [];
+
+afterEach(() => {
+	servers.splice(0).forEach(server => {
+		server.closeAllConnections();
+		server.close();
+	});
+});
+
+/** A store that gives one answer to all calls. */
+const startStore = async (answer: (url: string, body: string) => Readonly<{status: number; body: string}>) => {
+	const server = createServer((incoming, response) => {
+		let body = '';
+		incoming.on('data', chunk => {
+			body += String(chunk);
+		});
+		incoming.on('end', () => {
+			const answered = answer(incoming.url ?? '', body);
+			response.writeHead(answered.status).end(answered.body);
+		});
+	});
+	servers.push(server);
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return openStore({host: '127.0.0.1', port: (server.address() as AddressInfo).port});
+};
+
+describe('the store\'s client', () => {
+	test.each([
+		[200, '{"ver":9,"nowMs":5}', {
+			kind: 'done', rows: [], version: 9, now: 5,
+		}],
+		[412, '{"rows":[],"nowMs":5}', {kind: 'conflict', rows: [], now: 5}],
+		[503, '', {kind: 'refused', reason: 'status 503'}],
+		[429, '', {kind: 'refused', reason: 'status 429'}],
+		[410, '', {kind: 'forgotten'}],
+		[500, '', {kind: 'lost', reason: 'status 500'}],
+		[200, 'no JSON', {kind: 'lost', reason: 'status 200 with a body that is not JSON'}],
+	])('translates status %i with body %j', async (status, body, reply) => {
+		const store = await startStore(() => ({status, body}));
+		expect(await store.transact([{
+			table: 't', key: 'k', version: 0, value: 'v',
+		}])).toEqual(reply);
+	});
+
+	test('names the version that each row must have, and which rows go', async () => {
+		let sent = '';
+		const store = await startStore((_, body) => {
+			sent = body;
+			return {status: 200, body: '{"ver":1}'};
+		});
+		await store.transact([{
+			table: 't', key: 'k', version: 4, value: 'v',
+		}, {
+			table: 't', key: 'gone', version: 5, value: undefined,
+		}]);
+		expect(JSON.parse(sent)).toEqual({
+			expectedRevision: [{
+				table: 't', part: '', key: 'k', ver: 4,
+			}, {
+				table: 't', part: '', key: 'gone', ver: 5,
+			}],
+			writes: [{
+				table: 't', part: '', key: 'k', value: 'dg==',
+			}],
+			remove: [{table: 't', part: '', key: 'gone'}],
+		});
+	});
+
+	test('reads a table of many pages, and follows it from the first page on', async () => {
+		const row = (index: number) => ({
+			table: 't', part: '', key: String(index).padStart(4, '0'), value: '', ver: index + 1,
+		});
+		const all = Array.from({length: 700}, (_, index) => row(index));
+		const store = await startStore(url => {
+			const from = new URL(url, 'http://store').searchParams.get('from') ?? '';
+			const rows = all.filter(each => each.key >= from).slice(0, 500);
+			return {status: 200, body: JSON.stringify({rows, ver: from === '' ? 800 : 900, morePages: rows.length === 500})};
+		});
+		const reply = await store.read('t');
+		expect(reply).toMatchObject({kind: 'done', version: 800});
+		expect(reply.kind === 'done' && reply.rows.length).toBe(700);
+	});
+});
--- /dev/null
+++ b/src/purse/purse.test.ts
@@ -0,0 +1,244 @@
+import {Map} from 'immutable';
+import {describe, expect, test} from 'vitest';
+import {createRandom} from '../random/index.js';
+import type {Random} from '../random/index.js';
+import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
+import {getHold} from './state.js';
+import {
+	chargeTokens, countFree, createPurse, explainShortage, handlePurse, reserveTokens, wantTokens,
+} from './index.js';
+import type {Purse, PurseCall, PurseEffect} from './index.js';
+
+const organisation = 'studio';
+const limit = 1_000_000;
+const context = {budgets: Map([[organisation, limit]])};
+const tickInterval = 20;
+
+/** A store in memory: transactions apply whole, each under the versions that it names. */
+const createStore = () => {
+	let rows = Map<string, StoredRow>();
+	let version = 0;
+	const name = ({table, key}: Readonly<{table: string; key: string}>) => `${table}/${key}`;
+	const transact = (writes: readonly StoreWrite[]): StoreReply => {
+		if (writes.some(write => (rows.get(name(write))?.version ?? 0) !== write.version)) {
+			return {kind: 'conflict', rows: writes.flatMap(write => rows.get(name(write)) ?? []), now: 0};
+		}
+
+		version += 1;
+		writes.forEach(write => {
+			rows = rows.set(name(write), {...write, version});
+		});
+		return {
+			kind: 'done', rows: [], version, now: 0,
+		};
+	};
+
+	return {
+		apply: (call: PurseCall): StoreReply => call.kind === 'transact'
+			? transact(call.writes)
+			: {
+				kind: 'done', rows: rows.valueSeq().toArray().filter(row => row.table === call.table), version, now: 0,
+			},
+		taken: () => (JSON.parse(rows.get(`budgets/${organisation}`)?.value ?? '{"taken":0}') as {taken: number}).taken,
+	};
+};
+
+type Store = ReturnType<typeof createStore>;
+
+/** How the store treats a call. */
+type Treatment = 'answers' | 'refuses' | 'loses-the-answer' | 'loses-the-call' | 'is-late';
+
+type Pending = Readonly<{at: number; call: PurseCall; router: string; incarnation: string; deliver: boolean}>;
+
+type Running = Readonly<{cost: number; endsAt: number}>;
+
+/** Routers that share one store, under virtual time. */
+const createFleet = (names: readonly string[], random: Random, treat: (now: number) => Treatment) => {
+	const store = createStore();
+	let now = 0;
+	let starts = 0;
+	let spent = 0;
+	let purses = Map<string, Purse>();
+	let running = Map<string, readonly Running[]>();
+	let pending: readonly Pending[] = [];
+
+	const start = (router: string) => {
+		starts += 1;
+		purses = purses.set(router, createPurse(router, `${router}#${starts}`));
+		running = running.set(router, []);
+	};
+
+	const perform = (router: string, effects: readonly PurseEffect[]) => {
+		effects.forEach(effect => {
+			if (effect.kind === 'store') {
+				const {incarnation} = purses.get(router)!;
+				const treatment = treat(now);
+				const sent = (at: number, deliver: boolean): Pending => ({
+					at, call: effect.call, router, incarnation, deliver,
+				});
+				const treatments: Readonly<Record<Treatment, () => void>> = {
+					answers() {
+						pending = [...pending, sent(now + 5, true)];
+					},
+					refuses() {
+						reply(router, incarnation, {kind: 'refused', reason: 'busy'});
+					},
+					'loses-the-answer'() {
+						pending = [...pending, sent(now + 5, false)];
+						reply(router, incarnation, {kind: 'lost', reason: 'no answer'});
+					},
+					'loses-the-call'() {
+						reply(router, incarnation, {kind: 'lost', reason: 'no answer'});
+					},
+					'is-late'() {
+						pending = [...pending, sent(now + 1000 + random.pick(5000), false)];
+						reply(router, incarnation, {kind: 'lost', reason: 'no answer'});
+					},
+				};
+				treatments[treatment]();
+			}
+		});
+	};
+
+	const apply = (router: string, event: Parameters<typeof handlePurse>[1]) => {
+		const step = handlePurse(purses.get(router)!, event, now, context);
+		purses = purses.set(router, step.state);
+		perform(router, step.effects);
+	};
+
+	const reply = (router: string, incarnation: string, answer: StoreReply) => {
+		if (purses.get(router)?.incarnation === incarnation) {
+			apply(router, {kind: 'replied', reply: answer, random: random.draw()});
+		}
+	};
+
+	const ask = (router: string, cost: number): boolean => {
+		const purse = reserveTokens(purses.get(router)!, organisation, cost);
+		if (purse === undefined) {
+			purses = purses.set(router, wantTokens(purses.get(router)!, organisation, cost, cost));
+			apply(router, {kind: 'wanted'});
+			return false;
+		}
+
+		purses = purses.set(router, purse);
+		running = running.set(router, [...running.get(router)!, {cost, endsAt: now + random.pick(500)}]);
+		return true;
+	};
+
+	const end = (router: string) => {
+		const ended = running.get(router)!.filter(call => call.endsAt <= now);
+		running = running.set(router, running.get(router)!.filter(call => call.endsAt > now));
+		ended.forEach(call => {
+			const cost = Math.floor(call.cost * (0.5 + (random.draw() / 2)));
+			spent += cost;
+			purses = purses.set(router, chargeTokens(purses.get(router)!, organisation, call.cost, cost));
+		});
+	};
+
+	const step = () => {
+		now += tickInterval;
+		const due = pending.filter(each => each.at <= now);
+		pending = pending.filter(each => each.at > now);
+		due.forEach(each => {
+			const answer = store.apply(each.call);
+			if (each.deliver) {
+				reply(each.router, each.incarnation, answer);
+			}
+		});
+		names.forEach(router => {
+			end(router);
+			apply(router, {kind: 'tick'});
+		});
+	};
+
+	names.forEach(router => {
+		start(router);
+	});
+	return {
+		store, step, ask, spent: () => spent, now: () => now, purse: (router: string) => purses.get(router)!,
+		/** The process dies with calls under way, which have cost what they may, and another one starts there. */
+		kill(router: string) {
+			spent += running.get(router)!.reduce((sum, call) => sum + call.cost, 0);
+			start(router);
+		},
+	};
+};
+
+const routers = ['a', 'b', 'c', 'd'];
+
+const treatments: readonly Treatment[] = ['answers', 'answers', 'answers', 'answers', 'refuses', 'loses-the-answer', 'loses-the-call', 'is-late'];
+
+describe('spend never passes a budget', () => {
+	test.each(Array.from({length: 60}, (_, seed) => [seed]))('with a store that refuses, loses and delays, and routers that are killed, seed %i', seed => {
+		const random = createRandom(seed);
+		const fleet = createFleet(routers, random, () => treatments[random.pick(treatments.length)]!);
+		const isSound = () => fleet.spent() <= fleet.store.taken() && fleet.store.taken() <= limit
+			&& routers.every(router => countFree(getHold(fleet.purse(router), organisation)) >= 0);
+		const firstUnsound = Array.from({length: 2000}).findIndex(() => {
+			fleet.step();
+			fleet.ask(routers[random.pick(4)]!, 500 + random.pick(9000));
+			if (random.pick(200) === 0) {
+				fleet.kill(routers[random.pick(4)]!);
+			}
+
+			return !isSound();
+		});
+		expect(firstUnsound).toBe(-1);
+	});
+});
+
+const answer = (): Treatment => 'answers';
+
+/** Asks for tokens until the time is over, and counts what was refused. */
+const ask = (fleet: ReturnType<typeof createFleet>, from: readonly string[], steps: number, cost: () => number): number =>
+	Array.from({length: steps}).reduce<number>((refused, _, index) => {
+		fleet.step();
+		return refused + (index % 5 === 0 && !fleet.ask(from[(index / 5) % from.length]!, cost()) ? 1 : 0);
+	}, 0);
+
+describe('work that the budget covers is not refused', () => {
+	test('a store outage of nine seconds is served from what was drawn ahead', () => {
+		const random = createRandom(7);
+		const isDown = (now: number) => now > 10_000 && now < 19_000;
+		const fleet = createFleet(routers, random, now => isDown(now) ? 'loses-the-call' : 'answers');
+		ask(fleet, routers, 500, () => 2000);
+		expect(ask(fleet, routers, 450, () => 2000)).toBe(0);
+	});
+
+	test('nearly all of a budget can be spent, however the routers share the calls', () => {
+		const random = createRandom(3);
+		const fleet = createFleet(routers, random, answer);
+		ask(fleet, routers, 1000, () => 3000);
+		ask(fleet, ['b'], 1500, () => 3000 + random.pick(3000));
+		ask(fleet, ['c'], 2000, () => 2000 + random.pick(3000));
+		expect(fleet.spent()).toBeGreaterThan(0.97 * 0.75 * limit);
+		const shortage = explainShortage(fleet.purse('c'), organisation, 4000, limit);
+		expect(shortage).not.toBe('unavailable');
+	});
+
+	test('tokens do not travel to and fro while the balance is ample', () => {
+		const fleet = createFleet(['a', 'b'], createRandom(5), answer);
+		ask(fleet, ['a', 'b'], 250, () => 1000);
+		const before = fleet.purse('a').changes;
+		ask(fleet, ['a', 'b'], 500, () => 1000);
+		// Ten seconds: a settlement each second, and few draws.
+		expect(fleet.purse('a').changes - before).toBeLessThan(20);
+	});
+});
+
+describe('a purse whose row another process has taken over', () => {
+	test('spends nothing any more', () => {
+		const fleet = createFleet(['a'], createRandom(1), answer);
+		ask(fleet, ['a'], 200, () => 1000);
+		const old = fleet.purse('a');
+		fleet.kill('a');
+		ask(fleet, ['a'], 200, () => 1000);
+		const spending: Purse = {...chargeTokens(reserveTokens(old, organisation, 500)!, organisation, 500, 500), settledAt: 0, readAt: 10_000};
+		const writing = handlePurse(spending, {kind: 'tick'}, 10_000, context);
+		const call = writing.effects.find(effect => effect.kind === 'store');
+		const fenced = handlePurse(writing.state, {kind: 'replied', reply: fleet.store.apply(call!.call), random: 0}, 10_001, context);
+		expect(fenced.state.sync.step).toBe('fenced');
+		expect(reserveTokens(fenced.state, organisation, 1)).toBeUndefined();
+		expect(explainShortage(fenced.state, organisation, 1, limit)).toBe('unavailable');
+	});
+});
