Let a successor take back what its predecessor cannot have spent

A row now states how much may be spent at once and how fast beyond that; the successor keeps the rest. The bound compares spans of steady clocks, stamped when the row is planned, so a change that is made late or twice is covered. Exit with ERR_HTTP_HEADERS_SENT: heads now go with the first event. A process that stops gives back what it holds.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -252,7 +252,7 @@
 	: stay(state));
 
 /**
-Stops the work of a caller that has gone.
+Stops the work of a caller that has gone. One more event than it was sent may have been on its way to it.
 
 @param state - The edge.
 @param event - Who left.
@@ -260,7 +260,7 @@
 @returns The edge, and what it does.
 */
 export const leaveCall = (state: EdgeState, event: EdgeEvent & {kind: 'caller-left'}, now: number): EdgeStep => withFlight(state, event.call, flight => {
-	const ended = endFlight(state, flight, {outcome: 'caller-left', status: 0, events: flight.events}, now);
+	const ended = endFlight(state, flight, {outcome: 'caller-left', status: 0, events: flight.events + event.events + 1}, now);
 	return {state: ended.state, effects: [{kind: 'abort', call: flight.id}, ...ended.effects]};
 });
 
@@ -275,7 +275,8 @@
 */
 export const expireFlight = (state: EdgeState, flight: Flight, random: number, now: number): EdgeStep => {
 	if (flight.phase === 'streaming') {
-		const ended = endFlight(state, flight, {outcome: 'deadline', status: 0, events: flight.events}, now);
+		// How far the caller got is not known here: the most that the call may cost is charged.
+		const ended = endFlight(state, flight, {outcome: 'deadline', status: 0, events: flight.head.work?.maxOutput ?? flight.events}, now);
 		return {state: ended.state, effects: [{kind: 'abort', call: flight.id}, {kind: 'cut', call: flight.id}, ...ended.effects]};
 	}
 
--- a/src/edge/carrier.ts
+++ b/src/edge/carrier.ts
@@ -282,6 +282,19 @@
 		return own;
 	};
 
+	/** Sends the head with the first event, so that a stream without one can still go elsewhere. */
+	const openStream = (own: Carried, upstream: Upstream): void => {
+		if (own.response.headersSent || upstream.answer === undefined) {
+			return;
+		}
+
+		const {head} = upstream.answer;
+		own.response.writeHead(head.status, describeHead(head, options.isClosing()));
+		own.response.on('drain', () => {
+			own.upstream?.answer?.incoming.resume();
+		});
+	};
+
 	const passEvents = (call: number, own: Carried, upstream: Upstream, chunk: Buffer): void => {
 		const split = splitEvents(upstream.rest, chunk);
 		upstream.rest = split.rest;
@@ -290,6 +303,7 @@
 		}
 
 		const isFirst = upstream.events === 0;
+		openStream(own, upstream);
 		upstream.events += split.count;
 		upstream.lastEvent = split.lastId ?? upstream.lastEvent;
 		if (!own.response.write(split.whole)) {
@@ -304,6 +318,7 @@
 	const endStream = (call: number, own: Carried, upstream: Upstream): void => {
 		upstream.isOver = true;
 		finish(call);
+		openStream(own, upstream);
 		own.response.end(upstream.rest);
 		post({
 			kind: 'stream-ended', call, attempt: upstream.attempt, events: upstream.events,
@@ -318,14 +333,7 @@
 			return;
 		}
 
-		const {head, incoming} = answer;
-		if (!own.response.headersSent) {
-			own.response.writeHead(head.status, describeHead(head, options.isClosing()));
-			own.response.on('drain', () => {
-				own.upstream?.answer?.incoming.resume();
-			});
-		}
-
+		const {incoming} = answer;
 		incoming.on('data', (chunk: Buffer) => {
 			if (!upstream.isOver) {
 				passEvents(call, own, upstream, chunk);
@@ -356,7 +364,7 @@
 			});
 			response.on('close', () => {
 				if (!response.writableFinished && carried.has(call)) {
-					post({kind: 'caller-left', call});
+					post({kind: 'caller-left', call, events: carried.get(call)?.upstream?.events ?? 0});
 				}
 			});
 		},
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -23,7 +23,7 @@
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {openMetrics} from './metrics.js';
 import type {EdgeSettings} from './settings.js';
-import {createEdge, isReady} from './state.js';
+import {createEdge, hasReturned, isReady} from './state.js';
 
 /** Milliseconds between looks at what is due. */
 const tickInterval = 20;
@@ -40,6 +40,9 @@
 /** Milliseconds before the kill at which the process ends in any case. */
 const exitMargin = 500;
 
+/** Milliseconds that a process which ends waits for the store to take back what it holds. */
+const longestReturn = 1000;
+
 /** Milliseconds between looks at whether all calls have ended. */
 const drainInterval = 50;
 
@@ -280,6 +283,15 @@
 		return awaitDrained(deadline);
 	};
 
+	const awaitReturned = async (deadline: number): Promise<void> => {
+		if (clock() >= deadline || hasReturned(loop.state())) {
+			return;
+		}
+
+		await sleep(drainInterval);
+		return awaitReturned(deadline);
+	};
+
 	return {
 		reload(changed) {
 			if (changed.err) {
@@ -302,6 +314,8 @@
 			await sleep(entryDelay);
 			server.close();
 			await awaitDrained(deadline);
+			loop.post({kind: 'leave-wanted', random: random()});
+			await awaitReturned(Math.min(deadline, clock() + longestReturn));
 			log.write('routine', 'stopped', {incarnation, calls: loop.state().flights.size});
 			store.close();
 			carrier.close();
--- a/src/edge/grant.ts
+++ b/src/edge/grant.ts
@@ -32,7 +32,7 @@
 
 /** Reserves a call's tokens, or explains why not; undefined while the store may still bring them. */
 const tryGrant = (state: EdgeState, flight: Flight, budget: string, random: number, now: number): EdgeStep | undefined => {
-	const purse = reserveTokens(state.purse, budget, flight.cost);
+	const purse = reserveTokens(state.purse, budget, flight.cost, now);
 	if (purse !== undefined) {
 		return placeFlight({...state, purse}, flight, random, now);
 	}
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -80,6 +80,7 @@
 	'store-replied': (state, event, now) => updatePurse(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	tick: receiveTick,
 	'bounds-changed': (state, event) => stay({...state, repeats: event.repeats}),
+	'leave-wanted': (state, event, now) => updatePurse(state, {kind: 'leave'}, event.random, now),
 	'stop-wanted': state => stay({...state, isStopping: true}),
 };
 
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -20,7 +20,8 @@
 export type EdgeEvent =
 	/** A caller's request was read whole. */
 	| Readonly<{kind: 'call-arrived'; call: number; head: CallHead; random: number}>
-	| Readonly<{kind: 'caller-left'; call: number}>
+	/** `events` are those of the attempt under way that the caller got. */
+	| Readonly<{kind: 'caller-left'; call: number; events: number}>
 	/** An answer was read whole, or the head of a stream. */
 	| Readonly<{kind: 'endpoint-answered'; call: number; attempt: number; head: AnswerHead; random: number}>
 	| Readonly<{kind: 'endpoint-failed'; call: number; attempt: number; stage: Stage; reason: string; events: number; lastEvent: string | undefined; random: number}>
@@ -36,7 +37,9 @@
 	| Readonly<{kind: 'store-replied'; reply: StoreReply; random: number}>
 	| Readonly<{kind: 'tick'; random: number}>
 	| Readonly<{kind: 'bounds-changed'; repeats: AllowanceBounds}>
-	| Readonly<{kind: 'stop-wanted'}>;
+	| Readonly<{kind: 'stop-wanted'}>
+	/** All calls have ended: what is held of budgets goes back. */
+	| Readonly<{kind: 'leave-wanted'; random: number}>;
 
 /** What the edge does. */
 export type EdgeEffect =
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -62,3 +62,12 @@
 */
 export const isReady = (state: EdgeState): boolean =>
 	!state.isStopping && state.catalog !== undefined && state.hasRegistry && (state.purse.isOpen || state.catalog.budgets.isEmpty());
+
+/**
+Tells whether nothing is held of any budget any more.
+
+@param state - The edge.
+@returns True once all of it has gone back.
+*/
+export const hasReturned = (state: EdgeState): boolean =>
+	state.purse.sync.step === 'idle' && state.purse.holds.every(hold => hold.held === 0);
--- a/src/purse/handle.ts
+++ b/src/purse/handle.ts
@@ -4,9 +4,9 @@
 import type {Step} from '../loop/loop.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
 import type {PurseContext, PurseEffect, PurseEvent} from './messages.js';
-import {countFree, getHold} from './state.js';
+import {countFree, countSpendable, getHold} from './state.js';
 import type {
-	BudgetRow, Change, Hold, Purse, Sync,
+	Bound, BudgetRow, Change, Hold, Purse, Sync,
 } from './state.js';
 
 type PurseStep = Step<Purse, PurseEffect>;
@@ -24,7 +24,22 @@
 const scarceHorizon = 0.5;
 
 /** Milliseconds between settlements: what a successor must write off grows with it, and so do the calls with its inverse. */
-const settleInterval = 1000;
+const settleInterval = 500;
+
+/** Seconds of use that may be spent at once between settlements; two intervals, since the store may be slow. */
+const windowHorizon = 1;
+
+/** Tokens that may be spent at once in any case: a few short calls. */
+const minimumWindow = 6000;
+
+/** How much faster than on average tokens may be spent while the store does not answer. */
+const outagePace = 1.5;
+
+/** Seconds within which a whole hold may be spent in any case. */
+const slowestRelease = 20;
+
+/** Milliseconds, and a factor, by which a successor takes its predecessor's time for longer: clocks differ a little. */
+const clockDoubt = {time: 20, factor: 1.02} as const;
 
 /** Milliseconds between readings of all rows. */
 const readInterval = 1000;
@@ -39,8 +54,22 @@
 /** Time constant of the average demand, in ms. */
 const demandTime = 3000;
 
-/** By organisation: tokens held, and tokens reserved a second. */
-const holdSchema = z.object({change: z.string(), holds: z.record(z.string(), z.tuple([z.number(), z.number()]))});
+const entrySchema = z.object({
+	held: z.number(),
+	/** Tokens reserved a second. */
+	demand: z.number(),
+	/** The most that may have been spent, as `Bound` says. */
+	window: z.number(),
+	rate: z.number(),
+});
+const holdSchema = z.object({
+	change: z.string(),
+	/** When it was planned, by the store's steady clock or a little before, in ms. */
+	at: z.number(),
+	holds: z.record(z.string(), entrySchema),
+});
+
+type Entry = z.output<typeof entrySchema>;
 const budgetSchema = z.object({taken: z.number()});
 
 const decodeValue = <Schema extends z.ZodType>(schema: Schema, text: string | undefined): z.output<Schema> | undefined => {
@@ -106,11 +135,15 @@
 	const target = Math.max(computeTarget(purse, organisation, context), hold.demand * scarceHorizon);
 	const isScarce = countUntaken(purse, organisation, context) < free;
 	const isMuch = free > (2 * target) + minimumDraw || (target === 0 && free > 0);
+	if (purse.isLeaving) {
+		return Math.max(0, Math.floor(free));
+	}
+
 	return isScarce && isMuch && hold.wanted === 0 && now - hold.drawnAt >= returnDelay ? Math.floor(free - target) : 0;
 };
 
 const countDelta = (purse: Purse, organisation: string, context: PurseContext, now: number): number => {
-	const drawn = chooseDraw(purse, organisation, context);
+	const drawn = purse.isLeaving ? 0 : chooseDraw(purse, organisation, context);
 	return drawn > 0 ? drawn : -chooseReturn(purse, organisation, context, now);
 };
 
@@ -119,28 +152,44 @@
 		table, key, version, value: JSON.stringify(value),
 	});
 
+/** The store's time now, or a little before. */
+const estimateStoreTime = (purse: Purse, now: number): number =>
+	Math.floor(purse.storeClock.time + (now - purse.storeClock.heardAt));
+
+/** What may be spent of a hold until its row is written again. Running calls stay reserved in the new row. */
+const planBound = (hold: Hold, now: number): Bound => ({
+	window: Math.ceil(hold.reserved + Math.max(minimumWindow, hold.demand * windowHorizon, hold.wanted)),
+	rate: Math.ceil(Math.max(hold.demand * outagePace, hold.held / slowestRelease)),
+	plannedAt: now,
+});
+
 const planChange = (purse: Purse, context: PurseContext, now: number): Change => {
 	const organisations = [...new Set([...purse.holds.keys(), ...context.budgets.keys()])];
 	const settled = purse.holds.map(hold => hold.charged);
 	const drawn = Map(organisations.map(organisation => [organisation, countDelta(purse, organisation, context, now)] as const)).filter(delta => delta !== 0);
 	const taken = drawn.map((delta, organisation) => (purse.budgets.get(organisation)?.taken ?? 0) + delta);
+	const bounds = Map(organisations.map(organisation => [organisation, planBound(getHold(purse, organisation), now)] as const));
 	const holds = Object.fromEntries(organisations
-		.map(organisation => {
-			const hold = getHold(purse, organisation);
-			return [organisation, [hold.held - (settled.get(organisation) ?? 0) + (drawn.get(organisation) ?? 0), Math.round(hold.demand)]] as const;
-		})
-		.filter(([, [held, demand]]) => held > 0 || demand > 0));
+		.map(organisation => [organisation, {
+			held: getHold(purse, organisation).held - (settled.get(organisation) ?? 0) + (drawn.get(organisation) ?? 0),
+			demand: Math.round(getHold(purse, organisation).demand),
+			window: bounds.get(organisation)!.window,
+			rate: bounds.get(organisation)!.rate,
+		}] as const)
+		.filter(([, {held, demand}]) => held > 0 || demand > 0));
 	const id = `${purse.incarnation}.${purse.changes + 1}`;
 	return {
 		id,
 		writes: [
-			writeRow(tables.holds, purse.router, purse.version, {change: id, holds}),
+			writeRow(tables.holds, purse.router, purse.version, {change: id, at: estimateStoreTime(purse, now), holds}),
 			...taken.entrySeq().toArray().map(([organisation, total]) =>
 				writeRow(tables.budgets, organisation, purse.budgets.get(organisation)?.version ?? 0, {taken: total})),
 		],
 		settled,
 		drawn,
 		taken,
+		bounds,
+		inherited: Map(),
 		opens: false,
 	};
 };
@@ -155,21 +204,42 @@
 	effects: [{kind: 'store', call: {kind: 'read', table: tables[table]}}],
 });
 
-/** Takes over the row of a process that ran here before. What it held may have been spent, and counts as spent. */
-const planOpening = (purse: Purse): Change => {
+/** Of what an earlier process here held, what it cannot have spent: it has ended, and its row says how fast it could spend. */
+const inheritHold = (entry: Entry, elapsed: number): number =>
+	Math.max(0, Math.floor(entry.held - entry.window - (entry.rate * elapsed / 1000)));
+
+/** Takes over the row of a process that ran here before. */
+const planOpening = (purse: Purse, own: StoredRow | undefined, now: number): Change => {
 	const id = `${purse.incarnation}.0`;
+	const row = decodeValue(holdSchema, own?.value);
+	const time = estimateStoreTime(purse, now);
+	const elapsed = row === undefined ? 0 : (Math.max(0, time - row.at) * clockDoubt.factor) + clockDoubt.time;
+	const inherited = Map(Object.entries(row?.holds ?? {}).map(([organisation, entry]) => [organisation, inheritHold(entry, elapsed)] as const)).filter(held => held > 0);
+	const holds = inherited.map((held): Entry => ({
+		held, demand: 0, window: 0, rate: 0,
+	})).toObject();
 	return {
 		id,
-		writes: [writeRow(tables.holds, purse.router, purse.version, {change: id, holds: {}})],
+		writes: [writeRow(tables.holds, purse.router, own?.version ?? 0, {change: id, at: time, holds})],
 		settled: Map(),
 		drawn: Map(),
 		taken: Map(),
+		bounds: Map(),
+		inherited,
 		opens: true,
 	};
 };
 
+/** Whether waiting calls are kept from free tokens, or soon will be, until the row is written again. */
+const isWindowShort = (purse: Purse, organisation: string, now: number): boolean => {
+	const hold = getHold(purse, organisation);
+	const wanted = hold.wanted > 0 ? hold.least : Math.max(minimumWindow, hold.demand * windowHorizon) / 2;
+	return countFree(hold) >= wanted && countSpendable(purse, organisation, now) < wanted;
+};
+
 const isSettlingDue = (purse: Purse, now: number): boolean =>
-	now - purse.settledAt >= settleInterval && purse.holds.some(hold => hold.charged > 0);
+	(now - purse.settledAt >= settleInterval && purse.holds.some(hold => hold.charged > 0))
+	|| purse.holds.keySeq().some(organisation => isWindowShort(purse, organisation, now));
 
 const isMoving = (purse: Purse, context: PurseContext, now: number): boolean =>
 	context.budgets.keySeq().some(organisation => countDelta(purse, organisation, context, now) !== 0);
@@ -180,7 +250,12 @@
 		return stay(purse);
 	}
 
-	if (!purse.isOpen || now - purse.readAt >= readInterval) {
+	if (!purse.isOpen) {
+		return readRows(purse, 'holds');
+	}
+
+	const isHurried = purse.holds.some(hold => hold.wanted > 0);
+	if (now - purse.readAt >= readInterval && !isHurried) {
 		return readRows(purse, 'holds');
 	}
 
@@ -192,18 +267,24 @@
 const acceptOpening = (purse: Purse, change: Change): PurseStep => ({
 	state: {...purse, isOpen: true},
 	effects: [{
-		kind: 'log', event: 'holds-opened', isFailure: false, fields: {version: purse.version, change: change.id},
+		kind: 'log', event: 'holds-opened', isFailure: false, fields: {
+			version: purse.version, change: change.id, inherited: change.inherited.reduce((sum, tokens) => sum + tokens, 0),
+		},
 	}],
 });
 
 const acceptHolds = (purse: Purse, change: Change, now: number): Map<string, Hold> => {
-	const touched = [...new Set([...change.settled.keys(), ...change.drawn.keys()])];
+	const touched = [...new Set([...change.settled.keys(), ...change.drawn.keys(), ...change.bounds.keys(), ...change.inherited.keys()])];
 	return touched.reduce((holds, organisation) => {
 		const hold = getHold({...purse, holds}, organisation);
 		const settled = change.settled.get(organisation) ?? 0;
 		const drawn = change.drawn.get(organisation) ?? 0;
 		return holds.set(organisation, {
-			...hold, held: hold.held - settled + drawn, charged: hold.charged - settled, drawnAt: drawn > 0 ? now : hold.drawnAt,
+			...hold,
+			held: hold.held - settled + drawn + (change.inherited.get(organisation) ?? 0),
+			bound: change.bounds.get(organisation) ?? hold.bound,
+			charged: hold.charged - settled,
+			drawnAt: drawn > 0 ? now : hold.drawnAt,
 		});
 	}, purse.holds);
 };
@@ -266,19 +347,18 @@
 	return {state: next.state, effects: [{kind: 'changed'}, ...next.effects]};
 };
 
-const receiveHolds = (purse: Purse, rows: readonly StoredRow[]): PurseStep => {
-	const own = findRow(rows, tables.holds, purse.router);
+const receiveHolds = (purse: Purse, rows: readonly StoredRow[], now: number): PurseStep => {
+	if (!purse.isOpen) {
+		return writeChange(purse, planOpening(purse, findRow(rows, tables.holds, purse.router), now), 0);
+	}
+
 	const others = Map(rows.filter(row => row.key !== purse.router)
-		.map(row => [row.key, Map(Object.entries(decodeValue(holdSchema, row.value)?.holds ?? {}).map(([organisation, [held, demand]]) => [organisation, {held, demand}] as const))] as const));
-	return readRows({...purse, others, version: purse.isOpen ? purse.version : own?.version ?? 0}, 'budgets');
+		.map(row => [row.key, Map(Object.entries(decodeValue(holdSchema, row.value)?.holds ?? {}))] as const));
+	return readRows({...purse, others}, 'budgets');
 };
 
 const receiveBudgets = (purse: Purse, rows: readonly StoredRow[], context: PurseContext, now: number): PurseStep => {
 	const read = adoptBudgets({...purse, readAt: now, sync: {step: 'idle'}}, rows.map(row => row.key), rows);
-	if (!purse.isOpen) {
-		return writeChange(read, planOpening(read), 0);
-	}
-
 	const next = startSync(read, context, now);
 	return {state: next.state, effects: [{kind: 'changed'}, ...next.effects]};
 };
@@ -311,13 +391,17 @@
 type Answered<Step extends Sync['step']> = (purse: Purse, sync: Sync & {step: Step}, reply: StoreReply & {kind: 'done'}, context: PurseContext, now: number) => PurseStep;
 
 const readers: Readonly<Record<'holds' | 'budgets', Answered<'reading'>>> = {
-	holds: (purse, _sync, reply) => receiveHolds(purse, reply.rows),
+	holds: (purse, _sync, reply, _context, now) => receiveHolds(purse, reply.rows, now),
 	budgets: (purse, _sync, reply, context, now) => receiveBudgets(purse, reply.rows, context, now),
 };
 
-const receiveReply = (purse: Purse, event: PurseEvent & {kind: 'replied'}, now: number, context: PurseContext): PurseStep => {
-	const {sync} = purse;
+const hearClock = (purse: Purse, reply: StoreReply, now: number): Purse =>
+	'now' in reply ? {...purse, storeClock: {time: reply.now, heardAt: now}} : purse;
+
+const receiveReply = (before: Purse, event: PurseEvent & {kind: 'replied'}, now: number, context: PurseContext): PurseStep => {
 	const {reply} = event;
+	const purse = hearClock(before, reply, now);
+	const {sync} = purse;
 	if (sync.step !== 'reading' && sync.step !== 'writing') {
 		return stay(purse);
 	}
@@ -371,6 +455,7 @@
 const handlers: Readonly<{[Kind in PurseEvent['kind']]: (purse: Purse, event: PurseEvent & {kind: Kind}, now: number, context: PurseContext) => PurseStep}> = {
 	tick: (purse, _event, now, context) => receiveTick(purse, now, context),
 	wanted: (purse, _event, now, context) => startSync(purse, context, now),
+	leave: (purse, _event, now, context) => startSync({...purse, isLeaving: true}, context, now),
 	replied: receiveReply,
 };
 
--- a/src/purse/messages.ts
+++ b/src/purse/messages.ts
@@ -11,6 +11,8 @@
 	| Readonly<{kind: 'tick'}>
 	/** Waiting calls need tokens now. */
 	| Readonly<{kind: 'wanted'}>
+	/** The process is about to end: what is free goes back. */
+	| Readonly<{kind: 'leave'}>
 	/** The answer to the call under way. `random` is in [0, 1). */
 	| Readonly<{kind: 'replied'; reply: StoreReply; random: number}>;
 
--- a/src/purse/state.ts
+++ b/src/purse/state.ts
@@ -1,10 +1,26 @@
 import {Map} from 'immutable';
 import type {StoreWrite} from '../store/index.js';
 
+/**
+The most that may have been spent of a hold since its row was planned. The row
+states it, so that the next process on the host can give back the rest. It
+compares spans on steady clocks, never times of day.
+*/
+export type Bound = Readonly<{
+	/** Tokens that may be spent at once. */
+	window: number;
+	/** Tokens a second that may be spent beyond that. */
+	rate: number;
+	/** When the row was planned, in ms. */
+	plannedAt: number;
+}>;
+
 /** What a router holds of one organisation's budget. Tokens. */
 export type Hold = Readonly<{
 	/** What the router's row holds. */
 	held: number;
+	/** What may be spent of it before the row is written again. */
+	bound: Bound;
 	/** Spent, and not yet taken off the row. */
 	charged: number;
 	/** The most that running calls may still cost. */
@@ -34,6 +50,10 @@
 	drawn: Map<string, number>;
 	/** The budgets' rows after it. */
 	taken: Map<string, number>;
+	/** What the router's row states after it, by organisation. */
+	bounds: Map<string, Bound>;
+	/** Tokens that it takes over from the process before. */
+	inherited: Map<string, number>;
 	/** True if it takes over the row of a process that ran here before. */
 	opens: boolean;
 }>;
@@ -52,8 +72,9 @@
 /**
 The tokens that this router may spend.
 
-Invariants: for each organisation `charged + reserved <= held`; the budget's row
-counts at least what all routers' rows hold and what was settled.
+Invariants: for each organisation `charged + reserved` is at most `held`, and at
+most what the bound of every row allows that may be in the store; the budget's
+row counts at least what all routers' rows hold and what was settled.
 */
 export type Purse = Readonly<{
 	router: string;
@@ -76,11 +97,15 @@
 	readAt: number;
 	/** When the last tick was, in ms. */
 	tickedAt: number;
+	/** A time of the store's steady clock, and when it was heard, in ms. */
+	storeClock: Readonly<{time: number; heardAt: number}>;
+	/** True once the process is about to end: all that is free goes back. */
+	isLeaving: boolean;
 }>;
 
 /** A hold of nothing. */
 export const emptyHold: Hold = {
-	held: 0, charged: 0, reserved: 0, wanted: 0, least: 0, used: 0, demand: 0, drawnAt: Number.NEGATIVE_INFINITY,
+	held: 0, bound: {window: 0, rate: 0, plannedAt: 0}, charged: 0, reserved: 0, wanted: 0, least: 0, used: 0, demand: 0, drawnAt: Number.NEGATIVE_INFINITY,
 };
 
 /**
@@ -103,6 +128,8 @@
 	settledAt: 0,
 	readAt: Number.NEGATIVE_INFINITY,
 	tickedAt: 0,
+	storeClock: {time: 0, heardAt: 0},
+	isLeaving: false,
 });
 
 /**
@@ -126,24 +153,52 @@
 	({...purse, holds: purse.holds.set(organisation, {...getHold(purse, organisation), ...fields})});
 
 /**
-Counts the tokens that may still be reserved.
+Counts the tokens of a hold that no call has spent or may still spend.
 
 @param hold - The hold.
 @returns Tokens.
 */
 export const countFree = (hold: Hold): number => hold.held - hold.charged - hold.reserved;
 
+const applyBound = (bound: Bound, now: number): number => bound.window + (bound.rate * Math.max(0, now - bound.plannedAt) / 1000);
+
+/** The change that may be in the store already, or come to be there. */
+const getUnconfirmed = (sync: Sync): Change | undefined =>
+	sync.step === 'writing' || sync.step === 'waiting' ? sync.change : undefined;
+
+/**
+Counts the tokens that may be reserved now: those that are free, within the
+bounds of the row that is known to be in the store and of the one that may be.
+
+@param purse - The purse.
+@param organisation - Whose budget.
+@param now - The time in ms.
+@returns Tokens.
+*/
+export const countSpendable = (purse: Purse, organisation: string, now: number): number => {
+	const hold = getHold(purse, organisation);
+	const unsettled = hold.charged + hold.reserved;
+	const known = applyBound(hold.bound, now) - unsettled;
+	const change = getUnconfirmed(purse.sync);
+	const bound = change?.bounds.get(organisation);
+	const unconfirmed = change === undefined
+		? known
+		: (bound === undefined ? 0 : applyBound(bound, now)) - unsettled + (change.settled.get(organisation) ?? 0);
+	return Math.min(countFree(hold), known, unconfirmed);
+};
+
 /**
 Holds tokens back for a call.
 
 @param purse - The purse.
 @param organisation - Who pays.
 @param tokens - The most that the call may cost.
-@returns The purse; undefined if too little is free.
+@param now - The time in ms.
+@returns The purse; undefined if too little may be spent now.
 */
-export const reserveTokens = (purse: Purse, organisation: string, tokens: number): Purse | undefined => {
+export const reserveTokens = (purse: Purse, organisation: string, tokens: number, now: number): Purse | undefined => {
 	const hold = getHold(purse, organisation);
-	return purse.sync.step === 'fenced' || countFree(hold) < tokens
+	return purse.sync.step === 'fenced' || countSpendable(purse, organisation, now) < tokens
 		? undefined
 		: setHold(purse, organisation, {reserved: hold.reserved + tokens, used: hold.used + tokens});
 };
@@ -193,11 +248,11 @@
 
 	const row = purse.budgets.get(organisation);
 	const hold = getHold(purse, organisation);
-	if (row === undefined || limit - row.taken + countFree(hold) >= tokens) {
+	if (limit - (row?.taken ?? 0) + countFree(hold) >= tokens) {
 		return undefined;
 	}
 
 	const elsewhere = purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.held ?? 0), 0);
 	// Reservations of running calls here give back what they do not use.
-	return limit - row.taken + hold.held - hold.charged + elsewhere >= tokens ? 'held-elsewhere' : 'exhausted';
+	return limit - (row?.taken ?? 0) + hold.held - hold.charged + elsewhere >= tokens ? 'held-elsewhere' : 'exhausted';
 };
