Hold most of what is left of a budget, shared by demand; nothing once it is scarce

Routers now hold 0.7 of what is left, mostly by demand; under three seconds of use each call draws what it needs.

--- a/src/purse/handle.ts
+++ b/src/purse/handle.ts
@@ -14,15 +14,18 @@
 /** Tables that the routers keep. */
 const tables = {budgets: 'budgets', holds: 'holds'} as const;
 
-/** Seconds of use that are drawn ahead while the balance is ample: the store's outages, of up to 9 s, and as much again for uneven demand. */
-const horizon = 15;
+/** The part of what is left of a budget that routers hold, so that an outage of the store is served through; the rest is for whoever needs more. */
+const heldPart = 0.7;
+
+/** Seconds of all routers' use below which a balance is scarce: then each call draws what it needs, and nothing is held ahead. */
+const scarceHorizon = 3;
+
+/** The part of what routers hold that is shared evenly, whatever their demand was: callers move from one to another. */
+const evenPart = 0.2;
 
 /** Tokens below which drawing ahead is not worth a call: a few short calls. */
 const minimumDraw = 4000;
 
-/** Seconds of use that a router keeps once the balance is scarce. */
-const scarceHorizon = 0.5;
-
 /** Milliseconds between settlements: what a successor must write off grows with it, and so do the calls with its inverse. */
 const settleInterval = 500;
 
@@ -36,7 +39,7 @@
 const outagePace = 1.5;
 
 /** Seconds within which a whole hold may be spent in any case. */
-const slowestRelease = 20;
+const slowestRelease = 30;
 
 /** Milliseconds, and a factor, by which a successor takes its predecessor's time for longer: clocks differ a little. */
 const clockDoubt = {time: 20, factor: 1.02} as const;
@@ -93,16 +96,24 @@
 	countUntaken(purse, organisation, context) + Math.max(0, countFree(getHold(purse, organisation)))
 	+ purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.held ?? 0), 0);
 
-/** This router's part of the demand for a budget, 0 to 1, as the routers' rows state theirs. */
+/** The demand of the other routers for a budget, as their rows state it. Tokens a second. */
+const countOtherDemand = (purse: Purse, organisation: string): number =>
+	purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.demand ?? 0), 0);
+
+/** This router's fair part of what routers hold, 0 to 1: mostly by demand. */
 const countPart = (purse: Purse, organisation: string): number => {
 	const own = getHold(purse, organisation).demand;
-	const others = purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.demand ?? 0), 0);
-	return own <= 0 ? 0 : own / (own + others);
+	const all = own + countOtherDemand(purse, organisation);
+	const even = 1 / (purse.others.size + 1);
+	return all < 1 ? even : (evenPart * even) + ((1 - evenPart) * own / all);
 };
 
-/** The free tokens that a router should have: seconds of its use, or its part of the pool once that is smaller. */
-const computeTarget = (purse: Purse, organisation: string, context: PurseContext): number =>
-	Math.min(getHold(purse, organisation).demand * horizon, countPool(purse, organisation, context) * countPart(purse, organisation));
+/** The free tokens that a router should have: its part of what is left, and none once that is scarce. */
+const computeTarget = (purse: Purse, organisation: string, context: PurseContext): number => {
+	const pool = countPool(purse, organisation, context);
+	const demand = getHold(purse, organisation).demand + countOtherDemand(purse, organisation);
+	return pool < demand * scarceHorizon ? 0 : pool * heldPart * countPart(purse, organisation);
+};
 
 /**
 Decides how many tokens to draw: up to the target once half of it is gone, and
@@ -131,15 +142,15 @@
 /** Decides how many free tokens to give back: what is far above the target, once the others may need it. */
 const chooseReturn = (purse: Purse, organisation: string, context: PurseContext, now: number): number => {
 	const hold = getHold(purse, organisation);
-	const free = countFree(hold);
-	const target = Math.max(computeTarget(purse, organisation, context), hold.demand * scarceHorizon);
-	const isScarce = countUntaken(purse, organisation, context) < free;
-	const isMuch = free > (2 * target) + minimumDraw || (target === 0 && free > 0);
+	const free = Math.max(0, Math.floor(countFree(hold)));
+	const target = Math.floor(computeTarget(purse, organisation, context));
 	if (purse.isLeaving) {
-		return Math.max(0, Math.floor(free));
+		return free;
 	}
 
-	return isScarce && isMuch && hold.wanted === 0 && now - hold.drawnAt >= returnDelay ? Math.floor(free - target) : 0;
+	const isScarce = countUntaken(purse, organisation, context) < free;
+	const isMuch = target === 0 ? free > 0 : free > (2 * target) + minimumDraw;
+	return isScarce && isMuch && hold.wanted === 0 && now - hold.drawnAt >= returnDelay ? free - target : 0;
 };
 
 const countDelta = (purse: Purse, organisation: string, context: PurseContext, now: number): number => {
--- a/src/purse/state.ts
+++ b/src/purse/state.ts
@@ -184,7 +184,9 @@
 	const unconfirmed = change === undefined
 		? known
 		: (bound === undefined ? 0 : applyBound(bound, now)) - unsettled + (change.settled.get(organisation) ?? 0);
-	return Math.min(countFree(hold), known, unconfirmed);
+	// What a change gives back is not to be spent while it may have been made.
+	const returned = Math.max(0, -(change?.drawn.get(organisation) ?? 0));
+	return Math.min(countFree(hold) - returned, known, unconfirmed);
 };
 
 /**
