Hold 0.85 of what is left, and let one long call be paid at once

Cause: calls were refused by the bound of a hold while far more was free (20,000 needed, 500,000 free). The end of a call is logged with its first output and what was predicted.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -232,7 +232,7 @@
 */
 export const receiveFirstOutput = (state: EdgeState, event: EdgeEvent & {kind: 'stream-began'}, now: number): EdgeStep => withFlight(state, event.call, flight => flight.attempt === event.attempt
 	? {
-		state: learnEndpoint(putFlight(state, {...flight, pending: 0}), flight.tried.at(-1), endpoint => learnFirstOutput(endpoint, flight, now)),
+		state: learnEndpoint(putFlight(state, {...flight, pending: 0, firstAt: flight.firstAt ?? now}), flight.tried.at(-1), endpoint => learnFirstOutput(endpoint, flight, now)),
 		effects: [{
 			kind: 'observe', metric: 'firstOutput', labels: {route: flight.route.name}, milliseconds: now - flight.arrivedAt,
 		}],
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -110,6 +110,8 @@
 				outcome: ending.outcome,
 				status: ending.status,
 				elapsed: Math.round(now - flight.arrivedAt),
+				first: flight.firstAt === undefined ? undefined : Math.round(flight.firstAt - flight.arrivedAt),
+				predicted: Math.round(flight.predicted),
 				sends: flight.attempt,
 				endpoint: flight.tried.at(-1),
 				events: ending.events,
--- a/src/edge/grant.ts
+++ b/src/edge/grant.ts
@@ -3,7 +3,7 @@
 import type {Flight} from '../flight/index.js';
 import {chain, chainAll, stay} from '../loop/step.js';
 import {
-	explainShortage, handlePurse, reserveTokens, wantTokens,
+	countFree, countSpendable, explainShortage, getHold, handlePurse, reserveTokens, wantTokens,
 } from '../purse/index.js';
 import type {PurseEffect, PurseEvent, Shortage} from '../purse/index.js';
 import {suggestReturn} from '../queue/index.js';
@@ -15,10 +15,17 @@
 const getLimit = (state: EdgeState, organisation: string): number => state.catalog?.budgets.get(organisation) ?? 0;
 
 /** From each reason for a shortage to the error that the caller gets. */
-const shortages: Readonly<Record<Shortage, (flight: Flight, retryAfter: number) => Fault>> = {
-	exhausted: flight => createFault('budget-exhausted', `the budget of ${flight.organisation ?? ''} cannot cover ${flight.cost} tokens`),
-	'held-elsewhere': (flight, retryAfter) => createFault('budget-held', `other routers hold what is left of the budget of ${flight.organisation ?? ''}`, retryAfter),
-	unavailable: (_flight, retryAfter) => createFault('store-unavailable', 'tokens cannot be drawn while the store does not answer', retryAfter),
+const shortages: Readonly<Record<Shortage, (need: string, retryAfter: number) => Fault>> = {
+	exhausted: need => createFault('budget-exhausted', `the budget cannot cover the request: ${need}`),
+	'held-elsewhere': (need, retryAfter) => createFault('budget-held', `other routers hold what is left of the budget: ${need}`, retryAfter),
+	unavailable: (need, retryAfter) => createFault('store-unavailable', `the store does not answer: ${need}`, retryAfter),
+};
+
+/** What a call needs, and what there is of it here. */
+const describeNeed = (state: EdgeState, flight: Flight, now: number): string => {
+	const hold = getHold(state.purse, flight.budget ?? '');
+	const spendable = countSpendable(state.purse, flight.budget ?? '', now);
+	return `${flight.cost} tokens needed, ${countFree(hold)} free, ${Math.floor(spendable)} to be spent now`;
 };
 
 /** Puts into the purse what the calls that wait for tokens of a budget need. */
@@ -40,7 +47,7 @@
 	const shortage = explainShortage(state.purse, budget, flight.cost, getLimit(state, budget));
 	return shortage === undefined
 		? undefined
-		: refuseFlight(state, {...flight, budget: undefined}, shortages[shortage](flight, suggestReturn(flight.expiresAt - now, random)), now);
+		: refuseFlight(state, {...flight, budget: undefined}, shortages[shortage](describeNeed(state, flight, now), suggestReturn(flight.expiresAt - now, random)), now);
 };
 
 const toEdgeEffect = (effect: PurseEffect): readonly EdgeEffect[] => effect.kind === 'changed'
@@ -115,7 +122,7 @@
 @returns The edge, and what it does.
 */
 export const expireGrant = (state: EdgeState, call: number, random: number, now: number): EdgeStep => withFlight(state, call, flight => {
-	const fault = shortages.unavailable(flight, suggestReturn(flight.expiresAt - now, random));
+	const fault = shortages.unavailable(describeNeed(state, flight, now), suggestReturn(flight.expiresAt - now, random));
 	const refused = refuseFlight(state, {...flight, budget: undefined}, fault, now);
 	return {state: flight.budget === undefined ? refused.state : countWanted(refused.state, flight.budget), effects: refused.effects};
 });
--- a/src/flight/flight.ts
+++ b/src/flight/flight.ts
@@ -100,6 +100,8 @@
 	predicted: number;
 	/** When it was sent last. */
 	sentAt: number;
+	/** When the caller got its first event; undefined before. */
+	firstAt: number | undefined;
 	/** Events that the caller got. */
 	events: number;
 	/** The last of them. */
@@ -123,6 +125,7 @@
 	pending: 0,
 	predicted: 0,
 	sentAt: 0,
+	firstAt: undefined,
 	events: 0,
 	lastEvent: undefined,
 });
--- a/src/purse/handle.ts
+++ b/src/purse/handle.ts
@@ -15,13 +15,13 @@
 const tables = {budgets: 'budgets', holds: 'holds'} as const;
 
 /** The part of what is left of a budget that routers hold, so that an outage of the store is served through; the rest is for whoever needs more. */
-const heldPart = 0.7;
+const heldPart = 0.85;
 
 /** Seconds of all routers' use below which a balance is scarce: then each call draws what it needs, and nothing is held ahead. */
 const scarceHorizon = 3;
 
 /** The part of what routers hold that is shared evenly, whatever their demand was: callers move from one to another. */
-const evenPart = 0.2;
+const evenPart = 0.1;
 
 /** Tokens below which drawing ahead is not worth a call: a few short calls. */
 const minimumDraw = 4000;
@@ -32,11 +32,14 @@
 /** Seconds of use that may be spent at once between settlements; two intervals, since the store may be slow. */
 const windowHorizon = 1;
 
-/** Tokens that may be spent at once in any case: a few short calls. */
-const minimumWindow = 6000;
+/** Tokens that may be spent at once in any case: one long call. */
+const minimumWindow = 10_000;
+
+/** The part of a hold that may be spent at once in any case. */
+const windowPart = 0.05;
 
 /** How much faster than on average tokens may be spent while the store does not answer. */
-const outagePace = 1.5;
+const outagePace = 1.2;
 
 /** Seconds within which a whole hold may be spent in any case. */
 const slowestRelease = 30;
@@ -169,7 +172,7 @@
 
 /** What may be spent of a hold until its row is written again. Running calls stay reserved in the new row. */
 const planBound = (hold: Hold, now: number): Bound => ({
-	window: Math.ceil(hold.reserved + Math.max(minimumWindow, hold.demand * windowHorizon, hold.wanted)),
+	window: Math.ceil(hold.reserved + Math.max(minimumWindow, hold.demand * windowHorizon, hold.held * windowPart, hold.wanted)),
 	rate: Math.ceil(Math.max(hold.demand * outagePace, hold.held / slowestRelease)),
 	plannedAt: now,
 });
--- a/src/purse/index.ts
+++ b/src/purse/index.ts
@@ -1,6 +1,6 @@
 export {handlePurse} from './handle.js';
 export type {PurseCall, PurseEffect, PurseEvent} from './messages.js';
 export {
-	chargeTokens, countFree, createPurse, explainShortage, reserveTokens, wantTokens,
+	chargeTokens, countFree, countSpendable, createPurse, explainShortage, getHold, reserveTokens, wantTokens,
 } from './state.js';
 export type {Hold, Purse, Shortage} from './state.js';
