Tell peers what is under way at each endpoint

Peers now say by datagram, every 80 ms, what they have pending. The rows in the store say where each router hears its peers, and whether it lives.

--- a/src/edge/arrive.ts
+++ b/src/edge/arrive.ts
@@ -7,6 +7,7 @@
 import type {Fault, Result} from '../errors/index.js';
 import {createFlight} from '../flight/index.js';
 import type {CallHead, Flight} from '../flight/index.js';
+import {countRouters} from '../purse/index.js';
 import {suggestReturn} from '../queue/index.js';
 import {putFlight} from './common.js';
 import {grantFlight} from './grant.js';
@@ -90,7 +91,7 @@
 
 	const flight = createArrival(event, admission.val, now);
 	const counted: EdgeState = {
-		...state, allowance: countArrival(state.allowance, flight.service, state.repeats, state.purse.others.size + 1),
+		...state, allowance: countArrival(state.allowance, flight.service, state.repeats, countRouters(state.purse)),
 	};
 	return grantFlight(putFlight(counted, flight), flight, event.random, now);
 };
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -3,6 +3,7 @@
 import type {Fault} from '../errors/index.js';
 import type {AnswerHead, Flight} from '../flight/index.js';
 import {chain, stay} from '../loop/step.js';
+import {countRouters} from '../purse/index.js';
 import {suggestReturn} from '../queue/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
@@ -80,7 +81,7 @@
 	const mayRepeat = (!flight.mayHaveRun || isRepeatable(flight.route)) && now < flight.expiresAt
 		&& countSends(flight, unsent) < flight.route.maxAttempts && unsent <= maxUnsent;
 	const allowance = mayRepeat && retry.hasArrived
-		? spendRepeat(state.allowance, flight.service, state.repeats, state.purse.others.size + 1)
+		? spendRepeat(state.allowance, flight.service, state.repeats, countRouters(state.purse))
 		: state.allowance;
 	return !mayRepeat || allowance === undefined
 		? giveUp(state, loose, retry.fault, now)
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
+import {createSocket} from 'node:dgram';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
@@ -8,6 +9,7 @@
 import type {AllowanceBounds} from '../allowance/index.js';
 import {createFault} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
+import {parseLoads} from '../gossip/index.js';
 import type {BoundedLog} from '../log/bounded.js';
 import {runInBackground} from '../loop/background.js';
 import {startLoop} from '../loop/loop.js';
@@ -15,6 +17,7 @@
 import {
 	configurationKey, decodeCall, decodeCatalog, decodeEntry, openStore, tables,
 } from '../platform/index.js';
+import {parseAddress} from '../server/address.js';
 import type {StoredRow} from '../store/index.js';
 import {openCarrier, sendFault} from './carrier.js';
 import {followTable} from './feeds.js';
@@ -97,6 +100,12 @@
 		cut(effect) {
 			carrier.cut(effect.call);
 		},
+		'tell-peers'(effect) {
+			effect.addresses.forEach(address => {
+				const {host, port} = parseAddress(address);
+				peerSocket.send(effect.message, port, host);
+			});
+		},
 		store(effect) {
 			runInBackground(async () => callStore(effect));
 		},
@@ -112,6 +121,7 @@
 			dataCentre: settings.host['data-centre'],
 			router: `${settings.host.name}/${settings.host.address}`,
 			incarnation,
+			peerAddress: `${settings.listen.peers.host}:${settings.listen.peers.port}`,
 			repeats: describeRepeats(settings),
 		}),
 		handle: handleEdge,
@@ -247,6 +257,21 @@
 		});
 	});
 
+	const peerSocket = createSocket('udp4');
+	peerSocket.on('error', error => {
+		log.write('failure', 'peer-socket-failed', {reason: error.message});
+	});
+	peerSocket.on('message', bytes => {
+		const heard = parseLoads(bytes.toString('utf8'));
+		if (heard.err) {
+			log.write('failure', 'peer-message-unreadable', {reason: heard.val.detail});
+			return;
+		}
+
+		loop.post({kind: 'peer-heard', ...heard.val});
+	});
+	peerSocket.bind(settings.listen.peers.port, settings.listen.peers.host);
+
 	const open = async (which: Server, at: Readonly<{host: string; port: number}>) => new Promise<void>((resolve, reject) => {
 		which.once('error', reject);
 		which.listen(at.port, at.host, resolve);
@@ -318,6 +343,7 @@
 			await awaitReturned(Math.min(deadline, clock() + longestReturn));
 			log.write('routine', 'stopped', {incarnation, calls: loop.state().flights.size});
 			store.close();
+			peerSocket.close();
 			carrier.close();
 		},
 	};
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -1,5 +1,9 @@
 import {adoptCatalog} from '../catalog/index.js';
+import {
+	describeLoads, dropSilent, hearLoads, sumLoads,
+} from '../gossip/index.js';
 import {chain, chainAll, stay} from '../loop/step.js';
+import {hashText} from '../random/index.js';
 import {
 	changeListing, dropMissing, loseRegistry, regainRegistry, replaceListings,
 } from '../registry/index.js';
@@ -58,11 +62,37 @@
 	);
 };
 
+/** Milliseconds between messages to peers: an engine takes about as long to read one long prompt. */
+const gossipInterval = 80;
+
+/** Peers that are told at the most, the same for as long as they live: what one router sends must not grow with the fleet. */
+const maxPeers = 16;
+
+const tellPeers = (state: EdgeState, now: number): EdgeStep => {
+	if (now - state.toldAt < gossipInterval || state.purse.others.isEmpty()) {
+		return stay(state);
+	}
+
+	const addresses = state.purse.others.valueSeq().toArray()
+		.filter(({isLive, peerAddress}) => isLive && peerAddress !== '')
+		.map(({peerAddress}) => peerAddress)
+		.toSorted((a, b) => hashText(`${state.purse.router}/${a}`) - hashText(`${state.purse.router}/${b}`))
+		.slice(0, maxPeers);
+	const peers = dropSilent(state.peers, now);
+	return {
+		state: {
+			...state, toldAt: now, peers, peerSums: peers.size === state.peers.size ? state.peerSums : sumLoads(peers),
+		},
+		effects: [{kind: 'tell-peers', addresses, message: describeLoads(state.purse.router, state.registry.endpoints.valueSeq().toArray())}],
+	};
+};
+
 const receiveTick: Decide<'tick'> = (state, event, now) => {
 	const expired = expireCalls(state, event, now);
 	const settled = chain(expired, current => updatePurse(current, {kind: 'tick'}, event.random, now));
 	const dropped = chain(settled, current => setRegistry(current, dropMissing(current.registry, now)));
-	return chain(dropped, current => placeWaiting(current, event.random, now));
+	const told = chain(dropped, current => tellPeers(current, now));
+	return chain(told, current => placeWaiting(current, event.random, now));
 };
 
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Decide<Kind>}> = {
@@ -78,6 +108,10 @@
 	'registry-lost': state => stay({...state, registry: loseRegistry(state.registry)}),
 	'registry-regained': (state, _event, now) => stay({...state, registry: regainRegistry(state.registry, now)}),
 	'store-replied': (state, event, now) => updatePurse(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
+	'peer-heard'(state, event, now) {
+		const peers = hearLoads(dropSilent(state.peers, now), event.router, event.loads, now);
+		return stay({...state, peers, peerSums: sumLoads(peers)});
+	},
 	tick: receiveTick,
 	'bounds-changed': (state, event) => stay({...state, repeats: event.repeats}),
 	'leave-wanted': (state, event, now) => updatePurse(state, {kind: 'leave'}, event.random, now),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -2,6 +2,7 @@
 import type {Catalog} from '../catalog/index.js';
 import type {Fault} from '../errors/index.js';
 import type {AnswerHead, CallHead, Sending} from '../flight/index.js';
+import type {Loads} from '../gossip/index.js';
 import type {Fields, Level} from '../log/index.js';
 import type {PurseCall} from '../purse/index.js';
 import type {Listing} from '../registry/index.js';
@@ -35,6 +36,8 @@
 	| Readonly<{kind: 'registry-lost'}>
 	| Readonly<{kind: 'registry-regained'}>
 	| Readonly<{kind: 'store-replied'; reply: StoreReply; random: number}>
+	/** A peer said what it has under way. */
+	| Readonly<{kind: 'peer-heard'; router: string; loads: Loads}>
 	| Readonly<{kind: 'tick'; random: number}>
 	| Readonly<{kind: 'bounds-changed'; repeats: AllowanceBounds}>
 	| Readonly<{kind: 'stop-wanted'}>
@@ -54,6 +57,8 @@
 	/** Closes the caller's connection in the middle of an answer. */
 	| Readonly<{kind: 'cut'; call: number}>
 	| Readonly<{kind: 'store'; call: PurseCall}>
+	/** Sends a message to peers. */
+	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
 	| Readonly<{kind: 'log'; level: Level; event: string; fields: Fields}>
 	| Readonly<{kind: 'count'; metric: Counter; labels: Readonly<Record<string, string>>}>
 	| Readonly<{kind: 'observe'; metric: Timer; labels: Readonly<Record<string, string>>; milliseconds: number}>;
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -60,6 +60,7 @@
 					waited: Math.round(now - flight.arrivedAt),
 					predicted: Math.round(predicted),
 					newTokens,
+					pending: endpoint.pending + (state.peerSums.get(endpoint.id)?.pending ?? 0),
 					open: endpoint.open,
 					running: endpoint.load?.running,
 					loadAge: endpoint.load === undefined ? undefined : Math.round(now - endpoint.load.at),
@@ -87,7 +88,7 @@
 	const choice: Placement = service === undefined
 		? {kind: 'none'}
 		: chooseEndpoint(endpoints, {
-			service, work: flight.head.work, dataCentre: state.dataCentre, tried: flight.tried, now,
+			service, work: flight.head.work, dataCentre: state.dataCentre, tried: flight.tried, peers: state.peerSums, now,
 		});
 	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
 		endpoint: placement => sendFlight(state, flight, placement, now),
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -18,6 +18,8 @@
 		ready: address,
 		/** Counters and histograms, as text. */
 		metrics: address,
+		/** Where peers say what they have under way, by datagrams. */
+		peers: address,
 	}),
 	store: z.object({address}),
 	bounds: z.object({
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -2,6 +2,7 @@
 import {createAllowance} from '../allowance/index.js';
 import type {Allowance, AllowanceBounds} from '../allowance/index.js';
 import type {Catalog} from '../catalog/index.js';
+import type {Loads, PeerLoads} from '../gossip/index.js';
 import type {Flight} from '../flight/index.js';
 import type {Step} from '../loop/loop.js';
 import {createPurse} from '../purse/index.js';
@@ -21,6 +22,11 @@
 	purse: Purse;
 	allowance: Allowance;
 	flights: Map<number, Flight>;
+	/** What the peers have under way, by router, and all of it by endpoint. */
+	peers: PeerLoads;
+	peerSums: Loads;
+	/** When the peers were told last, in ms. */
+	toldAt: number;
 	isStopping: boolean;
 }>;
 
@@ -33,6 +39,8 @@
 	/** Key of its row in the store. */
 	router: string;
 	incarnation: string;
+	/** Where peers reach it. */
+	peerAddress: string;
 	repeats: AllowanceBounds;
 }>;
 
@@ -48,9 +56,12 @@
 	catalog: undefined,
 	registry: emptyRegistry,
 	hasRegistry: false,
-	purse: createPurse(options.router, options.incarnation),
+	purse: createPurse(options.router, options.incarnation, options.peerAddress),
 	allowance: createAllowance(),
 	flights: Map(),
+	peers: Map(),
+	peerSums: Map(),
+	toldAt: 0,
 	isStopping: false,
 });
 
--- /dev/null
+++ b/src/gossip/index.ts
@@ -0,0 +1,4 @@
+export {
+	describeLoads, dropSilent, hearLoads, parseLoads, sumLoads,
+} from './gossip.js';
+export type {Loads, PeerLoad, PeerLoads} from './gossip.js';
--- a/src/place/place.ts
+++ b/src/place/place.ts
@@ -1,5 +1,6 @@
 import type {Service} from '../catalog/index.js';
 import type {Work} from '../flight/index.js';
+import type {Loads} from '../gossip/index.js';
 import {hashText} from '../random/index.js';
 import type {Endpoint} from '../registry/index.js';
 
@@ -11,6 +12,8 @@
 	dataCentre: string;
 	/** Endpoints that got the call before: passed over while there are others. */
 	tried: readonly string[];
+	/** What the peers have under way. */
+	peers: Loads;
 	now: number;
 }>;
 
@@ -22,14 +25,14 @@
 	/** The service has no endpoint. */
 	| Readonly<{kind: 'none'}>;
 
-/** Prompt tokens that an engine reads in a ms beside the output of others: half of what it reads alone. */
-const readRate = 60;
+/** Prompt tokens that an engine reads in a ms beside the output of others: fitted to first outputs on the users' deployments. */
+const readRate = 45;
 
-/** Milliseconds of an engine's step for each request in its batch. */
-const stepPerRequest = 0.15;
+/** Milliseconds to the first output for each request in an engine's batch; fitted likewise. */
+const stepPerRequest = 3;
 
-/** Milliseconds to the first output of an idle engine. */
-const engineBase = 15;
+/** Milliseconds to the first output of an idle engine; fitted likewise. */
+const engineBase = 80;
 
 /** Milliseconds of work of a plain call, for want of better knowledge. */
 const plainWork = 80;
@@ -60,20 +63,23 @@
 	return Math.max(0, work.promptTokens - remembered);
 };
 
-/** Calls at an endpoint, as far as this router can tell. */
-const countCalls = (endpoint: Endpoint, now: number): number => {
+/** Calls at an endpoint: what it said of itself, or what the routers know, whichever is more. */
+const countCalls = (endpoint: Endpoint, peers: Loads, now: number): number => {
 	const {load} = endpoint;
-	return load === undefined || now - load.at > loadLifetime ? endpoint.open : Math.max(endpoint.open, load.running + load.waiting + endpoint.sentSince);
+	const known = endpoint.open + (peers.get(endpoint.id)?.open ?? 0);
+	return load === undefined || now - load.at > loadLifetime ? known : Math.max(known, load.running + load.waiting + endpoint.sentSince);
 };
 
 /**
 Tells whether an endpoint would only queue one more call.
 
 @param endpoint - The endpoint.
+@param peers - What the peers have under way.
 @param now - The time in ms.
 @returns True if all its slots are taken.
 */
-export const isFull = (endpoint: Endpoint, now: number): boolean => endpoint.slots > 0 && countCalls(endpoint, now) >= endpoint.slots;
+export const isFull = (endpoint: Endpoint, peers: Loads, now: number): boolean =>
+	endpoint.slots > 0 && countCalls(endpoint, peers, now) >= endpoint.slots;
 
 /**
 Predicts the time to the first output.
@@ -83,12 +89,13 @@
 @returns Milliseconds.
 */
 export const predictFirstOutput = (endpoint: Endpoint, query: PlaceQuery): number => {
-	const calls = countCalls(endpoint, query.now);
+	const calls = countCalls(endpoint, query.peers, query.now);
 	if (query.service.engine === undefined || query.work === undefined) {
 		return plainWork * endpoint.slowness * (1 + (calls / Math.max(1, endpoint.slots)));
 	}
 
-	const reading = (endpoint.pending + countNewTokens(endpoint, query.work, query.now)) / readRate;
+	const pending = endpoint.pending + (query.peers.get(endpoint.id)?.pending ?? 0);
+	const reading = (pending + countNewTokens(endpoint, query.work, query.now)) / readRate;
 	return endpoint.slowness * (engineBase + reading + (calls * stepPerRequest));
 };
 
@@ -128,7 +135,7 @@
 
 	const fresh = prefer(endpoints, endpoint => !query.tried.includes(endpoint.id));
 	const sound = prefer(fresh, endpoint => endpoint.ejectedUntil <= query.now);
-	const free = sound.filter(endpoint => !isFull(endpoint, query.now));
+	const free = sound.filter(endpoint => !isFull(endpoint, query.peers, query.now));
 	const affinity = pickAffinity(query.work);
 	const ranked = affinity === undefined ? [] : free.toSorted((a, b) => rankEndpoint(affinity, b) - rankEndpoint(affinity, a)).slice(0, 2);
 	const [best] = free
--- a/src/purse/handle.ts
+++ b/src/purse/handle.ts
@@ -4,9 +4,11 @@
 import type {Step} from '../loop/loop.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
 import type {PurseContext, PurseEffect, PurseEvent} from './messages.js';
-import {countFree, countSpendable, getHold} from './state.js';
+import {
+	countFree, countRouters, countSpendable, getHold,
+} from './state.js';
 import type {
-	Bound, BudgetRow, Change, Hold, Purse, Sync,
+	Bound, BudgetRow, Change, Hold, OtherRouter, Purse, Sync,
 } from './state.js';
 
 type PurseStep = Step<Purse, PurseEffect>;
@@ -29,6 +31,12 @@
 /** Milliseconds between settlements: what a successor must write off grows with it, and so do the calls with its inverse. */
 const settleInterval = 500;
 
+/** Milliseconds between writes of the row of a router that settles nothing: its peers see that it lives. */
+const beatInterval = 4000;
+
+/** Milliseconds after its last write within which a router counts as living: an outage of the store longer than that hides all alike. */
+const liveTime = 12_000;
+
 /** Seconds of use that may be spent at once between settlements; two intervals, since the store may be slow. */
 const windowHorizon = 1;
 
@@ -72,6 +80,8 @@
 	change: z.string(),
 	/** When it was planned, by the store's steady clock or a little before, in ms. */
 	at: z.number(),
+	/** Where peers reach the router. */
+	peer: z.string().default(''),
 	holds: z.record(z.string(), entrySchema),
 });
 
@@ -97,17 +107,17 @@
 /** Tokens of a budget that routers hold or may draw, without those of calls under way. */
 const countPool = (purse: Purse, organisation: string, context: PurseContext): number =>
 	countUntaken(purse, organisation, context) + Math.max(0, countFree(getHold(purse, organisation)))
-	+ purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.held ?? 0), 0);
+	+ purse.others.valueSeq().reduce((sum, {holds}) => sum + (holds.get(organisation)?.held ?? 0), 0);
 
 /** The demand of the other routers for a budget, as their rows state it. Tokens a second. */
 const countOtherDemand = (purse: Purse, organisation: string): number =>
-	purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.demand ?? 0), 0);
+	purse.others.valueSeq().filter(other => other.isLive).reduce((sum, {holds}) => sum + (holds.get(organisation)?.demand ?? 0), 0);
 
 /** This router's fair part of what routers hold, 0 to 1: mostly by demand. */
 const countPart = (purse: Purse, organisation: string): number => {
 	const own = getHold(purse, organisation).demand;
 	const all = own + countOtherDemand(purse, organisation);
-	const even = 1 / (purse.others.size + 1);
+	const even = 1 / countRouters(purse);
 	return all < 1 ? even : (evenPart * even) + ((1 - evenPart) * own / all);
 };
 
@@ -195,7 +205,9 @@
 	return {
 		id,
 		writes: [
-			writeRow(tables.holds, purse.router, purse.version, {change: id, at: estimateStoreTime(purse, now), holds}),
+			writeRow(tables.holds, purse.router, purse.version, {
+				change: id, at: estimateStoreTime(purse, now), peer: purse.peerAddress, holds,
+			}),
 			...taken.entrySeq().toArray().map(([organisation, total]) =>
 				writeRow(tables.budgets, organisation, purse.budgets.get(organisation)?.version ?? 0, {taken: total})),
 		],
@@ -234,7 +246,9 @@
 	})).toObject();
 	return {
 		id,
-		writes: [writeRow(tables.holds, purse.router, own?.version ?? 0, {change: id, at: time, holds})],
+		writes: [writeRow(tables.holds, purse.router, own?.version ?? 0, {
+			change: id, at: time, peer: purse.peerAddress, holds,
+		})],
 		settled: Map(),
 		drawn: Map(),
 		taken: Map(),
@@ -253,6 +267,7 @@
 
 const isSettlingDue = (purse: Purse, now: number): boolean =>
 	(now - purse.settledAt >= settleInterval && purse.holds.some(hold => hold.charged > 0))
+	|| (now - purse.settledAt >= beatInterval && !purse.isLeaving)
 	|| purse.holds.keySeq().some(organisation => isWindowShort(purse, organisation, now));
 
 const isMoving = (purse: Purse, context: PurseContext, now: number): boolean =>
@@ -361,13 +376,22 @@
 	return {state: next.state, effects: [{kind: 'changed'}, ...next.effects]};
 };
 
+const describeOther = (row: StoredRow, time: number): OtherRouter => {
+	const value = decodeValue(holdSchema, row.value);
+	return {
+		peerAddress: value?.peer ?? '',
+		isLive: value !== undefined && time - value.at <= liveTime,
+		holds: Map(Object.entries(value?.holds ?? {})),
+	};
+};
+
 const receiveHolds = (purse: Purse, rows: readonly StoredRow[], now: number): PurseStep => {
 	if (!purse.isOpen) {
 		return writeChange(purse, planOpening(purse, findRow(rows, tables.holds, purse.router), now), 0);
 	}
 
-	const others = Map(rows.filter(row => row.key !== purse.router)
-		.map(row => [row.key, Map(Object.entries(decodeValue(holdSchema, row.value)?.holds ?? {}))] as const));
+	const time = estimateStoreTime(purse, now);
+	const others = Map(rows.filter(row => row.key !== purse.router).map(row => [row.key, describeOther(row, time)] as const));
 	return readRows({...purse, others}, 'budgets');
 };
 
--- a/src/purse/index.ts
+++ b/src/purse/index.ts
@@ -1,6 +1,8 @@
 export {handlePurse} from './handle.js';
 export type {PurseCall, PurseEffect, PurseEvent} from './messages.js';
 export {
-	chargeTokens, countFree, countSpendable, createPurse, explainShortage, getHold, reserveTokens, wantTokens,
+	chargeTokens, countFree, countRouters, countSpendable, createPurse, explainShortage, getHold, reserveTokens, wantTokens,
+} from './state.js';
+export type {
+	Hold, OtherRouter, Purse, Shortage,
 } from './state.js';
-export type {Hold, Purse, Shortage} from './state.js';
--- a/src/purse/state.ts
+++ b/src/purse/state.ts
@@ -58,6 +58,16 @@
 	opens: boolean;
 }>;
 
+/** What another router's row states. */
+export type OtherRouter = Readonly<{
+	/** Where peers reach it. */
+	peerAddress: string;
+	/** True if it wrote the row lately. */
+	isLive: boolean;
+	/** By organisation. */
+	holds: Map<string, Readonly<{held: number; demand: number}>>;
+}>;
+
 /** Where the exchange with the store stands. */
 export type Sync =
 	| Readonly<{step: 'idle'}>
@@ -88,8 +98,10 @@
 	incarnation: string;
 	holds: Map<string, Hold>;
 	budgets: Map<string, BudgetRow>;
-	/** What the other routers' rows state, by router, then by organisation. */
-	others: Map<string, Map<string, Readonly<{held: number; demand: number}>>>;
+	/** What the other routers' rows state, by router. */
+	others: Map<string, OtherRouter>;
+	/** Where peers reach this router; empty for nowhere. */
+	peerAddress: string;
 	sync: Sync;
 	/** When spending was settled last, in ms. */
 	settledAt: number;
@@ -113,14 +125,16 @@
 
 @param router - The row's key: the same for every process on this host.
 @param incarnation - Names this process.
+@param peerAddress - Where peers reach it; empty for nowhere.
 @returns The purse, which must first take over its row.
 */
-export const createPurse = (router: string, incarnation: string): Purse => ({
+export const createPurse = (router: string, incarnation: string, peerAddress = ''): Purse => ({
 	router,
 	isOpen: false,
 	version: 0,
 	changes: 0,
 	incarnation,
+	peerAddress,
 	holds: Map(),
 	budgets: Map(),
 	others: Map(),
@@ -231,6 +245,14 @@
 export const wantTokens = (purse: Purse, organisation: string, tokens: number, least: number): Purse =>
 	setHold(purse, organisation, {wanted: tokens, least});
 
+/**
+Counts the routers that share budgets and allowances, this one included.
+
+@param purse - The purse.
+@returns Routers.
+*/
+export const countRouters = (purse: Purse): number => 1 + purse.others.count(other => other.isLive);
+
 /** Why tokens are short: the budget has none left; other routers hold some that may come back; or the store does not answer. */
 export type Shortage = 'exhausted' | 'held-elsewhere' | 'unavailable';
 
@@ -254,7 +276,7 @@
 		return undefined;
 	}
 
-	const elsewhere = purse.others.valueSeq().reduce((sum, holds) => sum + (holds.get(organisation)?.held ?? 0), 0);
+	const elsewhere = purse.others.valueSeq().reduce((sum, {holds}) => sum + (holds.get(organisation)?.held ?? 0), 0);
 	// Reservations of running calls here give back what they do not use.
 	return limit - (row?.taken ?? 0) + hold.held - hold.charged + elsewhere >= tokens ? 'held-elsewhere' : 'exhausted';
 };
