Send calls that can be on time first, and late ones only where they delay none

A call that will be late wherever it goes now waits for an engine with little to do; too many of them are turned away at once.

--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -3,7 +3,8 @@
 import {chainAll, stay} from '../loop/step.js';
 import {chooseEndpoint} from '../place/index.js';
 import type {Placement} from '../place/index.js';
-import {orderWaiting, suggestReturn} from '../queue/index.js';
+import {decideDispatch, orderWaiting, suggestReturn} from '../queue/index.js';
+import type {Dispatch} from '../queue/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {learnEndpoint, putFlight, refuseFlight} from './common.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -90,8 +91,19 @@
 		: chooseEndpoint(endpoints, {
 			service, work: flight.head.work, dataCentre: state.dataCentre, tried: flight.tried, peers: state.peerSums, now,
 		});
+	const countWaiting = () => state.flights.count(other => other.phase === 'queued' && other.service === flight.service && other.id !== flight.id);
+	const dispatch = (placement: Placement & {kind: 'endpoint'}): Dispatch => flight.head.work === undefined || service?.engine === undefined
+		? 'send'
+		: decideDispatch({
+			flight, predicted: placement.predicted, unhindered: placement.unhindered, waiting: countWaiting(), endpoints: endpoints.length, now,
+		});
+	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
+		send: placement => sendFlight(state, flight, placement, now),
+		wait: () => queueFlight(state, flight, now),
+		refuse: placement => refuseFlight(state, flight, createFault('overloaded', `the first output would take ${Math.round(placement.predicted)} ms`, suggestReturn(flight.expiresAt - now, random)), now),
+	};
 	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
-		endpoint: placement => sendFlight(state, flight, placement, now),
+		endpoint: placement => dispatchers[dispatch(placement)](placement),
 		busy: () => queueFlight(state, flight, now),
 		none: () => refuseFlight(state, flight, flight.mayHaveRun
 			? createFault('endpoint-failed', 'the endpoint failed, and there is no other')
--- a/src/place/place.ts
+++ b/src/place/place.ts
@@ -19,20 +19,31 @@
 
 /** What the choice came to. */
 export type Placement =
-	| Readonly<{kind: 'endpoint'; endpoint: Endpoint; predicted: number; newTokens: number}>
+	| Readonly<{
+		kind: 'endpoint';
+		endpoint: Endpoint;
+		/** Milliseconds to the first output. */
+		predicted: number;
+		/** The same, if the endpoint had nothing else to do. */
+		unhindered: number;
+		newTokens: number;
+	}>
 	/** Every endpoint is full. */
 	| Readonly<{kind: 'busy'}>
 	/** The service has no endpoint. */
 	| Readonly<{kind: 'none'}>;
 
 /** Prompt tokens that an engine reads in a ms beside the output of others: fitted to first outputs on the users' deployments. */
-const readRate = 45;
+const readRate = 57;
+
+/** Tokens of prompts before it that a call waits for in a ms; fitted likewise. More than an engine reads, since a part of them has been read. */
+const pendingRate = 100;
 
 /** Milliseconds to the first output for each request in an engine's batch; fitted likewise. */
-const stepPerRequest = 3;
+const stepPerRequest = 1;
 
 /** Milliseconds to the first output of an idle engine; fitted likewise. */
-const engineBase = 80;
+const engineBase = 85;
 
 /** Milliseconds of work of a plain call, for want of better knowledge. */
 const plainWork = 80;
@@ -95,10 +106,15 @@
 	}
 
 	const pending = endpoint.pending + (query.peers.get(endpoint.id)?.pending ?? 0);
-	const reading = (pending + countNewTokens(endpoint, query.work, query.now)) / readRate;
+	const reading = (pending / pendingRate) + (countNewTokens(endpoint, query.work, query.now) / readRate);
 	return endpoint.slowness * (engineBase + reading + (calls * stepPerRequest));
 };
 
+/** The time to the first output of an endpoint with nothing else to do. */
+const predictUnhindered = (endpoint: Endpoint, query: PlaceQuery): number => query.service.engine === undefined || query.work === undefined
+	? plainWork
+	: engineBase + (countNewTokens(endpoint, query.work, query.now) / readRate);
+
 /** The part of a prompt that decides where its like goes: the last one that others share. */
 const pickAffinity = (work: Work | undefined): string | undefined => work?.parts.at(-2)?.id ?? work?.parts.at(-1)?.id;
 
@@ -147,6 +163,7 @@
 			kind: 'endpoint',
 			endpoint: best.endpoint,
 			predicted: predictFirstOutput(best.endpoint, query),
+			unhindered: predictUnhindered(best.endpoint, query),
 			newTokens: query.work === undefined ? 0 : countNewTokens(best.endpoint, query.work, query.now),
 		};
 };
--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -1,1 +1,2 @@
-export {orderWaiting, suggestReturn} from './queue.js';
+export {decideDispatch, orderWaiting, suggestReturn} from './queue.js';
+export type {Dispatch, DispatchQuery} from './queue.js';
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -15,6 +15,64 @@
 	|| ((a.arrivedAt + a.route.target) - (b.arrivedAt + b.route.target))
 	|| (a.id - b.id));
 
+/** What becomes of a call for which an endpoint was found. */
+export type Dispatch =
+	| 'send'
+	/** It will be late wherever it goes: it waits for an endpoint with little to do, so that those who can be on time are. */
+	| 'wait'
+	/** It will not be served before its time is over. */
+	| 'refuse';
+
+/** What is known of a call's chances. */
+export type DispatchQuery = Readonly<{
+	flight: Flight;
+	/** Milliseconds to the first output at the best endpoint, as it is now. */
+	predicted: number;
+	/** The same, if that endpoint had nothing to do. */
+	unhindered: number;
+	/** Late calls of the service that wait here. */
+	waiting: number;
+	/** Endpoints of the service. */
+	endpoints: number;
+	now: number;
+}>;
+
+/** Milliseconds beyond an idle endpoint's time that a late call may add its reading to. */
+const littleToDo = 60;
+
+/** Late calls that wait here for each endpoint: more could not be served before their callers give up. */
+const waitingPerEndpoint = 2;
+
+/** The part of its time that a call keeps for being served, once it has waited. */
+const servingPart = 0.4;
+
+const isTimely = ({flight, predicted, now}: DispatchQuery): boolean => now + predicted <= flight.arrivedAt + flight.route.target;
+
+/**
+Decides whether a call goes to the best endpoint now.
+
+Load pattern: endpoints are lost, and the rest cannot read prompts as fast as
+they come. Sent in the order of their arrival, all calls are late. So calls that can
+be on time go first, and a late one only where it delays none of them. Late calls that
+would wait too long are turned away at once.
+
+@param query - What is known of its chances.
+@returns What becomes of it.
+*/
+export const decideDispatch = (query: DispatchQuery): Dispatch => {
+	const {flight, predicted, unhindered, now} = query;
+	const isBegun = flight.attempt > 0;
+	if (isBegun || isTimely(query) || predicted <= unhindered + littleToDo) {
+		return 'send';
+	}
+
+	const isNew = flight.phase !== 'queued';
+	const total = flight.expiresAt - flight.arrivedAt;
+	return (isNew && query.waiting >= waitingPerEndpoint * query.endpoints) || flight.expiresAt - now < total * servingPart
+		? 'refuse'
+		: 'wait';
+};
+
 /** Seconds after which a caller that was turned away may come back, at the least and at the most. */
 const returnBounds = {shortest: 0.2, longest: 1.5} as const;
 
