--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -69,7 +69,7 @@
 const maxPeers = 16;
 
 const tellPeers = (state: EdgeState, now: number): EdgeStep => {
-	if (now - state.toldAt < gossipInterval || state.purse.others.isEmpty()) {
+	if (now - state.toldAt < gossipInterval) {
 		return stay(state);
 	}
 
@@ -81,15 +81,18 @@
 	const peers = dropSilent(state.peers, now);
 	return {
 		state: {
-			...state, toldAt: now, peers, peerSums: peers.size === state.peers.size ? state.peerSums : sumLoads(peers),
+			...state, toldAt: now, peers, peerSums: sumLoads(peers),
 		},
 		effects: [{kind: 'tell-peers', addresses, message: describeLoads(state.purse.router, state.registry.endpoints.valueSeq().toArray())}],
 	};
 };
 
+/** Milliseconds between looks at whether tokens are to be drawn, returned or settled; calls that wait for tokens do not wait for it. */
+const purseInterval = 60;
+
 const receiveTick: Decide<'tick'> = (state, event, now) => {
 	const expired = expireCalls(state, event, now);
-	const settled = chain(expired, current => updatePurse(current, {kind: 'tick'}, event.random, now));
+	const settled = chain(expired, current => now - current.purse.tickedAt < purseInterval ? stay(current) : updatePurse(current, {kind: 'tick'}, event.random, now));
 	const dropped = chain(settled, current => setRegistry(current, dropMissing(current.registry, now)));
 	const told = chain(dropped, current => tellPeers(current, now));
 	return chain(told, current => placeWaiting(current, event.random, now));
@@ -108,10 +111,7 @@
 	'registry-lost': state => stay({...state, registry: loseRegistry(state.registry)}),
 	'registry-regained': (state, _event, now) => stay({...state, registry: regainRegistry(state.registry, now)}),
 	'store-replied': (state, event, now) => updatePurse(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
-	'peer-heard'(state, event, now) {
-		const peers = hearLoads(dropSilent(state.peers, now), event.router, event.loads, now);
-		return stay({...state, peers, peerSums: sumLoads(peers)});
-	},
+	'peer-heard': (state, event, now) => stay({...state, peers: hearLoads(state.peers, event.router, event.loads, now)}),
 	tick: receiveTick,
 	'bounds-changed': (state, event) => stay({...state, repeats: event.repeats}),
 	'leave-wanted': (state, event, now) => updatePurse(state, {kind: 'leave'}, event.random, now),
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -92,11 +92,12 @@
 			service, work: flight.head.work, dataCentre: state.dataCentre, tried: flight.tried, peers: state.peerSums, now,
 		});
 	const countWaiting = () => state.flights.count(other => other.phase === 'queued' && other.service === flight.service && other.id !== flight.id);
-	const dispatch = (placement: Placement & {kind: 'endpoint'}): Dispatch => flight.head.work === undefined || service?.engine === undefined
-		? 'send'
-		: decideDispatch({
-			flight, predicted: placement.predicted, unhindered: placement.unhindered, waiting: countWaiting(), endpoints: endpoints.length, now,
-		});
+	const isForEngine = flight.head.work !== undefined && service?.engine !== undefined;
+	const dispatch = ({predicted, unhindered}: Placement & {kind: 'endpoint'}): Dispatch => isForEngine
+		? decideDispatch({
+			flight, predicted, unhindered, waiting: countWaiting(), endpoints: endpoints.length, now,
+		})
+		: 'send';
 	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
 		send: placement => sendFlight(state, flight, placement, now),
 		wait: () => queueFlight(state, flight, now),
--- a/src/place/place.ts
+++ b/src/place/place.ts
@@ -121,6 +121,15 @@
 /** Rank of an endpoint for a part: the same at every router. */
 const rankEndpoint = (part: string, endpoint: Endpoint): number => hashText(`${part}/${endpoint.id}`);
 
+/** Endpoints that take the requests of one part. */
+const rankedPerPart = 2;
+
+const pickRanked = (part: string, endpoints: readonly Endpoint[]): readonly Endpoint[] => endpoints
+	.map(endpoint => ({endpoint, rank: rankEndpoint(part, endpoint)}))
+	.toSorted((a, b) => b.rank - a.rank)
+	.slice(0, rankedPerPart)
+	.map(({endpoint}) => endpoint);
+
 const weighEndpoint = (endpoint: Endpoint, query: PlaceQuery): number => {
 	const distance = endpoint.dataCentre === query.dataCentre ? 0 : remotePenalty;
 	const reading = query.work === undefined ? 0 : countNewTokens(endpoint, query.work, query.now) / readRate;
@@ -153,10 +162,11 @@
 	const sound = prefer(fresh, endpoint => endpoint.ejectedUntil <= query.now);
 	const free = sound.filter(endpoint => !isFull(endpoint, query.peers, query.now));
 	const affinity = pickAffinity(query.work);
-	const ranked = affinity === undefined ? [] : free.toSorted((a, b) => rankEndpoint(affinity, b) - rankEndpoint(affinity, a)).slice(0, 2);
-	const [best] = free
-		.map(endpoint => ({endpoint, weight: weighEndpoint(endpoint, query) - (ranked.includes(endpoint) ? affinityBonus(query) : 0)}))
-		.toSorted((a, b) => a.weight - b.weight);
+	const ranked = affinity === undefined ? [] : pickRanked(affinity, free);
+	const bonus = affinityBonus(query);
+	const best = free
+		.map(endpoint => ({endpoint, weight: weighEndpoint(endpoint, query) - (ranked.includes(endpoint) ? bonus : 0)}))
+		.reduce<Readonly<{endpoint: Endpoint; weight: number}> | undefined>((least, each) => least === undefined || each.weight < least.weight ? each : least, undefined);
 	return best === undefined
 		? {kind: 'busy'}
 		: {
