--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -10,7 +10,7 @@
 	closeAttempt, endFlight, isRepeatable, learnEndpoint, putFlight, refuseFlight, withFlight,
 } from './common.js';
 import type {EdgeEvent, Stage} from './messages.js';
-import {placeFlight, placeWaiting} from './place.js';
+import {placeFlight, placeNext} from './place.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** Weight of the latest call in the share of failures. */
@@ -56,9 +56,12 @@
 const learnVerdict = (state: EdgeState, flight: Flight, verdict: Verdict, now: number): EdgeState =>
 	learnEndpoint(state, flight.tried.at(-1), endpoint => verdicts[verdict](endpoint, now));
 
-const learnLoad = (state: EdgeState, flight: Flight, head: AnswerHead, now: number): EdgeState => head.load === undefined
-	? state
-	: learnEndpoint(state, flight.tried.at(-1), endpoint => ({...endpoint, load: {...head.load!, at: now}, sentSince: 0}));
+const learnLoad = (state: EdgeState, flight: Flight, head: AnswerHead, now: number): EdgeState =>
+	learnEndpoint(state, flight.tried.at(-1), endpoint => head.load === undefined
+		? {...endpoint, heardAt: now}
+		: {
+			...endpoint, heardAt: now, load: {...head.load, at: now}, sentSince: 0,
+		});
 
 /** An endpoint that has not run the call, or could not be reached, does not count as one that it was sent to. */
 const countSends = (flight: Flight, unsent: number): number => flight.attempt - unsent;
@@ -162,7 +165,7 @@
 		: (event.head.isStream && event.head.status === 200
 			? beginStream(learned, flight, now)
 			: receiveAnswer(learned, flight, event, now));
-	return chain(step, current => placeWaiting(current, event.random, now));
+	return chain(step, current => placeNext(current, event.random, now));
 });
 
 type Failed = EdgeEvent & {kind: 'endpoint-failed'};
@@ -210,7 +213,7 @@
 			...step.effects,
 		],
 	};
-	return chain(logged, current => placeWaiting(current, event.random, now));
+	return chain(logged, current => placeNext(current, event.random, now));
 });
 
 const learnFirstOutput = (endpoint: Endpoint, flight: Flight, now: number): Endpoint => {
@@ -218,6 +221,7 @@
 	const bounded = Math.min(slownessBounds.most, Math.max(slownessBounds.least, ratio));
 	return {
 		...endpoint,
+		heardAt: now,
 		pending: Math.max(0, endpoint.pending - flight.pending),
 		slowness: endpoint.slowness + ((bounded - endpoint.slowness) * slownessWeight),
 	};
--- a/src/edge/carrier.ts
+++ b/src/edge/carrier.ts
@@ -56,7 +56,7 @@
 	relay: (call: number) => void;
 	refuse: (call: number, fault: Fault) => void;
 	cut: (call: number) => void;
-	/** Closes unused connections to an address that is no longer listed. */
+	/** Closes unused connections to an address. */
 	forget: (address: string) => void;
 	close: () => void;
 }>;
@@ -397,8 +397,9 @@
 			finish(call)?.response.destroy();
 		},
 		forget(address) {
-			agents.get(address)?.destroy();
-			agents.delete(address);
+			Object.values(agents.get(address)?.freeSockets ?? {}).flatMap(sockets => sockets ?? []).forEach(socket => {
+				socket.destroy();
+			});
 		},
 		close() {
 			agents.forEach(agent => {
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -88,6 +88,9 @@
 		abort(effect) {
 			carrier.abort(effect.call);
 		},
+		forget(effect) {
+			carrier.forget(effect.address);
+		},
 		deliver(effect) {
 			carrier.deliver(effect.call);
 		},
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -15,6 +15,7 @@
 import {expireGrant, updatePurse} from './grant.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
+import {leaveSilent} from './silence.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 type Decide<Kind extends EdgeEvent['kind']> = (state: EdgeState, event: EdgeEvent & {kind: Kind}, now: number) => EdgeStep;
@@ -41,7 +42,7 @@
 		...came.map(({id, service, address, dataCentre}) => logBelief('endpoint-came', {
 			endpoint: id, service, address, dataCentre,
 		})),
-		...went.map(id => logBelief('endpoint-went', {endpoint: id})),
+		...went.flatMap(id => [logBelief('endpoint-went', {endpoint: id}), {kind: 'forget', address: before.endpoints.get(id)!.address} as const]),
 	];
 };
 
@@ -94,7 +95,8 @@
 	const expired = expireCalls(state, event, now);
 	const settled = chain(expired, current => now - current.purse.tickedAt < purseInterval ? stay(current) : updatePurse(current, {kind: 'tick'}, event.random, now));
 	const dropped = chain(settled, current => setRegistry(current, dropMissing(current.registry, now)));
-	const told = chain(dropped, current => tellPeers(current, now));
+	const left = chain(dropped, current => leaveSilent(current, event.random, now));
+	const told = chain(left, current => tellPeers(current, now));
 	return chain(told, current => placeWaiting(current, event.random, now));
 };
 
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -49,6 +49,8 @@
 	| Readonly<{kind: 'send'; call: number; attempt: number; address: string; maxConnections: number; sending: Sending}>
 	/** Ends the attempt under way: nobody wants its answer. */
 	| Readonly<{kind: 'abort'; call: number}>
+	/** Closes unused connections to an address: they may be dead. */
+	| Readonly<{kind: 'forget'; address: string}>
 	/** Gives the caller the answer that was read whole. */
 	| Readonly<{kind: 'deliver'; call: number}>
 	/** Gives the caller the events of the stream that has begun. */
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -1,9 +1,11 @@
 import {createFault} from '../errors/index.js';
 import type {Flight} from '../flight/index.js';
-import {chainAll, stay} from '../loop/step.js';
+import {chain, chainAll, stay} from '../loop/step.js';
 import {chooseEndpoint} from '../place/index.js';
 import type {Placement} from '../place/index.js';
-import {decideDispatch, orderWaiting, suggestReturn} from '../queue/index.js';
+import {
+	decideDispatch, isOverdue, orderWaiting, suggestReturn,
+} from '../queue/index.js';
 import type {Dispatch} from '../queue/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {learnEndpoint, putFlight, refuseFlight} from './common.js';
@@ -91,7 +93,8 @@
 		: chooseEndpoint(endpoints, {
 			service, work: flight.head.work, dataCentre: state.dataCentre, tried: flight.tried, peers: state.peerSums, now,
 		});
-	const countWaiting = () => state.flights.count(other => other.phase === 'queued' && other.service === flight.service && other.id !== flight.id);
+	const countWaiting = () => state.flights.count(other =>
+		other.phase === 'queued' && other.service === flight.service && other.id !== flight.id);
 	const isForEngine = flight.head.work !== undefined && service?.engine !== undefined;
 	const dispatch = ({predicted, unhindered}: Placement & {kind: 'endpoint'}): Dispatch => isForEngine
 		? decideDispatch({
@@ -101,7 +104,10 @@
 	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
 		send: placement => sendFlight(state, flight, placement, now),
 		wait: () => queueFlight(state, flight, now),
-		refuse: placement => refuseFlight(state, flight, createFault('overloaded', `the first output would take ${Math.round(placement.predicted)} ms`, suggestReturn(flight.expiresAt - now, random)), now),
+		refuse(placement) {
+			const detail = `the first output would take ${Math.round(placement.predicted)} ms`;
+			return refuseFlight(state, flight, createFault('overloaded', detail, suggestReturn(flight.expiresAt - now, random)), now);
+		},
 	};
 	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
 		endpoint: placement => dispatchers[dispatch(placement)](placement),
@@ -113,8 +119,29 @@
 	return (handlers[choice.kind] as (placement: Placement) => EdgeStep)(choice);
 };
 
+/** Waiting calls that are looked at when an attempt has ended, and at each tick: looking at all of them each time would take the processor from calls that can be on time. */
+const looksPerEnd = 1;
+const looksPerTick = 5;
+
+const lookAgain = (state: EdgeState, limit: number, random: number, now: number): EdgeStep => {
+	const waiting = state.flights.valueSeq().toArray().filter(flight => flight.phase === 'queued');
+	return waiting.length === 0
+		? stay(state)
+		: chainAll(state, orderWaiting(waiting).slice(0, limit), (current, flight) => placeFlight(current, flight, random, now));
+};
+
 /**
-Looks again at calls that wait for an endpoint.
+Looks again at the call that waits first, since an endpoint has less to do.
+
+@param state - The edge.
+@param random - In [0, 1).
+@param now - The time in ms.
+@returns The edge, and what it does.
+*/
+export const placeNext = (state: EdgeState, random: number, now: number): EdgeStep => lookAgain(state, looksPerEnd, random, now);
+
+/**
+Looks again at calls that wait for an endpoint, and turns away those that have waited too long.
 
 @param state - The edge.
 @param random - In [0, 1).
@@ -122,8 +149,9 @@
 @returns The edge, and what it does.
 */
 export const placeWaiting = (state: EdgeState, random: number, now: number): EdgeStep => {
-	const waiting = state.flights.valueSeq().toArray().filter(flight => flight.phase === 'queued');
-	return waiting.length === 0
-		? stay(state)
-		: chainAll(state, orderWaiting(waiting), (current, flight) => placeFlight(current, flight, random, now));
+	const overdue = state.flights.valueSeq().toArray().filter(flight => flight.phase === 'queued' && isOverdue(flight, now));
+	return chain(
+		chainAll(state, overdue, (current, flight) => placeFlight(current, flight, random, now)),
+		current => lookAgain(current, looksPerTick, random, now),
+	);
 };
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -9,7 +9,7 @@
 describe('what peers have under way', () => {
 	test('is summed by endpoint, and the last word of each peer counts', () => {
 		const said = [say('a', [['i-1', 900, 2]]), say('b', [['i-1', 100, 1], ['i-2', 50, 1]]), say('a', [['i-1', 400, 1]])];
-		const peers = said.reduce((heard, {router, loads}) => hearLoads(heard, router, loads, 0), Map() as ReturnType<typeof hearLoads>);
+		const peers = said.reduce<ReturnType<typeof hearLoads>>((heard, {router, loads}) => hearLoads(heard, router, loads, 0), Map());
 		expect(sumLoads(peers).toJS()).toEqual({'i-1': {pending: 500, open: 2}, 'i-2': {pending: 50, open: 1}});
 	});
 
--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -1,2 +1,4 @@
-export {decideDispatch, orderWaiting, suggestReturn} from './queue.js';
+export {
+	decideDispatch, isOverdue, orderWaiting, suggestReturn,
+} from './queue.js';
 export type {Dispatch, DispatchQuery} from './queue.js';
--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -7,7 +7,8 @@
 import type {DispatchQuery} from './index.js';
 
 const route: Route = {
-	name: 'r', host: 'h', prefix: '/', kind: 'stream', timeout: 5000, target: 500, priority: 1, services: [{name: 's', weight: 1}], maxAttempts: 2, isAnonymous: false, isResumable: true, pauseTarget: 200,
+	name: 'r', host: 'h', prefix: '/', kind: 'stream', timeout: 5000, target: 500, priority: 1, services: [{name: 's', weight: 1}],
+	maxAttempts: 2, isAnonymous: false, isResumable: true, pauseTarget: 200,
 };
 
 const arrive = (id: number, arrivedAt: number, tokens = 4000, target = 500): Flight => createFlight({
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -46,6 +46,16 @@
 /** The part of its time that a call keeps for being served, once it has waited. */
 const servingPart = 0.4;
 
+/**
+Tells whether a call has waited for so long that it would not be served any more.
+
+@param flight - The call.
+@param now - The time in ms.
+@returns True once too little of its time is left.
+*/
+export const isOverdue = (flight: Flight, now: number): boolean =>
+	flight.expiresAt - now < (flight.expiresAt - flight.arrivedAt) * servingPart;
+
 const isTimely = ({flight, predicted, now}: DispatchQuery): boolean => now + predicted <= flight.arrivedAt + flight.route.target;
 
 /**
@@ -67,10 +77,7 @@
 	}
 
 	const isNew = flight.phase !== 'queued';
-	const total = flight.expiresAt - flight.arrivedAt;
-	return (isNew && query.waiting >= waitingPerEndpoint * query.endpoints) || flight.expiresAt - now < total * servingPart
-		? 'refuse'
-		: 'wait';
+	return (isNew && query.waiting >= waitingPerEndpoint * query.endpoints) || isOverdue(flight, now) ? 'refuse' : 'wait';
 };
 
 /** Seconds after which a caller that was turned away may come back, at the least and at the most. */
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -29,6 +29,8 @@
 	sentSince: number;
 	/** Prompt parts that this router sent it, and when last, in ms. */
 	parts: Map<string, number>;
+	/** When it answered last, in ms. */
+	heardAt: number;
 	/** Failures since the last success. */
 	failures: number;
 	/** Share of recent calls that failed, 0 to 1, weighted towards the latest. */
@@ -66,6 +68,7 @@
 	load: undefined,
 	sentSince: 0,
 	parts: Map(),
+	heardAt: 0,
 	failures: 0,
 	failureShare: 0,
 	ejectedUntil: 0,
