--- a/src/edge/carrier.ts
+++ b/src/edge/carrier.ts
@@ -162,7 +162,7 @@
 	};
 
 	/** Goes on with an answer that has ended once it is known to be whole. */
-	const whenWhole = (upstream: Upstream, onWhole: () => void, onBroken: () => void): void => {
+	const awaitWhole = (upstream: Upstream, onWhole: () => void, onBroken: () => void): void => {
 		if (upstream.proof === undefined) {
 			onWhole();
 			return;
@@ -183,7 +183,7 @@
 				return;
 			}
 
-			whenWhole(upstream, () => {
+			awaitWhole(upstream, () => {
 				if (!upstream.isOver) {
 					answerWhole(call, upstream, head);
 				}
@@ -341,7 +341,7 @@
 		});
 		incoming.on('end', () => {
 			if (incoming.complete) {
-				whenWhole(upstream, () => {
+				awaitWhole(upstream, () => {
 					if (!upstream.isOver) {
 						endStream(call, own, upstream);
 					}
--- a/src/edge/grant.ts
+++ b/src/edge/grant.ts
@@ -50,7 +50,7 @@
 		: refuseFlight(state, {...flight, budget: undefined}, shortages[shortage](describeNeed(state, flight, now), suggestReturn(flight.expiresAt - now, random)), now);
 };
 
-const toEdgeEffect = (effect: PurseEffect): readonly EdgeEffect[] => effect.kind === 'changed'
+const translateEffect = (effect: PurseEffect): readonly EdgeEffect[] => effect.kind === 'changed'
 	? []
 	: (effect.kind === 'store'
 		? [effect]
@@ -73,7 +73,7 @@
 	}
 
 	const step = handlePurse(state.purse, event, now, {budgets: state.catalog.budgets});
-	const next: EdgeStep = {state: {...state, purse: step.state}, effects: step.effects.flatMap(effect => toEdgeEffect(effect))};
+	const next: EdgeStep = {state: {...state, purse: step.state}, effects: step.effects.flatMap(effect => translateEffect(effect))};
 	return step.effects.some(effect => effect.kind === 'changed')
 		? chain(next, current => grantWaiting(current, random, now))
 		: next;
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -59,7 +59,7 @@
 const listPairs = (raw: readonly string[]): ReadonlyArray<readonly [string, string]> =>
 	Array.from({length: raw.length / 2}, (_, index) => [raw[2 * index]!, raw[(2 * index) + 1]!] as const);
 
-const without = (raw: readonly string[], omitted: ReadonlySet<string>): readonly string[] =>
+const omitHeaders = (raw: readonly string[], omitted: ReadonlySet<string>): readonly string[] =>
 	listPairs(raw).filter(([name]) => !omitted.has(name.toLowerCase())).flat();
 
 const wholeNumber = /^\d{1,12}$/v;
@@ -147,7 +147,7 @@
 		patience: patience.val,
 		work: work.val,
 		resumeAfter: readText(headers, names.resumeAfter),
-		passedOn: without(incoming.rawHeaders, keptFromEndpoints),
+		passedOn: omitHeaders(incoming.rawHeaders, keptFromEndpoints),
 	});
 };
 
@@ -203,6 +203,6 @@
 		isSigned: headers[names.signature] !== undefined,
 		load: decodeLoad(headers),
 		isStream: (headers['content-type'] ?? '').startsWith('text/event-stream'),
-		passedOn: without(incoming.rawHeaders, keptFromCallers),
+		passedOn: omitHeaders(incoming.rawHeaders, keptFromCallers),
 	};
 };
