Turn new requests away while the process is behind; lose less of a budget with a process

Now a process that is behind first looks whether the caller is still there, and turns new ones away once it is far behind. Now more is released only once a settlement is overdue.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -18,6 +18,8 @@
 	configurationKey, decodeCall, decodeCatalog, decodeEntry, openStore, tables,
 } from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
+import {decideIntake, suggestReturn} from '../queue/index.js';
+import type {Intake} from '../queue/index.js';
 import type {StoredRow} from '../store/index.js';
 import {openCarrier, sendFault} from './carrier.js';
 import {followTable} from './feeds.js';
@@ -70,6 +72,8 @@
 	let isStopping = false;
 	let {grace} = settings.bounds;
 	let calls = 0;
+	let lag = 0;
+	let tickedAt = clock();
 
 	const carrier = openCarrier({
 		post(event) {
@@ -234,12 +238,38 @@
 		}
 
 		const limit = loop.state().catalog?.limits.bodyBytes ?? defaultBodyBytes;
-		readBody(incoming, limit, body => {
+		const take = (body: Buffer) => {
 			calls += 1;
 			carrier.accept(calls, head.val, incoming.headers.host ?? '', body, response);
 			loop.post({
 				kind: 'call-arrived', call: calls, head: head.val, random: random(),
 			});
+		};
+
+		const intakes: Readonly<Record<Intake, (body: Buffer) => void>> = {
+			take,
+			check(body) {
+				// A close that came with the request is read within two turns of the event loop.
+				setImmediate(() => {
+					setImmediate(() => {
+						if (response.socket?.writable === true) {
+							take(body);
+						} else {
+							log.write('failure', 'call-left-unread', {call: head.val.key, lag: Math.round(lag)});
+						}
+					});
+				});
+			},
+			refuse() {
+				const retryAfter = suggestReturn(head.val.patience ?? 0, random());
+				log.write('failure', 'call-ended', {
+					call: head.val.key, outcome: 'overloaded', status: 503, reason: `the router is ${Math.round(lag)} ms behind`, retryAfter,
+				});
+				sendFault(response, createFault('overloaded', 'the router is behind', retryAfter), isStopping);
+			},
+		};
+		readBody(incoming, limit, body => {
+			intakes[decideIntake(lag)](body);
 		}, () => {
 			log.write('failure', 'call-malformed', {call: head.val.key, reason: `body: is larger than ${limit} bytes`});
 			sendFault(response, createFault('too-large', `body: is larger than ${limit} bytes`), isStopping);
@@ -295,6 +325,8 @@
 		(registryHandlers[event.kind] as (event: FeedEvent) => void)(event);
 	}));
 	runInBackground(async () => periodic(tickInterval).observe(() => {
+		lag = clock() - tickedAt - tickInterval;
+		tickedAt = clock();
 		loop.post({kind: 'tick', random: random()});
 	}));
 	runInBackground(async () => periodic(1000).observe(() => {
--- a/src/purse/handle.ts
+++ b/src/purse/handle.ts
@@ -5,7 +5,7 @@
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
 import type {PurseContext, PurseEffect, PurseEvent} from './messages.js';
 import {
-	countFree, countRouters, countSpendable, getHold,
+	computeReleased, countFree, countRouters, countSpendable, getHold,
 } from './state.js';
 import type {
 	Bound, BudgetRow, Change, Hold, OtherRouter, Purse, Sync,
@@ -37,14 +37,17 @@
 /** Milliseconds after its last write within which a router counts as living: an outage of the store longer than that hides all alike. */
 const liveTime = 12_000;
 
-/** Seconds of use that may be spent at once between settlements; two intervals, since the store may be slow. */
-const windowHorizon = 1;
+/** Seconds of use that may be spent at once between settlements, which come twice as often. */
+const windowHorizon = 1.2;
 
-/** Tokens that may be spent at once in any case: one long call. */
-const minimumWindow = 10_000;
+/** Milliseconds for which the window must do. */
+const releaseDelay = 700;
+
+/** Tokens that may be spent at once in any case: a short call. A longer one has the row written first, which takes a few ms while the store answers. */
+const minimumWindow = 4000;
 
 /** The part of a hold that may be spent at once in any case. */
-const windowPart = 0.05;
+const windowPart = 0.02;
 
 /** How much faster than on average tokens may be spent while the store does not answer. */
 const outagePace = 1.2;
@@ -75,6 +78,7 @@
 	/** The most that may have been spent, as `Bound` says. */
 	window: z.number(),
 	rate: z.number(),
+	delay: z.number(),
 });
 const holdSchema = z.object({
 	change: z.string(),
@@ -184,6 +188,7 @@
 const planBound = (hold: Hold, now: number): Bound => ({
 	window: Math.ceil(hold.reserved + Math.max(minimumWindow, hold.demand * windowHorizon, hold.held * windowPart, hold.wanted)),
 	rate: Math.ceil(Math.max(hold.demand * outagePace, hold.held / slowestRelease)),
+	delay: releaseDelay,
 	plannedAt: now,
 });
 
@@ -199,6 +204,7 @@
 			demand: Math.round(getHold(purse, organisation).demand),
 			window: bounds.get(organisation)!.window,
 			rate: bounds.get(organisation)!.rate,
+			delay: releaseDelay,
 		}] as const)
 		.filter(([, {held, demand}]) => held > 0 || demand > 0));
 	const id = `${purse.incarnation}.${purse.changes + 1}`;
@@ -232,7 +238,7 @@
 
 /** Of what an earlier process here held, what it cannot have spent: it has ended, and its row says how fast it could spend. */
 const inheritHold = (entry: Entry, elapsed: number): number =>
-	Math.max(0, Math.floor(entry.held - entry.window - (entry.rate * elapsed / 1000)));
+	Math.max(0, Math.floor(entry.held - computeReleased(entry, elapsed)));
 
 /** Takes over the row of a process that ran here before. */
 const planOpening = (purse: Purse, own: StoredRow | undefined, now: number): Change => {
@@ -242,7 +248,7 @@
 	const elapsed = row === undefined ? 0 : (Math.max(0, time - row.at) * clockDoubt.factor) + clockDoubt.time;
 	const inherited = Map(Object.entries(row?.holds ?? {}).map(([organisation, entry]) => [organisation, inheritHold(entry, elapsed)] as const)).filter(held => held > 0);
 	const holds = inherited.map((held): Entry => ({
-		held, demand: 0, window: 0, rate: 0,
+		held, demand: 0, window: 0, rate: 0, delay: 0,
 	})).toObject();
 	return {
 		id,
--- a/src/purse/state.ts
+++ b/src/purse/state.ts
@@ -9,8 +9,10 @@
 export type Bound = Readonly<{
 	/** Tokens that may be spent at once. */
 	window: number;
-	/** Tokens a second that may be spent beyond that. */
+	/** Tokens a second that may be spent beyond that, once `delay` has passed. */
 	rate: number;
+	/** Milliseconds after `plannedAt`: a row that is written again in time never releases more than the window. */
+	delay: number;
 	/** When the row was planned, in ms. */
 	plannedAt: number;
 }>;
@@ -117,7 +119,9 @@
 
 /** A hold of nothing. */
 export const emptyHold: Hold = {
-	held: 0, bound: {window: 0, rate: 0, plannedAt: 0}, charged: 0, reserved: 0, wanted: 0, least: 0, used: 0, demand: 0, drawnAt: Number.NEGATIVE_INFINITY,
+	held: 0, bound: {
+		window: 0, rate: 0, delay: 0, plannedAt: 0,
+	}, charged: 0, reserved: 0, wanted: 0, least: 0, used: 0, demand: 0, drawnAt: Number.NEGATIVE_INFINITY,
 };
 
 /**
@@ -174,7 +178,17 @@
 */
 export const countFree = (hold: Hold): number => hold.held - hold.charged - hold.reserved;
 
-const applyBound = (bound: Bound, now: number): number => bound.window + (bound.rate * Math.max(0, now - bound.plannedAt) / 1000);
+/**
+Computes the most that may have been spent of a hold.
+
+@param bound - What the row states.
+@param elapsed - Milliseconds since it was planned.
+@returns Tokens.
+*/
+export const computeReleased = ({window, rate, delay}: Omit<Bound, 'plannedAt'>, elapsed: number): number =>
+	window + (rate * Math.max(0, elapsed - delay) / 1000);
+
+const applyBound = (bound: Bound, now: number): number => computeReleased(bound, now - bound.plannedAt);
 
 /** The change that may be in the store already, or come to be there. */
 const getUnconfirmed = (sync: Sync): Change | undefined =>
--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -1,4 +1,4 @@
 export {
-	decideDispatch, isOverdue, orderWaiting, suggestReturn,
+	decideDispatch, decideIntake, isOverdue, orderWaiting, suggestReturn,
 } from './queue.js';
-export type {Dispatch, DispatchQuery} from './queue.js';
+export type {Dispatch, DispatchQuery, Intake} from './queue.js';
--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -3,7 +3,9 @@
 import {createFlight} from '../flight/index.js';
 import type {Flight} from '../flight/index.js';
 import {createRandom} from '../random/index.js';
-import {decideDispatch, orderWaiting, suggestReturn} from './index.js';
+import {
+	decideDispatch, decideIntake, orderWaiting, suggestReturn,
+} from './index.js';
 import type {DispatchQuery} from './index.js';
 
 const route: Route = {
@@ -123,3 +125,26 @@
 		expect(suggestReturn(8000, 0.1)).not.toBe(suggestReturn(8000, 0.9));
 	});
 });
+
+describe('a process that is behind', () => {
+	test.each([[0, 'take'], [99, 'take'], [150, 'check'], [399, 'check'], [400, 'refuse'], [5000, 'refuse']])('by %d ms: %s', (lag, intake) => {
+		expect(decideIntake(lag)).toBe(intake);
+	});
+
+	/** A second of work is worth 500 calls; callers that hear nothing within a second leave, and ask again twice at once. */
+	const playFlood = (decide: typeof decideIntake) => Array.from({length: 400}).reduce<Readonly<{backlog: number; inVain: number}>>(({backlog, inVain}) => {
+		const lag = backlog * 2;
+		const arrivals = lag > 1000 ? 15 : 6;
+		const isRefused = decide(lag) === 'refuse';
+		// A refusal takes a quarter of the work of a call.
+		const work = isRefused ? arrivals / 4 : arrivals;
+		return {backlog: Math.max(0, backlog + work - 5), inVain: inVain + (lag > 1000 && !isRefused ? arrivals : 0)};
+	}, {backlog: 400, inVain: 0});
+
+	test('catches up, where one that takes all in works for callers that have gone', () => {
+		expect(playFlood(() => 'take').inVain).toBeGreaterThan(5000);
+		const flood = playFlood(decideIntake);
+		expect(flood.inVain).toBe(0);
+		expect(flood.backlog * 2).toBeLessThan(1000);
+	});
+});
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -80,6 +80,36 @@
 	return (isNew && query.waiting >= waitingPerEndpoint * query.endpoints) || isOverdue(flight, now) ? 'refuse' : 'wait';
 };
 
+/** What becomes of a request that was read whole while the process is behind. */
+export type Intake =
+	| 'take'
+	/** Its caller may have left already: that is looked at first. */
+	| 'check'
+	| 'refuse';
+
+/** Milliseconds behind from which a caller may have left before its request was read: callers wait a second for that at the least. */
+const checkedLag = 100;
+
+/** Milliseconds behind from which new requests are turned away: they would take the time of those that were taken. */
+const refusedLag = 400;
+
+/**
+Decides whether a request is taken in.
+
+Load pattern: callers repeat at once and often, and the processor cannot keep up;
+requests are read so late that their callers have gone.
+
+@param lag - Milliseconds that the process is behind its timers.
+@returns What becomes of it.
+*/
+export const decideIntake = (lag: number): Intake => {
+	if (lag < checkedLag) {
+		return 'take';
+	}
+
+	return lag < refusedLag ? 'check' : 'refuse';
+};
+
 /** Seconds after which a caller that was turned away may come back, at the least and at the most. */
 const returnBounds = {shortest: 0.2, longest: 1.5} as const;
 
