Let one piece of code serve where the edge wrote a second one

The wait after a failure stood in budget, reach and now purse: one function in loop. The edge's servers open by server/http's listen. Cutting a caller off, listing waiting calls and asking whether a call may have run stood twice.

--- a/src/budget/handle.ts
+++ b/src/budget/handle.ts
@@ -1,6 +1,6 @@
 import {sumBills, writeBills} from '../bill/index.js';
 import type {Bill} from '../bill/index.js';
-import {stay} from '../loop/index.js';
+import {computeBackoff, stay} from '../loop/index.js';
 import type {Step} from '../loop/index.js';
 import {
 	deleteRow, putRow, requireState, rowKeys,
@@ -37,13 +37,9 @@
 const idleReturn = 3_600_000; // Milliseconds
 const scarceReturn = 5000; // Milliseconds, once others may need the tokens
 const scarceFactor = 4; // Tokens are scarce once fewer are left to draw than so many times what is held here
-const firstBackoff = 200; // Milliseconds
-const maxBackoff = 10_000; // Milliseconds
+const backoff = {first: 200, longest: 10_000} as const; // Milliseconds
 const maxBillsPerChange = 60; // Keyed bills add a row each to a transaction of at most 100
 
-const computeBackoff = (failures: number, random: number): number =>
-	Math.min(maxBackoff, firstBackoff * (2 ** Math.min(failures, 10))) * (0.5 + (random / 2));
-
 const readPot = (pot: Pot, context: PotContext, failures: number, change: Change | undefined): PotStep => ({
 	state: {...pot, sync: {step: 'reading', failures, change}},
 	effects: [{
@@ -226,7 +222,7 @@
 		wanted: 0,
 		least: 0,
 		sync: {
-			step: 'waiting', until: now + computeBackoff(sync.failures, random), failures: sync.failures + 1, change: sync.change,
+			step: 'waiting', until: now + computeBackoff(backoff, sync.failures, random), failures: sync.failures + 1, change: sync.change,
 		},
 	},
 	effects: pot.wanted > 0 ? [{kind: 'pot-changed', budget: pot.budget, reason: 'unavailable'}] : [],
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -7,8 +7,9 @@
 import {suggestReturn} from '../queue/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
-	closeAttempt, endFlight, isRepeatable, learnEndpoint, putFlight, refuseFlight, withFlight,
+	canHaveRun, closeAttempt, endFlight, isRepeatable, learnEndpoint, putFlight, refuseFlight, withFlight,
 } from './common.js';
+import type {Ending} from './common.js';
 import type {EdgeEvent, Stage} from './messages.js';
 import {placeFlight, placeNext} from './place.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -91,16 +92,21 @@
 		: placeFlight({...putFlight(state, loose), allowance}, loose, random, now);
 };
 
+/** Closes the caller's connection in the middle of its answer. */
+const cutFlight = (state: EdgeState, flight: Flight, ending: Ending, now: number): EdgeStep => {
+	const ended = endFlight(state, flight, ending, now);
+	return {state: ended.state, effects: [{kind: 'abort', call: flight.id}, {kind: 'cut', call: flight.id}, ...ended.effects]};
+};
+
 /** Ends a call for good: the caller has events of it, or gets an error. */
 const giveUp = (state: EdgeState, flight: Flight, fault: Fault, now: number): EdgeStep => {
 	if (flight.events === 0) {
 		return refuseFlight(state, flight, fault, now);
 	}
 
-	const ended = endFlight(state, flight, {
+	return cutFlight(state, flight, {
 		outcome: 'cut', status: 0, events: flight.events, fields: {reason: fault.detail},
 	}, now);
-	return {state: ended.state, effects: [{kind: 'abort', call: flight.id}, {kind: 'cut', call: flight.id}, ...ended.effects]};
 };
 
 type Answered = EdgeEvent & {kind: 'endpoint-answered'};
@@ -281,11 +287,10 @@
 export const expireFlight = (state: EdgeState, flight: Flight, random: number, now: number): EdgeStep => {
 	if (flight.phase === 'streaming') {
 		// How far the caller got is not known here: the most that the call may cost is charged.
-		const ended = endFlight(state, flight, {outcome: 'deadline', status: 0, events: flight.head.work?.maxOutput ?? flight.events}, now);
-		return {state: ended.state, effects: [{kind: 'abort', call: flight.id}, {kind: 'cut', call: flight.id}, ...ended.effects]};
+		return cutFlight(state, flight, {outcome: 'deadline', status: 0, events: flight.head.work?.maxOutput ?? flight.events}, now);
 	}
 
-	const fault = flight.phase === 'sent' || flight.mayHaveRun
+	const fault = canHaveRun(flight)
 		? createFault('deadline', `no answer within ${Math.round(now - flight.arrivedAt)} ms`)
 		: createFault('overloaded', 'no endpoint was free in time', suggestReturn(flight.expiresAt - now, random));
 	return refuseFlight(state, flight, fault, now);
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -2,7 +2,7 @@
 import {randomBytes} from 'node:crypto';
 import {createSocket} from 'node:dgram';
 import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {periodic} from 'most';
@@ -18,6 +18,7 @@
 	configurationKey, decodeCall, decodeCatalog, decodeEntry, openStore, tables,
 } from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
+import {listen} from '../server/http.js';
 import {decideIntake, suggestReturn} from '../queue/index.js';
 import type {Intake} from '../queue/index.js';
 import type {StoredRow} from '../store/index.js';
@@ -305,12 +306,7 @@
 	});
 	peerSocket.bind(settings.listen.peers.port, settings.listen.peers.host);
 
-	const open = async (which: Server, at: Readonly<{host: string; port: number}>) => new Promise<void>((resolve, reject) => {
-		which.once('error', reject);
-		which.listen(at.port, at.host, resolve);
-	});
-
-	await Promise.all([open(server, settings.listen.callers), open(readyServer, settings.listen.ready), open(metricsServer, settings.listen.metrics)]);
+	await Promise.all([listen(server, settings.listen.callers), listen(readyServer, settings.listen.ready), listen(metricsServer, settings.listen.metrics)]);
 	const {user, system} = process.cpuUsage();
 	log.write('routine', 'started', {
 		incarnation, dataCentre: settings.host['data-centre'], uptime: Math.round(process.uptime() * 1000), processorTime: Math.round((user + system) / 1000),
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -123,8 +123,10 @@
 const looksPerEnd = 1;
 const looksPerTick = 5;
 
+const listWaiting = (state: EdgeState): readonly Flight[] => state.flights.valueSeq().toArray().filter(flight => flight.phase === 'queued');
+
 const lookAgain = (state: EdgeState, limit: number, random: number, now: number): EdgeStep => {
-	const waiting = state.flights.valueSeq().toArray().filter(flight => flight.phase === 'queued');
+	const waiting = listWaiting(state);
 	return waiting.length === 0
 		? stay(state)
 		: chainAll(state, orderWaiting(waiting).slice(0, limit), (current, flight) => placeFlight(current, flight, random, now));
@@ -149,7 +151,7 @@
 @returns The edge, and what it does.
 */
 export const placeWaiting = (state: EdgeState, random: number, now: number): EdgeStep => {
-	const overdue = state.flights.valueSeq().toArray().filter(flight => flight.phase === 'queued' && isOverdue(flight, now));
+	const overdue = listWaiting(state).filter(flight => isOverdue(flight, now));
 	return chain(
 		chainAll(state, overdue, (current, flight) => placeFlight(current, flight, random, now)),
 		current => lookAgain(current, looksPerTick, random, now),
--- a/src/loop/index.ts
+++ b/src/loop/index.ts
@@ -1,3 +1,4 @@
+export {computeBackoff} from './backoff.js';
 export {runInBackground} from './background.js';
 export {startLoop} from './loop.js';
 export type {Handler, Loop, Step} from './loop.js';
--- a/src/purse/handle.ts
+++ b/src/purse/handle.ts
@@ -1,5 +1,6 @@
 import {Map} from 'immutable';
 import {z} from 'zod';
+import {computeBackoff} from '../loop/backoff.js';
 import {stay} from '../loop/step.js';
 import type {Step} from '../loop/loop.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
@@ -64,9 +65,8 @@
 /** Milliseconds that drawn tokens stay before they may go back, so that they do not travel to and fro. */
 const returnDelay = 500;
 
-/** Milliseconds after the first failure; doubled with each further one. */
-const firstBackoff = 100;
-const longestBackoff = 800;
+/** Milliseconds after the first failure, doubled with each further one, and at the most: calls wait for the store. */
+const backoff = {first: 100, longest: 800} as const;
 
 /** Time constant of the average demand, in ms. */
 const demandTime = 3000;
@@ -407,9 +407,6 @@
 	return {state: next.state, effects: [{kind: 'changed'}, ...next.effects]};
 };
 
-const computeBackoff = (failures: number, random: number): number =>
-	Math.min(longestBackoff, firstBackoff * (2 ** failures)) * (0.5 + (random / 2));
-
 const waitForRetry = (purse: Purse, reason: string, now: number, random: number): PurseStep => {
 	const {sync} = purse;
 	const failures = sync.step === 'writing' ? sync.failures : 0;
@@ -418,7 +415,7 @@
 		state: {
 			...purse,
 			sync: {
-				step: 'waiting', until: now + computeBackoff(failures, random), change, failures: failures + 1,
+				step: 'waiting', until: now + computeBackoff(backoff, failures, random), change, failures: failures + 1,
 			},
 		},
 		effects: [
--- a/src/reach/reach.ts
+++ b/src/reach/reach.ts
@@ -1,5 +1,5 @@
 import {Set} from 'immutable';
-import {stay} from '../loop/index.js';
+import {computeBackoff, stay} from '../loop/index.js';
 import type {Step} from '../loop/index.js';
 import {putRow, rowKeys} from '../table/index.js';
 import type {
@@ -56,8 +56,7 @@
 
 type ReachStep = Step<Reach, ReachEffect>;
 
-const firstBackoff = 250; // Milliseconds
-const maxBackoff = 5000; // Milliseconds
+const backoff = {first: 250, longest: 5000} as const; // Milliseconds
 
 /**
 Creates the state of a router that has no row yet.
@@ -165,7 +164,7 @@
 				...sync,
 				step: 'waiting',
 				failures: sync.failures + 1,
-				until: now + (Math.min(maxBackoff, firstBackoff * (2 ** Math.min(sync.failures, 10))) * (0.5 + (random / 2))),
+				until: now + computeBackoff(backoff, sync.failures, random),
 			},
 		}),
 	};
