Reach the store by relays on side machines when a router is cut off

Ruled out: the side machines are not cut off with the fronts (their calls arrive).

Relays are named by the settings. The store's client reads further pages where the store says that there are some.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -30,6 +30,7 @@
 import {openMetrics} from './metrics.js';
 import type {EdgeSettings} from './settings.js';
 import {createEdge, hasReturned, isReady} from './state.js';
+import {openWays} from './ways.js';
 
 /** Milliseconds between looks at what is due. */
 const tickInterval = 20;
@@ -68,7 +69,16 @@
 	const incarnation = randomBytes(6).toString('hex');
 	const clock = () => performance.now();
 	const random = () => Math.random();
-	const store = openStore(settings.store.address);
+	const client = openStore();
+	const store = openWays({
+		store: client,
+		own: settings.store.address,
+		relays: settings.store.relays,
+		clock,
+		onChange(from, to, reason) {
+			log.write('failure', 'store-way-changed', {from, to, reason});
+		},
+	});
 	const metrics = openMetrics();
 	let isStopping = false;
 	let {grace} = settings.bounds;
@@ -373,7 +383,7 @@
 			loop.post({kind: 'leave-wanted', random: random()});
 			await awaitReturned(Math.min(deadline, clock() + longestReturn));
 			log.write('routine', 'stopped', {incarnation, calls: loop.state().flights.size});
-			store.close();
+			client.close();
 			peerSocket.close();
 			carrier.close();
 		},
--- a/src/edge/feeds.ts
+++ b/src/edge/feeds.ts
@@ -1,5 +1,5 @@
 import {sleep} from '../loop/sleep.js';
-import type {StoreClient} from '../platform/index.js';
+import type {StoreCalls} from '../platform/index.js';
 import type {StoredRow} from '../store/index.js';
 
 /** What following a table brings. */
@@ -24,7 +24,7 @@
 @param table - The table.
 @param take - Told each event in order.
 */
-export const followTable = async (store: StoreClient, table: string, take: (event: FeedEvent) => void): Promise<never> => {
+export const followTable = async (store: StoreCalls, table: string, take: (event: FeedEvent) => void): Promise<never> => {
 	let after: number | undefined;
 	let isLost = false;
 	for (;;) {
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {
-	address, count, duration, label, share,
+	address, addresses, count, duration, label, share,
 } from '../settings/settings.js';
 
 /** The settings of `galena-edge`, by section. */
@@ -21,7 +21,11 @@
 		/** Where peers say what they have under way, by datagrams. */
 		peers: address,
 	}),
-	store: z.object({address}),
+	store: z.object({
+		address,
+		/** Relays that may reach the store when this host does not. */
+		relays: addresses.default([]),
+	}),
 	bounds: z.object({
 		/** From the signal to stop to the kill. */
 		grace: duration,
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -170,7 +170,7 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	return openStore({host: '127.0.0.1', port: (server.address() as AddressInfo).port});
+	return openStore().at(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 };
 
 describe('the store\'s client', () => {
@@ -215,15 +215,16 @@
 		});
 	});
 
-	test('reads a table of many pages, and follows it from the first page on', async () => {
+	test.each([[500], [16]])('reads a table of many pages of at most %i rows, and follows it from the first page on', async pageSize => {
 		const row = (index: number) => ({
 			table: 't', part: '', key: String(index).padStart(4, '0'), value: '', ver: index + 1,
 		});
 		const all = Array.from({length: 700}, (_, index) => row(index));
 		const store = await startStore(url => {
 			const from = new URL(url, 'http://store').searchParams.get('from') ?? '';
-			const rows = all.filter(each => each.key >= from).slice(0, 500);
-			return {status: 200, body: JSON.stringify({rows, ver: from === '' ? 800 : 900})};
+			const rest = all.filter(each => each.key >= from);
+			const rows = rest.slice(0, pageSize);
+			return {status: 200, body: JSON.stringify({rows, morePages: rest.length > pageSize, ver: from === '' ? 800 : 900})};
 		});
 		const reply = await store.read('t');
 		expect(reply).toMatchObject({kind: 'done', version: 800});
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,18 +1,25 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
+import {parseAddress} from '../server/address.js';
 import type {Endpoint} from '../server/address.js';
 import type {
 	RowKey, StoredRow, StoreReply, StoreWrite,
 } from '../store/index.js';
 
-/** The one client of the platform's store. */
-export type StoreClient = Readonly<{
+/** Calls to the platform's store. */
+export type StoreCalls = Readonly<{
 	/** Applies all writes or none, each under the version that it names. */
 	transact: (writes: readonly StoreWrite[]) => Promise<StoreReply>;
 	/** Reads the rows of a table, all as of one moment. */
 	read: (table: string) => Promise<StoreReply>;
 	/** Waits for rows of a table that changed after a version. */
 	follow: (table: string, after: number) => Promise<StoreReply>;
+}>;
+
+/** The one client of the platform's store. */
+export type StoreClient = Readonly<{
+	/** Calls by an address: the store's own, or that of a relay before it. */
+	at: (address: string) => StoreCalls;
 	close: () => void;
 }>;
 
@@ -58,6 +65,12 @@
 
 type Answer = Readonly<{status: number; body: WireReply}>;
 
+/** A call of the store's protocol. `timeout` in ms. */
+type Call = Readonly<{method: string; path: string; timeout: number; body?: string}>;
+
+/** What came back, and whether a read has further pages. */
+type Answered = Readonly<{reply: StoreReply; hasMore: boolean}>;
+
 /** From the store's status codes to what they say of the call. */
 const replies: Readonly<Record<number, (body: WireReply) => StoreReply>> = {
 	200: body => ({
@@ -75,21 +88,21 @@
 /**
 Opens the client.
 
-@param address - The store's address.
 @returns The client.
 */
-export const openStore = (address: Endpoint): StoreClient => {
+export const openStore = (): StoreClient => {
 	const agent = new Agent({keepAlive: true, maxFreeSockets: 4});
 
-	const send = async (method: string, path: string, timeout: number, body?: string): Promise<StoreReply> => new Promise(resolve => {
+	const send = async ({host, port}: Endpoint, call: Call): Promise<Answered> => new Promise(resolve => {
+		const {method, path, timeout, body} = call;
 		const outgoing = request({
-			agent, host: address.host, port: address.port, method, path,
+			agent, host, port, method, path,
 			headers: body === undefined ? {} : {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)},
 		});
 		const lose = (reason: string) => {
 			clearTimeout(timer);
 			outgoing.destroy();
-			resolve({kind: 'lost', reason});
+			resolve({reply: {kind: 'lost', reason}, hasMore: false});
 		};
 
 		const timer = setTimeout(lose, timeout, `no answer within ${timeout} ms`);
@@ -109,45 +122,59 @@
 				const status = incoming.statusCode ?? 0;
 				try {
 					const text = Buffer.concat(chunks).toString('utf8');
-					resolve(decodeReply({status, body: status === 200 || status === 412 ? JSON.parse(text) as WireReply : {}}));
+					const wire = status === 200 || status === 412 ? JSON.parse(text) as WireReply : {};
+					resolve({reply: decodeReply({status, body: wire}), hasMore: wire.morePages === true});
 				} catch {
-					resolve({kind: 'lost', reason: `status ${status} with a body that is not JSON`});
+					resolve({reply: {kind: 'lost', reason: `status ${status} with a body that is not JSON`}, hasMore: false});
 				}
 			});
 		});
 		outgoing.end(body);
 	});
 
-	const readFrom = async (table: string, from: string | undefined): Promise<StoreReply> => {
+	const readPage = async (at: Endpoint, table: string, from: string | undefined): Promise<Answered> => {
 		const start = from === undefined ? '' : `&from=${encodeURIComponent(from)}`;
-		return send('GET', `/v1/rows-get?table=${encodeURIComponent(table)}&part=&limit=${pageLimit}${start}`, callTimeout);
+		return send(at, {method: 'GET', path: `/v1/rows-get?table=${encodeURIComponent(table)}&part=&limit=${pageLimit}${start}`, timeout: callTimeout});
 	};
 
-	const readAll = async (table: string, before: readonly StoredRow[], version: number): Promise<StoreReply> => {
+	const readAll = async (at: Endpoint, table: string, before: readonly StoredRow[], version: number): Promise<StoreReply> => {
 		const last = before.at(-1);
 		// The smallest key above the last one read.
-		const page = await readFrom(table, last === undefined ? undefined : `${last.key}\0`);
-		if (page.kind !== 'done') {
-			return page;
+		const {reply, hasMore} = await readPage(at, table, last === undefined ? undefined : `${last.key}\0`);
+		if (reply.kind !== 'done') {
+			return reply;
 		}
 
-		const rows = [...before, ...page.rows];
+		const rows = [...before, ...reply.rows];
 		// A feed from the first page's version repeats what changed between the pages.
-		const first = before.length === 0 ? page.version : version;
-		return page.rows.length === pageLimit ? readAll(table, rows, first) : {...page, rows, version: first};
+		const first = before.length === 0 ? reply.version : version;
+		return hasMore && reply.rows.length > 0 ? readAll(at, table, rows, first) : {...reply, rows, version: first};
 	};
 
-	return {
+	const openCalls = (at: Endpoint): StoreCalls => ({
 		async transact(writes) {
 			const put = writes.filter(write => write.value !== undefined);
-			return send('POST', '/v1/rows-tx', callTimeout, JSON.stringify({
+			const body = JSON.stringify({
 				expectedRevision: writes.map(write => ({...encodeKey(write), ver: write.version})),
 				writes: put.map(write => ({...encodeKey(write), value: Buffer.from(write.value!, 'utf8').toString('base64')})),
 				remove: writes.filter(write => write.value === undefined).map(write => encodeKey(write)),
-			}));
+			});
+			const {reply} = await send(at, {
+				method: 'POST', path: '/v1/rows-tx', timeout: callTimeout, body,
+			});
+			return reply;
+		},
+		read: async table => readAll(at, table, [], 0),
+		async follow(table, after) {
+			const {reply} = await send(at, {
+				method: 'GET', path: `/v1/rows-feed?table=${encodeURIComponent(table)}&after=${after}&waitMs=${followWait}`, timeout: followWait + followSlack,
+			});
+			return reply;
 		},
-		read: async table => readAll(table, [], 0),
-		follow: async (table, after) => send('GET', `/v1/rows-feed?table=${encodeURIComponent(table)}&after=${after}&waitMs=${followWait}`, followWait + followSlack),
+	});
+
+	return {
+		at: address => openCalls(parseAddress(address)),
 		close() {
 			agent.destroy();
 		},
--- a/src/server/http.ts
+++ b/src/server/http.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {IncomingMessage, Server as HttpServer, ServerResponse} from 'node:http';
+import type {AddressInfo, Server} from 'node:net';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import type {Endpoint} from './address.js';
@@ -19,7 +19,7 @@
 @param at - Where to listen.
 @returns The address it has got, and how to close it.
 */
-export const listen = async (server: Server, at: Endpoint): Promise<Listening> => {
+export const listen = async (server: Server | HttpServer, at: Endpoint): Promise<Listening> => {
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(at.port, at.host, resolve);
@@ -28,7 +28,10 @@
 	return {
 		address: `${address}:${port}`,
 		async close() {
-			server.closeAllConnections();
+			if ('closeAllConnections' in server) {
+				server.closeAllConnections();
+			}
+
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
@@ -86,7 +89,7 @@
 @param onError - Told of a handler that threw.
 @returns The server.
 */
-export const createHttpServer = (handle: Handle, onError: (error: unknown) => void): Server => createServer(async (request, response) => {
+export const createHttpServer = (handle: Handle, onError: (error: unknown) => void): HttpServer => createServer(async (request, response) => {
 	try {
 		await handle(request, response, new URL(request.url ?? '/', 'http://localhost'));
 	} catch (error) {
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, test} from 'vitest';
 import {agentSettings} from '../agent/settings.js';
 import {parseConfigFile} from '../control/config-file.js';
+import {edgeSettings} from '../edge/settings.js';
 import {routerSettings} from '../router/settings.js';
 import {checkSettings} from './settings.js';
 
@@ -28,6 +29,38 @@
 	{name: 'a missing section', text: good.slice(0, good.indexOf('[table]')), message: 'r.ini: [table]: is missing'},
 ];
 
+const goodEdge = `[host]
+name = front-1
+address = 10.0.0.1
+data-centre = pl-central-1
+[listen]
+callers = 10.0.0.1:1
+ready = 10.0.0.1:2
+metrics = 10.0.0.1:3
+peers = 10.0.0.1:4
+[store]
+address = 10.0.0.9:1
+relays = 10.0.0.2:5,10.0.0.3:5
+[bounds]
+grace = 8s
+repeat-ratio = 0.2
+repeat-slack = 54
+`;
+
+describe('relays of a router', () => {
+	test.each([
+		['two', goodEdge, ['10.0.0.2', '10.0.0.3']],
+		['none', goodEdge.replace('10.0.0.2:5,10.0.0.3:5', ''), []],
+		['no line', goodEdge.replace('relays = 10.0.0.2:5,10.0.0.3:5\n', ''), []],
+	])('%s', (_, text, hosts) => {
+		expect(checkSettings('e.ini', text, edgeSettings).unwrap().store.relays.map(relay => relay.host)).toEqual(hosts);
+	});
+
+	test('by name are refused', () => {
+		expect(checkSettings('e.ini', goodEdge.replace('10.0.0.3:5', 'relay:5'), edgeSettings).val).toMatchObject({detail: expect.stringContaining('e.ini:12: [store] relays') as string});
+	});
+});
+
 describe('checkSettings', () => {
 	test('takes good settings and fills in the rest', () => {
 		expect(check(good).unwrap()).toMatchObject({table: {timeout: 500, name: 'galena'}, grants: {policy: 'newsvendor'}, limits: {headers: 16_384}});
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -43,6 +43,9 @@
 	return isIP(host) !== 0 && Number.isInteger(port) && port >= 0 && port < 65_536;
 }, 'must be an IP number and a port, as in 10.0.0.5:8080').transform(text => parseAddress(text));
 
+/** Addresses separated by commas; none if there is no text. */
+export const addresses = z.string().transform(text => text.split(',').map(part => part.trim()).filter(part => part !== '')).pipe(z.array(address));
+
 /** An HTTP address by IP number, such as `http://10.0.0.5:7400`. */
 export const httpAddress = z.string().refine(text => {
 	try {
@@ -82,7 +85,8 @@
 
 /** Sections such as `[class.advice]` are two levels deep. */
 const describePlace = (text: string, path: readonly PropertyKey[], unknownKey: string | undefined): Place => {
-	const names = [...path.map(String), ...(unknownKey === undefined ? [] : [unknownKey])];
+	// An element of a list stands in the line of its list.
+	const names = [...path.filter(part => typeof part !== 'number').map(String), ...(unknownKey === undefined ? [] : [unknownKey])];
 	const isNested = names.length > 2 || (names.length === 2 && findLine(text, names.join('.'), undefined) > 0);
 	const section = names.slice(0, isNested ? 2 : 1).join('.');
 	const key = names[isNested ? 2 : 1];
