--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -243,7 +243,12 @@
 		incoming.on('error', () => undefined);
 	};
 
+	/** Connections that have brought a request. */
+	const known = new WeakSet<object>();
+
 	const receiveCall = (incoming: IncomingMessage, response: ServerResponse) => {
+		const isFirst = !known.has(incoming.socket);
+		known.add(incoming.socket);
 		response.on('error', () => undefined);
 		const head = decodeCall({
 			method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
@@ -287,7 +292,7 @@
 			},
 		};
 		readBody(incoming, limit, body => {
-			intakes[decideIntake(Math.max(lag, loop.delay()))](body);
+			intakes[decideIntake(Math.max(lag, loop.delay()), isFirst)](body);
 		}, () => {
 			log.write('failure', 'call-malformed', {call: head.val.key, reason: `body: is larger than ${limit} bytes`});
 			sendFault(response, createFault('too-large', `body: is larger than ${limit} bytes`), isStopping);
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -46,15 +46,15 @@
 	];
 };
 
-const setRegistry = (state: EdgeState, registry: Registry): EdgeStep => ({
-	state: {...state, registry}, effects: logEndpoints(state.registry, registry),
-});
+const setRegistry = (state: EdgeState, registry: Registry): EdgeStep => registry === state.registry
+	? stay(state)
+	: {state: {...state, registry}, effects: logEndpoints(state.registry, registry)};
 
 /** Milliseconds that a call waits for tokens: a store that answers at all takes a few, a slow one a quarter of a second. */
 const longestGrant = 300;
 
 const expireCalls: Decide<'tick'> = (state, event, now) => {
-	const flights = state.flights.valueSeq().toArray().filter(flight => flight.phase !== 'leaving');
+	const flights = [...state.flights.values()].filter(flight => flight.phase !== 'leaving');
 	const expired = flights.filter(flight => now >= flight.expiresAt);
 	const ungranted = flights.filter(flight => now < flight.expiresAt && flight.phase === 'granting' && now - flight.phaseAt >= longestGrant);
 	return chain(
@@ -91,11 +91,22 @@
 /** Milliseconds between looks at whether tokens are to be drawn, returned or settled; calls that wait for tokens do not wait for it. */
 const purseInterval = 60;
 
+/** Milliseconds between looks at endpoints that have gone or say nothing. */
+const lookInterval = 100;
+
+const lookAtEndpoints = (state: EdgeState, random: number, now: number): EdgeStep => {
+	if (now - state.lookedAt < lookInterval) {
+		return stay(state);
+	}
+
+	const dropped = setRegistry({...state, lookedAt: now}, dropMissing(state.registry, now));
+	return chain(dropped, current => leaveSilent(current, random, now));
+};
+
 const receiveTick: Decide<'tick'> = (state, event, now) => {
 	const expired = expireCalls(state, event, now);
 	const settled = chain(expired, current => now - current.purse.tickedAt < purseInterval ? stay(current) : updatePurse(current, {kind: 'tick'}, event.random, now));
-	const dropped = chain(settled, current => setRegistry(current, dropMissing(current.registry, now)));
-	const left = chain(dropped, current => leaveSilent(current, event.random, now));
+	const left = chain(settled, current => lookAtEndpoints(current, event.random, now));
 	const told = chain(left, current => tellPeers(current, now));
 	return chain(told, current => placeWaiting(current, event.random, now));
 };
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -89,7 +89,7 @@
 */
 export const placeFlight = (state: EdgeState, flight: Flight, random: number, now: number): EdgeStep => {
 	const service = state.catalog?.services.get(flight.service);
-	const endpoints = state.registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.service === flight.service);
+	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => endpoint.service === flight.service);
 	const choice: Placement = service === undefined
 		? {kind: 'none'}
 		: chooseEndpoint(endpoints, {
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -27,6 +27,8 @@
 	peerSums: Loads;
 	/** When the peers were told last, in ms. */
 	toldAt: number;
+	/** When endpoints that have gone or say nothing were looked for last, in ms. */
+	lookedAt: number;
 	isStopping: boolean;
 }>;
 
@@ -65,6 +67,7 @@
 	peers: Map(),
 	peerSums: Map(),
 	toldAt: 0,
+	lookedAt: 0,
 	isStopping: false,
 });
 
--- a/src/place/place.ts
+++ b/src/place/place.ts
@@ -122,17 +122,20 @@
 /** The part of a prompt that decides where its like goes: the last one that others share. */
 const pickAffinity = (work: Work | undefined): string | undefined => work?.parts.at(-2)?.id ?? work?.parts.at(-1)?.id;
 
-/** Rank of an endpoint for a part: the same at every router. */
-const rankEndpoint = (part: string, endpoint: Endpoint): number => hashText(`${part}/${endpoint.id}`);
+/** Rank of an endpoint for a part, by their hashes: the same at every router. */
+const rankEndpoint = (partHash: number, endpoint: Endpoint): number => Math.imul(partHash, endpoint.hash);
 
 /** Endpoints that take the requests of one part. */
 const rankedPerPart = 2;
 
-const pickRanked = (part: string, endpoints: readonly Endpoint[]): readonly Endpoint[] => endpoints
-	.map(endpoint => ({endpoint, rank: rankEndpoint(part, endpoint)}))
-	.toSorted((a, b) => b.rank - a.rank)
-	.slice(0, rankedPerPart)
-	.map(({endpoint}) => endpoint);
+const pickRanked = (part: string, endpoints: readonly Endpoint[]): readonly Endpoint[] => {
+	const partHash = hashText(part);
+	return endpoints
+		.map(endpoint => ({endpoint, rank: rankEndpoint(partHash, endpoint)}))
+		.toSorted((a, b) => b.rank - a.rank)
+		.slice(0, rankedPerPart)
+		.map(({endpoint}) => endpoint);
+};
 
 /** An endpoint, and what speaks for and against it; the least weight is best. */
 type Weighed = Readonly<{endpoint: Endpoint; newTokens: number; predicted: number; weight: number}>;
--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -128,14 +128,18 @@
 
 describe('a process that is behind', () => {
 	test.each([[0, 'take'], [99, 'take'], [150, 'check'], [399, 'check'], [400, 'refuse'], [5000, 'refuse']])('by %d ms: %s', (lag, intake) => {
-		expect(decideIntake(lag)).toBe(intake);
+		expect(decideIntake(lag, false)).toBe(intake);
+	});
+
+	test.each([[0, 'check'], [399, 'check'], [400, 'refuse']] as const)('the first request of a connection, %i ms behind: %s', (lag, intake) => {
+		expect(decideIntake(lag, true)).toBe(intake);
 	});
 
 	/** A second of work is worth 500 calls; callers that hear nothing within a second leave, and ask again twice at once. */
 	const playFlood = (decide: typeof decideIntake) => Array.from({length: 400}).reduce<Readonly<{backlog: number; inVain: number}>>(({backlog, inVain}) => {
 		const lag = backlog * 2;
 		const arrivals = lag > 1000 ? 15 : 6;
-		const isRefused = decide(lag) === 'refuse';
+		const isRefused = decide(lag, false) === 'refuse';
 		// A refusal takes a quarter of the work of a call.
 		const work = isRefused ? arrivals / 4 : arrivals;
 		return {backlog: Math.max(0, backlog + work - 5), inVain: inVain + (lag > 1000 && !isRefused ? arrivals : 0)};
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -97,17 +97,19 @@
 Decides whether a request is taken in.
 
 Load pattern: callers repeat at once and often, and the processor cannot keep up;
-requests are read so late that their callers have gone.
+requests are read so late that their callers have gone. The first request of a
+connection may have waited long before the connection was accepted, which nothing shows.
 
 @param lag - Milliseconds that the process is behind its timers.
+@param isFirst - True for the first request of a connection.
 @returns What becomes of it.
 */
-export const decideIntake = (lag: number): Intake => {
-	if (lag < checkedLag) {
-		return 'take';
+export const decideIntake = (lag: number, isFirst: boolean): Intake => {
+	if (lag >= refusedLag) {
+		return 'refuse';
 	}
 
-	return lag < refusedLag ? 'check' : 'refuse';
+	return isFirst || lag >= checkedLag ? 'check' : 'take';
 };
 
 /** Seconds after which a caller that was turned away may come back, at the least and at the most. */
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,4 +1,5 @@
 import {Map} from 'immutable';
+import {hashText} from '../random/index.js';
 
 /** What an endpoint says of itself in the platform's registry. */
 export type Listing = Readonly<{
@@ -17,6 +18,8 @@
 
 /** An endpoint, and what this router has learned of its present incarnation. */
 export type Endpoint = Listing & Readonly<{
+	/** Of its id. */
+	hash: number;
 	/** When its entry went missing while the registry may have been wrong, in ms; undefined while it is listed. */
 	missingSince: number | undefined;
 	/** Calls of this router that it works on. */
@@ -64,6 +67,7 @@
 
 const createEndpoint = (listing: Listing): Endpoint => ({
 	...listing,
+	hash: hashText(listing.id),
 	missingSince: undefined,
 	open: 0,
 	pending: 0,
