--- a/src/log/output.ts
+++ b/src/log/output.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import {backlogLimit, openBoundedLog} from './bounded.js';
 import type {BoundedLog} from './bounded.js';
 import type {Fields} from './line.js';
@@ -11,7 +11,7 @@
 @returns The log.
 */
 export const openOutputLog = (base: Fields): BoundedLog => {
-	const output = new SonicBoom({fd: process.stdout.fd, sync: false, maxLength: 2 * backlogLimit});
+	const output = new sonicBoom.SonicBoom({fd: process.stdout.fd, sync: false, maxLength: 2 * backlogLimit});
 	output.on('error', () => undefined);
 	let waiting = 0;
 	output.on('write', (bytes: number) => {
