--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -206,7 +206,15 @@
 		const index = random.pick(routers.length);
 		const router = routers[index]!;
 		const call: Call = {
-			id: `${isAct ? 'act' : 'chat'}-${seed}-${calls.length}`, router: index, organisation, sentAt: getNow(), status: undefined, body: '', isWhole: false, hasLeft: false, endedAt: Number.POSITIVE_INFINITY,
+			id: `${isAct ? 'act' : 'chat'}-${seed}-${calls.length}`,
+			router: index,
+			organisation,
+			sentAt: getNow(),
+			status: undefined,
+			body: '',
+			isWhole: false,
+			hasLeft: false,
+			endedAt: Number.POSITIVE_INFINITY,
 		};
 		calls.push(call);
 		const end = () => {
