--- a/src/edge/carrier.test.ts
+++ b/src/edge/carrier.test.ts
@@ -36,6 +36,22 @@
 
 const signed = 'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\n';
 
+/** A front that hands one call to a carrier, for an endpoint at a port. */
+const createFront = (carrier: ReturnType<typeof openCarrier>, endpoint: number) => createHttpServer((incoming, response) => {
+	incoming.resume();
+	incoming.on('end', () => {
+		const head = decodeCall({
+			method: 'GET', url: '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
+		}).unwrap();
+		carrier.accept(1, head, 'h', Buffer.alloc(0), response);
+		carrier.send({
+			kind: 'send', call: 1, attempt: 1, address: `127.0.0.1:${endpoint}`, maxConnections: 10, sending: {
+				endpoint: 'i-1', remaining: 1000, organisation: undefined, urgency: undefined, resumeAfter: undefined,
+			},
+		});
+	});
+});
+
 type Played = Readonly<{event: EdgeEvent; status: number | undefined; body: string; isWhole: boolean}>;
 
 /** Sends one call through a carrier; gives the first event of its attempt, and what the caller got. */
@@ -52,20 +68,7 @@
 			isClosing: () => false,
 			random: () => 0,
 		});
-		const front = createHttpServer((incoming, response) => {
-			incoming.resume();
-			incoming.on('end', () => {
-				const head = decodeCall({
-					method: 'GET', url: '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
-				}).unwrap();
-				carrier.accept(1, head, 'h', Buffer.alloc(0), response);
-				carrier.send({
-					kind: 'send', call: 1, attempt: 1, address: `127.0.0.1:${endpoint}`, maxConnections: 10, sending: {
-						endpoint: 'i-1', remaining: 1000, organisation: undefined, urgency: undefined, resumeAfter: undefined,
-					},
-				});
-			});
-		});
+		const front = createFront(carrier, endpoint);
 		const call = async () => {
 			const port = await listen(front);
 			const outgoing = request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}});
@@ -251,17 +254,7 @@
 				isClosing: () => false,
 				random: () => 0,
 			});
-			const front = createHttpServer((incoming, response) => {
-				const head = decodeCall({
-					method: 'GET', url: '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
-				}).unwrap();
-				carrier.accept(1, head, 'h', Buffer.alloc(0), response);
-				carrier.send({
-					kind: 'send', call: 1, attempt: 1, address: `127.0.0.1:${endpoint}`, maxConnections: 10, sending: {
-						endpoint: 'i-1', remaining: 1000, organisation: undefined, urgency: undefined, resumeAfter: undefined,
-					},
-				});
-			});
+			const front = createFront(carrier, endpoint);
 			const call = async () => {
 				const port = await listen(front);
 				request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end();
