Log and count how the end of a stream was marked

The logs of a stream delivered as complete did not tell how its endpoint ended it: by a length, by its last chunk or by closing the connection, nor whether part of an event was left over. call-ended has framing and partialBytes now, and galena_streams_ended_total counts streams by framing and by whether their last event was whole. No decision changes.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -261,13 +261,22 @@
 Handles a stream that ended normally.
 
 @param state - The edge state.
-@param event - The request and attempt of the stream, and its number of events.
+@param event - The request and attempt of the stream, its number of events, and how its end was marked.
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const receiveStreamEnd = (state: EdgeState, event: EdgeEvent & {kind: 'stream-ended'}, now: number): EdgeStep => applyToRequest(state, event.call, request => request.attempt === event.attempt
-	? endRequest(recordResult(state, request, 'good', now), request, {outcome: 'answered', status: 200, events: request.events + event.events}, now)
-	: keepState(state));
+export const receiveStreamEnd = (state: EdgeState, event: EdgeEvent & {kind: 'stream-ended'}, now: number): EdgeStep => applyToRequest(state, event.call, request => {
+	if (request.attempt !== event.attempt) {
+		return keepState(state);
+	}
+
+	const {framing, partialBytes} = event;
+	const ended = endRequest(recordResult(state, request, 'good', now), request, {
+		outcome: 'answered', status: 200, events: request.events + event.events, fields: {framing, partialBytes},
+	}, now);
+	const ending = partialBytes === 0 ? 'whole-event' : 'partial-event';
+	return {state: ended.state, effects: [{kind: 'count', metric: 'streamsEnded', labels: {service: request.service, framing, ending}}, ...ended.effects]};
+});
 
 /** Ends the request of a client that disconnected. One event more than the count is charged: it may have been in transit. */
 const endDisconnectedRequest = (state: EdgeState, request: InFlightRequest, events: number, now: number): EdgeStep =>
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import type {
-	ClientRequest, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
+	ClientRequest, IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
 } from 'node:http';
 import {createErrorResponse} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
@@ -10,7 +10,9 @@
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {splitEvents} from './event-stream.js';
-import type {EdgeEffect, EdgeEvent, FailureStage} from './messages.js';
+import type {
+	EdgeEffect, EdgeEvent, FailureStage, Framing,
+} from './messages.js';
 
 /** Time limit for opening a connection, in ms. Well above a round trip, and below the retransmission of a lost SYN, which takes seconds. */
 const connectTimeoutMs = 500;
@@ -98,6 +100,9 @@
 	return upstream.response?.head.isStream === true && upstream.response.head.status === 200 ? 'streaming' : 'sent';
 };
 
+const getFraming = (headers: IncomingHttpHeaders): Framing =>
+	headers['transfer-encoding'] === undefined ? (headers['content-length'] === undefined ? 'close' : 'length') : 'chunked';
+
 /**
 Opens a proxy between clients and endpoints.
 
@@ -152,7 +157,7 @@
 	*/
 	const detectReset = (upstream: Upstream, incoming: IncomingMessage): void => {
 		const {headers, socket} = incoming;
-		if (headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined) {
+		if (getFraming(headers) !== 'close') {
 			return;
 		}
 
@@ -382,13 +387,13 @@
 		}
 	};
 
-	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream): void => {
+	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, incoming: IncomingMessage): void => {
 		upstream.isFinished = true;
 		removeRequest(requestId);
 		sendStreamHead(activeRequest, upstream);
 		activeRequest.response.end(upstream.partialEvent);
 		post({
-			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount,
+			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing: getFraming(incoming.headers), partialBytes: upstream.partialEvent.length,
 		});
 	};
 
@@ -410,7 +415,7 @@
 			if (incoming.complete) {
 				awaitCompletion(upstream, () => {
 					if (!upstream.isFinished) {
-						endStream(requestId, activeRequest, upstream);
+						endStream(requestId, activeRequest, upstream, incoming);
 					}
 				}, () => {
 					failAttempt(requestId, upstream, 'streaming', 'connection reset at the end of the stream');
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -17,6 +17,9 @@
 	/** The request ran, and its stream was interrupted. */
 	| 'streaming';
 
+/** What marks the end of a response's body: its stated length, its last chunk, or the close of its connection. */
+export type Framing = 'length' | 'chunked' | 'close';
+
 /** Events of the edge router. `call` is the number of a request; `random` is in [0, 1). */
 export type EdgeEvent =
 	/** A client's request was read completely. */
@@ -31,8 +34,8 @@
 	| Readonly<{kind: 'endpoint-failed'; call: number; attempt: number; stage: FailureStage; reason: string; events: number; lastEventId: string | undefined; random: number}>
 	/** The first event of a stream was sent to the client. */
 	| Readonly<{kind: 'stream-began'; call: number; attempt: number}>
-	/** The stream ended normally. */
-	| Readonly<{kind: 'stream-ended'; call: number; attempt: number; events: number}>
+	/** The stream ended normally; `partialBytes` counts the bytes after its last complete event. */
+	| Readonly<{kind: 'stream-ended'; call: number; attempt: number; events: number; framing: Framing; partialBytes: number}>
 	| Readonly<{kind: 'catalog-read'; config: RoutingConfig}>
 	| Readonly<{kind: 'endpoints-listed'; entries: readonly RegistryEntry[]}>
 	| Readonly<{kind: 'endpoint-changed'; id: string; listing: RegistryEntry | undefined}>
@@ -73,7 +76,7 @@
 	| Readonly<{kind: 'observe'; metric: HistogramName; labels: Readonly<Record<string, string>>; milliseconds: number}>;
 
 /** Names of counters. */
-export type CounterName = 'calls' | 'attemptsFailed';
+export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded';
 
 /** Names of histograms. */
 export type HistogramName = 'call' | 'firstOutput';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -26,6 +26,12 @@
 		attemptsFailed: new Counter({
 			name: 'galena_attempts_failed_total', help: 'Failed attempts, by service and how far they got.', labelNames: ['service', 'stage'], registers,
 		}),
+		streamsEnded: new Counter({
+			name: 'galena_streams_ended_total',
+			help: 'Streams that ended normally, by service, framing and whether their last event is whole.',
+			labelNames: ['service', 'framing', 'ending'],
+			registers,
+		}),
 	};
 	const histograms: Readonly<Record<TimerName, Histogram>> = {
 		call: new Histogram({
