--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -192,6 +192,44 @@
 	});
 });
 
+describe('a stream that ends inside an event is not delivered as complete', () => {
+	const partial = 'id: 1\ndata: a\n\nid: 2\nda';
+
+	test.each<[string, (socket: Socket) => void]>([
+		['if its connection is closed', socket => {
+			socket.end(`${stream}\r\n${partial}`);
+		}],
+		['if its connection is reset', socket => {
+			socket.write(`${stream}\r\n${partial}`, () => {
+				socket.resetAndDestroy();
+			});
+		}],
+		['after its last chunk', socket => {
+			socket.write(`${stream}Transfer-Encoding: chunked\r\n\r\n${partial.length.toString(16)}\r\n${partial}\r\n0\r\n\r\n`);
+		}],
+		['at its stated length', socket => {
+			socket.write(`${stream}Content-Length: ${partial.length}\r\n\r\n${partial}`);
+		}],
+	])('%s', async (_, respond) => {
+		const result = await proxyRequest(respond, streamOrClose);
+		expect(result).toMatchObject({
+			event: {
+				kind: 'endpoint-failed', stage: 'streaming', events: 1, lastEventId: '1',
+			}, body: 'id: 1\ndata: a\n\n', isComplete: false,
+		});
+	});
+});
+
+test.each([
+	['an event', 'id: 1\ndata: a\n\n'],
+	['further line ends', 'id: 1\r\ndata: a\r\n\r\n\r\n'],
+])('a stream that ends with its connection after %s is complete', async (_, events) => {
+	const result = await proxyRequest(socket => {
+		socket.end(`${stream}\r\n${events}`);
+	}, streamOrClose);
+	expect(result).toMatchObject({event: {kind: 'stream-ended', events: 1}, body: events, isComplete: true});
+});
+
 test('a stream with malformed chunks fails in the streaming stage', async () => {
 	const result = await proxyRequest(socket => {
 		socket.write(`${stream}Transfer-Encoding: chunked\r\n\r\n3\r\nid: 1\ndata: a\n\n`);
