Flush a client's events before its connection is closed

Callers of a stream that was broken off lost the events written in the same turn, although they were counted as delivered and charged: closing the response destroys its socket, whose writes are still corked. The new test failed before with an empty body. The socket now ends after what was written, without the last chunk, so that the response still looks incomplete. A client that does not keep up is cut at once, as before.

--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -230,6 +230,16 @@
 	expect(result).toMatchObject({event: {kind: 'stream-ended', events: 1}, body: events, isComplete: true});
 });
 
+test('events sent just before the client\'s connection is closed reach the client', async () => {
+	const result = await proxyRequest(socket => {
+		socket.write(`${stream}Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n`);
+	}, (event, proxy) => {
+		(event.kind === 'stream-began' ? proxy.closeClient : proxy.streamResponse)(1);
+		return event.kind === 'stream-began';
+	});
+	expect(result).toMatchObject({body: 'id: 1\ndata: a\n\n', isComplete: false});
+});
+
 test('a stream with malformed chunks fails in the streaming stage', async () => {
 	const result = await proxyRequest(socket => {
 		socket.write(`${stream}Transfer-Encoding: chunked\r\n\r\n3\r\nid: 1\ndata: a\n\n`);
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -467,7 +467,13 @@
 			}
 		},
 		closeClient(requestId) {
-			removeRequest(requestId)?.response.destroy();
+			const response = removeRequest(requestId)?.response;
+			if (response?.socket && !response.writableNeedDrain) {
+				// Events written just before are still in the socket's buffer.
+				response.socket.destroySoon();
+			} else {
+				response?.destroy();
+			}
 		},
 		closeIdleConnections(address) {
 			Object.values(agents.get(address)?.freeSockets ?? {}).flatMap(sockets => sockets ?? []).forEach(socket => {
