Treat a stream that ends inside an event as broken off

Cause: the router took the end of the endpoint's HTTP body as the end of the stream. A body without a length or chunks ends wherever its connection is closed, so a close inside an event looked like the normal end; the router sent the part of the event that it held and ended its own response with a last chunk. The same happened with a last chunk or a stated length inside an event.

Why it works: the events themselves tell that the stream is broken, whatever the framing. The attempt fails like any other broken stream: it is resumed at another endpoint where the route allows it, and otherwise the client's connection is closed without a last chunk, after the complete events.

The test "is forwarded event by event" stated a length of 24 for a stream of 30 bytes, that is, an end inside an event, and checked only the status. It states the true length now, and checks the whole body too. The fields partialBytes and ending of the logs and the metric are removed, as a stream no longer ends normally after part of an event; the reason of attempt-failed has the framing.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -270,12 +270,11 @@
 		return keepState(state);
 	}
 
-	const {framing, partialBytes} = event;
+	const {framing} = event;
 	const ended = endRequest(recordResult(state, request, 'good', now), request, {
-		outcome: 'answered', status: 200, events: request.events + event.events, fields: {framing, partialBytes},
+		outcome: 'answered', status: 200, events: request.events + event.events, fields: {framing},
 	}, now);
-	const ending = partialBytes === 0 ? 'whole-event' : 'partial-event';
-	return {state: ended.state, effects: [{kind: 'count', metric: 'streamsEnded', labels: {service: request.service, framing, ending}}, ...ended.effects]};
+	return {state: ended.state, effects: [{kind: 'count', metric: 'streamsEnded', labels: {service: request.service, framing}}, ...ended.effects]};
 });
 
 /** Ends the request of a client that disconnected. One event more than the count is charged: it may have been in transit. */
--- a/src/edge/event-stream.ts
+++ b/src/edge/event-stream.ts
@@ -12,6 +12,14 @@
 	partialEvent: Buffer;
 }>;
 
+/**
+Checks whether an event stream may end here.
+
+@param partialEvent - Bytes after the last complete event.
+@returns False if they begin another event, which has then been broken off.
+*/
+export const canEndAfter = (partialEvent: Buffer): boolean => /^[\r\n]*$/v.test(partialEvent.toString('latin1'));
+
 const eventTerminator = /\r?\n\r?\n/gv;
 const idLine = /(?:^|\n)id: ?(?<id>[^\r\n]*)/gv;
 
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -266,7 +266,7 @@
 		const edge = createBudgetedEdge(500).sendRequest(1, 'whole', {modelRequest});
 		expect(getTokens(edge)).toEqual({reserved: 120, charged: 0});
 		edge.respond(1, 1, streamHead).post({
-			kind: 'stream-ended', call: 1, attempt: 1, events: 7, framing: 'chunked', partialBytes: 0,
+			kind: 'stream-ended', call: 1, attempt: 1, events: 7, framing: 'chunked',
 		});
 		expect(getTokens(edge)).toEqual({reserved: 0, charged: 107});
 	});
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -172,10 +172,10 @@
 describe('a stream', () => {
 	test('is forwarded event by event', async () => {
 		const result = await proxyRequest(socket => {
-			socket.write(`${stream}Content-Length: 24\r\n\r\nid: 1\ndata: a\n\nid: 2\nda`);
+			socket.write(`${stream}Content-Length: 30\r\n\r\nid: 1\ndata: a\n\nid: 2\nda`);
 			socket.write('ta: b\n\n');
 		}, streamOrClose);
-		expect(result).toMatchObject({status: 200});
+		expect(result).toMatchObject({status: 200, body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', isComplete: true});
 	});
 
 	test('that is interrupted ends after a complete event, and the client sees an incomplete response', async () => {
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -9,7 +9,7 @@
 import {runInBackground} from '../loop/background.js';
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
-import {splitEvents} from './event-stream.js';
+import {canEndAfter, splitEvents} from './event-stream.js';
 import type {
 	EdgeEffect, EdgeEvent, FailureStage, Framing,
 } from './messages.js';
@@ -388,12 +388,17 @@
 	};
 
 	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, incoming: IncomingMessage): void => {
+		if (!canEndAfter(upstream.partialEvent)) {
+			failAttempt(requestId, upstream, 'streaming', `stream with ${getFraming(incoming.headers)} framing ended inside an event`);
+			return;
+		}
+
 		upstream.isFinished = true;
 		removeRequest(requestId);
 		sendStreamHead(activeRequest, upstream);
 		activeRequest.response.end(upstream.partialEvent);
 		post({
-			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing: getFraming(incoming.headers), partialBytes: upstream.partialEvent.length,
+			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing: getFraming(incoming.headers),
 		});
 	};
 
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -34,8 +34,8 @@
 	| Readonly<{kind: 'endpoint-failed'; call: number; attempt: number; stage: FailureStage; reason: string; events: number; lastEventId: string | undefined; random: number}>
 	/** The first event of a stream was sent to the client. */
 	| Readonly<{kind: 'stream-began'; call: number; attempt: number}>
-	/** The stream ended normally; `partialBytes` counts the bytes after its last complete event. */
-	| Readonly<{kind: 'stream-ended'; call: number; attempt: number; events: number; framing: Framing; partialBytes: number}>
+	/** The stream ended normally, after a complete event. */
+	| Readonly<{kind: 'stream-ended'; call: number; attempt: number; events: number; framing: Framing}>
 	| Readonly<{kind: 'catalog-read'; config: RoutingConfig}>
 	| Readonly<{kind: 'endpoints-listed'; entries: readonly RegistryEntry[]}>
 	| Readonly<{kind: 'endpoint-changed'; id: string; listing: RegistryEntry | undefined}>
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -27,10 +27,7 @@
 			name: 'galena_attempts_failed_total', help: 'Failed attempts, by service and how far they got.', labelNames: ['service', 'stage'], registers,
 		}),
 		streamsEnded: new Counter({
-			name: 'galena_streams_ended_total',
-			help: 'Streams that ended normally, by service, framing and whether their last event is whole.',
-			labelNames: ['service', 'framing', 'ending'],
-			registers,
+			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
 	};
 	const histograms: Readonly<Record<TimerName, Histogram>> = {
