Fail a response without a length whose connection to the agent was reset

Callers of galena-agent got the beginning of a plain service's response as the whole response, and of an act it was kept and repeated.

The new test "a response without a length has failed if its connection is reset" failed three times of three before (done instead of failed). The agent's connections are opened by a pool of its own now: at the end of such a response an empty write tells whether the connection was reset, and the attempt fails if it was; an act is then unknown, as after any reset.

--- /dev/null
+++ b/src/agent/endpoint.test.ts
@@ -0,0 +1,42 @@
+import {Buffer} from 'node:buffer';
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {expect, test} from 'vitest';
+import {createCredit} from '../flow-control/index.js';
+import {openEndpoint} from './endpoint.js';
+import type {EndpointRequest, EndpointResult} from './endpoint.js';
+
+const plainRequest: EndpointRequest = {
+	path: '/lodge', method: 'POST', contentType: 'text/plain', body: Buffer.from('x'), isChat: false, isStream: false, isAct: false, outputCap: 0, priority: 5, cap: 0, remainingMs: 1000,
+};
+
+/** Sends a request to an endpoint that writes raw bytes. */
+const runAgainst = async (respond: (socket: Socket) => void): Promise<EndpointResult> => {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			respond(socket);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const client = openEndpoint(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 2);
+	const result = await client.run(plainRequest, {push: () => undefined, credit: createCredit(), signal: new AbortController().signal});
+	await client.close();
+	server.close();
+	return result;
+};
+
+test.each<[string, (socket: Socket) => void, string]>([
+	['is complete if its connection is closed', socket => {
+		socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
+	}, 'done'],
+	['has failed if its connection is reset', socket => {
+		socket.write('HTTP/1.1 200 OK\r\n\r\nwho', () => {
+			socket.resetAndDestroy();
+		});
+	}, 'failed'],
+])('a response without a length %s', async (_, respond, outcome) => {
+	expect(await runAgainst(respond)).toMatchObject({outcome});
+});
--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -1,12 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {createParser} from 'eventsource-parser';
-import {Agent as HttpAgent, request as httpRequest} from 'undici';
+import {request as httpRequest} from 'undici';
 import type {AttemptOutcome} from '../attempt/index.js';
 import type {Credit} from '../flow-control/index.js';
 import {
 	boundPromptTokens, hasChoices, prepareChat, readUsage,
 } from './chat.js';
 import type {Usage} from './chat.js';
+import {openConnectionPool} from './connection-pool.js';
 
 /** A request that the agent sends to its endpoint. */
 export type EndpointRequest = Readonly<{
@@ -218,7 +219,7 @@
 @returns The client.
 */
 export const openEndpoint = (endpointAddress: string, maxConnections: number): EndpointClient => {
-	const dispatcher = new HttpAgent({connections: maxConnections, connect: {timeout: connectTimeoutMs}, pipelining: 1});
+	const dispatcher = openConnectionPool(endpointAddress, maxConnections, connectTimeoutMs);
 
 	const sendRequest = async (request: EndpointRequest, sink: ResponseSink): Promise<EndpointResult> => {
 		const chat = request.isChat ? prepareChat(request.body, request) : undefined;
