Treat a stream that ends with its connection before its first event as broken off

Callers could get an empty stream as a complete response: a body without a length or chunks says nothing when its connection is closed before the first event. The new test failed before with stream-ended. Such a stream fails now like one that ends inside an event; the rest of a resumed stream may be empty.

--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -220,6 +220,13 @@
 	});
 });
 
+test('a stream that ends with its connection before its first event is not delivered as complete', async () => {
+	const result = await proxyRequest(socket => {
+		socket.end(`${stream}\r\n`);
+	}, streamOrClose);
+	expect(result).toMatchObject({event: {kind: 'endpoint-failed', stage: 'streaming', events: 0}, isComplete: false});
+});
+
 test.each([
 	['an event', 'id: 1\ndata: a\n\n'],
 	['further line ends', 'id: 1\r\ndata: a\r\n\r\n\r\n'],
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -47,6 +47,8 @@
 	initialBytesRead: number;
 	response: Readonly<{head: ResponseHead; incoming: IncomingMessage}> | undefined;
 	chunks: readonly Buffer[];
+	/** True if the request asks for the rest of a stream, which may be empty. */
+	readonly isResumed: boolean;
 	partialEvent: Buffer;
 	eventCount: number;
 	lastEventId: string | undefined;
@@ -103,6 +105,15 @@
 const getFraming = (headers: IncomingHttpHeaders): Framing =>
 	headers['transfer-encoding'] === undefined ? (headers['content-length'] === undefined ? 'close' : 'length') : 'chunked';
 
+/** Returns how a stream shows that it was broken off although its body has ended normally; undefined if it does not. */
+const findBreak = (upstream: Upstream, framing: Framing): string | undefined => {
+	if (!canEndAfter(upstream.partialEvent)) {
+		return `stream with ${framing} framing ended inside an event`;
+	}
+
+	return framing === 'close' && upstream.eventCount === 0 && !upstream.isResumed ? 'stream ended with its connection before its first event' : undefined;
+};
+
 /**
 Opens a proxy between clients and endpoints.
 
@@ -280,6 +291,7 @@
 			initialBytesRead: 0,
 			response: undefined,
 			chunks: [],
+			isResumed: effect.metadata.resumeAfter !== undefined,
 			partialEvent: Buffer.alloc(0),
 			eventCount: 0,
 			lastEventId: undefined,
@@ -388,8 +400,10 @@
 	};
 
 	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, incoming: IncomingMessage): void => {
-		if (!canEndAfter(upstream.partialEvent)) {
-			failAttempt(requestId, upstream, 'streaming', `stream with ${getFraming(incoming.headers)} framing ended inside an event`);
+		const framing = getFraming(incoming.headers);
+		const reason = findBreak(upstream, framing);
+		if (reason !== undefined) {
+			failAttempt(requestId, upstream, 'streaming', reason);
 			return;
 		}
 
@@ -398,7 +412,7 @@
 		sendStreamHead(activeRequest, upstream);
 		activeRequest.response.end(upstream.partialEvent);
 		post({
-			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing: getFraming(incoming.headers),
+			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing,
 		});
 	};
 
