Decode and log the software version of endpoints, and which stream a client resumes

An entry without a version names no endpoint to use, as without any other field of the page. No other decision changes.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -27,7 +27,7 @@
 });
 
 const createEntry = (id: string, fields: Partial<RegistryEntry> = {}): RegistryEntry => ({
-	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre: 'z', slots: 6, isLeaving: false, slowStartMs: 0, startedAt: 1, ...fields,
+	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 6, isLeaving: false, slowStartMs: 0, startedAt: 1, ...fields,
 });
 
 const routes = [createRoute('safe', 'safe'), createRoute('act', 'unsafe'), createRoute('stream', 'stream', {isResumable: true}), createRoute('whole', 'stream')];
@@ -55,7 +55,7 @@
 	sendRequest(id: number, route: string, fields: Partial<RequestHead> = {}): this {
 		return this.post({
 			kind: 'call-arrived', call: id, random: 0.5, head: {
-				key: `c${id}`, method: 'GET', url: `/${route}/x`, host: 'h', apiKey: 'k', clientTimeoutMs: 3000, modelRequest: undefined, resumeAfter: undefined, forwardedHeaders: [], ...fields,
+				key: `c${id}`, method: 'GET', url: `/${route}/x`, host: 'h', apiKey: 'k', clientTimeoutMs: 3000, modelRequest: undefined, resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [], ...fields,
 			},
 		});
 	}
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -39,8 +39,8 @@
 	const added = after.endpoints.valueSeq().toArray().filter(endpoint => before.endpoints.get(endpoint.id)?.startedAt !== endpoint.startedAt);
 	const removed = before.endpoints.keySeq().toArray().filter(id => !after.endpoints.has(id));
 	return [
-		...added.map(({id, service, address, dataCentre}) => createLogEffect('endpoint-came', {
-			endpoint: id, service, address, dataCentre,
+		...added.map(({id, service, address, dataCentre, softwareVersion}) => createLogEffect('endpoint-came', {
+			endpoint: id, service, address, dataCentre, softwareVersion,
 		})),
 		...removed.flatMap(id => [createLogEffect('endpoint-went', {endpoint: id}), {kind: 'forget', address: before.endpoints.get(id)!.address} as const]),
 	];
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -23,6 +23,8 @@
 	modelRequest: ModelRequest | undefined;
 	/** Id of the last stream event that the client has received. */
 	resumeAfter: string | undefined;
+	/** Key of the earlier request that brought the first event of the stream that the client resumes; undefined for a new stream. */
+	resumedKey: string | undefined;
 	/** Raw headers that are forwarded to the endpoint. */
 	forwardedHeaders: readonly string[];
 }>;
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -14,6 +14,8 @@
 	}, 'is not an IP address and a port'),
 	/** The data centre. */
 	zone: z.string(),
+	/** Version of the endpoint's software, not of its model. */
+	version: z.string(),
 	slots: z.number().int().nonnegative(),
 	state: z.enum(['ready', 'draining']),
 	/** Remaining warm-up time after the start, during which the endpoint is slow. */
@@ -41,6 +43,7 @@
 		service: data.service,
 		address: data.address,
 		dataCentre: data.zone,
+		softwareVersion: data.version,
 		slots: data.slots,
 		isLeaving: data.state === 'draining',
 		slowStartMs: data.coldRemainingMs,
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -49,13 +49,13 @@
 });
 
 const entry = {
-	service: 's1', address: '10.1.0.9:8080', zone: 'z1', slots: 64, state: 'ready', coldRemainingMs: 5, born: 12, sequence: 4,
+	service: 's1', address: '10.1.0.9:8080', zone: 'z1', version: 'v1.2', slots: 64, state: 'ready', coldRemainingMs: 5, born: 12, sequence: 4,
 };
 
 describe('an endpoint\'s entry', () => {
 	test('is decoded', () => {
 		expect(decodeEntry('i-1', JSON.stringify(entry)).unwrap()).toEqual({
-			id: 'i-1', service: 's1', address: '10.1.0.9:8080', dataCentre: 'z1', slots: 64, isLeaving: false, slowStartMs: 5, startedAt: 12,
+			id: 'i-1', service: 's1', address: '10.1.0.9:8080', dataCentre: 'z1', softwareVersion: 'v1.2', slots: 64, isLeaving: false, slowStartMs: 5, startedAt: 12,
 		});
 	});
 
@@ -63,6 +63,7 @@
 		['bytes that are not JSON', '\u0000\u00FF', 'endpoint i-1'],
 		['an unknown state', JSON.stringify({...entry, state: 'odd'}), 'state'],
 		['a host name as its address', JSON.stringify({...entry, address: 'host:80'}), 'address'],
+		['no version', JSON.stringify({...entry, version: undefined}), 'version'],
 		['no service', JSON.stringify({...entry, service: undefined}), 'service'],
 		['slots as text', JSON.stringify({...entry, slots: '64'}), 'slots'],
 	])('with %s is rejected with the name of the field', (_, text, field) => {
@@ -74,7 +75,7 @@
 
 const headers = {
 	host: 'Shop.Example:80', 'attempt-id': 'a1', 'request-deadline-ms': '5000', authorization: 'Token k1',
-	'token-counts': '1460,80', 'prompt-prefix': '5c:800,e4:660', model: 'm', 'last-event-id': '12',
+	'token-counts': '1460,80', 'prompt-prefix': '5c:800,e4:660', model: 'm', 'last-event-id': '12', resumes: 'a0',
 };
 
 const toRaw = (fields: Readonly<Record<string, string>>) => Object.entries(fields).flat();
@@ -86,7 +87,7 @@
 describe('a client request', () => {
 	test('is decoded from its headers', () => {
 		expect(decodeHeaders(headers).unwrap()).toMatchObject({
-			key: 'a1', host: 'shop.example', apiKey: 'k1', clientTimeoutMs: 5000, resumeAfter: '12',
+			key: 'a1', host: 'shop.example', apiKey: 'k1', clientTimeoutMs: 5000, resumeAfter: '12', resumedKey: 'a0',
 			modelRequest: {promptTokens: 1460, maxOutputTokens: 80, parts: [{id: '5c', tokens: 800}, {id: 'e4', tokens: 660}]},
 		});
 	});
@@ -117,6 +118,7 @@
 			'token-counts': '1460,80',
 			'prompt-prefix': '5c:800,e4:660',
 			model: 'm',
+			resumes: 'a0',
 			'x-own': 'kept',
 			'content-length': '3',
 			'request-deadline-ms': '900',
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -20,6 +20,8 @@
 	promptParts: 'prompt-prefix',
 	/** Id of the last stream event that the client received. */
 	lastEventId: 'last-event-id',
+	/** Id of the client's attempt that brought the first event of the stream that it resumes. */
+	resumes: 'resumes',
 	credentials: 'authorization',
 	/** Name of the organisation, sent to the endpoint. */
 	organisation: 'tenant',
@@ -147,6 +149,7 @@
 		clientTimeoutMs: timeout.val,
 		modelRequest: modelRequest.val,
 		resumeAfter: readHeader(headers, headerNames.lastEventId),
+		resumedKey: readHeader(headers, headerNames.resumes),
 		forwardedHeaders: omitHeaders(incoming.rawHeaders, strippedFromRequests),
 	});
 };
--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -18,7 +18,7 @@
 	head: {
 		key: String(id), method: 'POST', url: '/', host: 'h', apiKey: undefined, clientTimeoutMs: 5000, modelRequest: {
 			model: 'm', promptTokens: tokens, maxOutputTokens: 50, parts: [],
-		}, resumeAfter: undefined, forwardedHeaders: [],
+		}, resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [],
 	},
 	route: {...route, targetMs: target},
 	service: 's',
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -8,6 +8,8 @@
 	/** IP number and port. */
 	address: string;
 	dataCentre: string;
+	/** Endpoints of a service may have several versions, which are not ordered. */
+	softwareVersion: string;
 	/** Requests that it runs at once. */
 	slots: number;
 	isLeaving: boolean;
--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -47,7 +47,7 @@
 
 	const register = (state: 'ready' | 'draining') => {
 		store.put('servers', getId(), {
-			service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'z', slots: 64, state, coldRemainingMs: 0, sequence: 1, born: 1000 + incarnation,
+			service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'z', version: 'v1', slots: 64, state, coldRemainingMs: 0, sequence: 1, born: 1000 + incarnation,
 		});
 	};
 
