--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -55,7 +55,8 @@
 	sendRequest(id: number, route: string, fields: Partial<RequestHead> = {}): this {
 		return this.post({
 			kind: 'call-arrived', call: id, random: 0.5, head: {
-				key: `c${id}`, method: 'GET', url: `/${route}/x`, host: 'h', apiKey: 'k', clientTimeoutMs: 3000, modelRequest: undefined, resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [], ...fields,
+				key: `c${id}`, method: 'GET', url: `/${route}/x`, host: 'h', apiKey: 'k', clientTimeoutMs: 3000, modelRequest: undefined,
+				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [], ...fields,
 			},
 		});
 	}
