--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -171,6 +171,53 @@
 	});
 });
 
+describe('a stream of a service with several software versions', () => {
+	const oneOfEach = [createEntry('e1'), createEntry('e2', {softwareVersion: 'v2'})];
+	const twoOfEach = [...oneOfEach, createEntry('e3'), createEntry('e4', {softwareVersion: 'v2'})];
+	const findVersion = (id: string) => twoOfEach.find(entry => entry.id === id)?.softwareVersion;
+
+	const startStream = (entries: readonly RegistryEntry[]) => {
+		const edge = new EdgeHarness().start(entries).sendRequest(1, 'stream');
+		const first = edge.getSentTo();
+		edge.respond(1, 1, streamHead).post({kind: 'stream-began', call: 1, attempt: 1});
+		return {edge, first};
+	};
+
+	test('is resumed only at an endpoint of its own version', () => {
+		const {edge, first} = startStream(twoOfEach);
+		const second = edge.failAttempt(1, 1, {stage: 'streaming', events: 3, lastEventId: '3'}).getSentTo();
+		expect(second).not.toBe(first);
+		expect(findVersion(second)).toBe(findVersion(first));
+	});
+
+	test('is cut if no other endpoint has its version', () => {
+		const {edge, first} = startStream(oneOfEach);
+		edge.post({kind: 'endpoint-changed', id: first, listing: undefined}).failAttempt(1, 1, {stage: 'streaming', events: 3, lastEventId: '3'});
+		expect(edge.listEffects()).toContain('cut');
+	});
+
+	test('is retried at any version while it has no events', () => {
+		const {edge, first} = startStream(oneOfEach);
+		const second = edge.failAttempt(1, 1, {stage: 'streaming'}).getSentTo();
+		expect(findVersion(second)).not.toBe(findVersion(first));
+	});
+
+	test('is taken up by its client only at the version that began it', () => {
+		const {edge, first} = startStream(twoOfEach);
+		const others = twoOfEach.filter(({id}) => id !== first);
+		edge.post({kind: 'caller-left', call: 1, events: 3}).post({kind: 'endpoint-changed', id: first, listing: undefined});
+		const second = edge.sendRequest(2, 'stream', {resumeAfter: '3', resumedKey: 'c1'}).getSentTo();
+		expect(others.filter(({softwareVersion}) => softwareVersion === findVersion(first)).map(({id}) => id)).toEqual([second]);
+		edge.post({kind: 'endpoint-changed', id: second, listing: undefined}).sendRequest(3, 'stream', {resumeAfter: '3', resumedKey: 'c1'});
+		expect(edge.listEffects().some(each => each.startsWith('refuse'))).toBe(true);
+	});
+
+	test.each([['without the key of the earlier request', undefined], ['with a key that is not known', 'c9']])('is not taken up %s', (_, resumedKey) => {
+		const edge = new EdgeHarness().start(twoOfEach).sendRequest(1, 'stream', {resumeAfter: '3', resumedKey});
+		expect(edge.getSentTo()).toBe('');
+	});
+});
+
 describe('deadlines and time-outs', () => {
 	test('a request gets its final response at the timeout of its route', () => {
 		expect(new EdgeHarness().start().sendRequest(1, 'act').advance(2999).listEffects()).toEqual([]);
