Cut a resumed stream that cannot go on, instead of answering it again

A stream that already had events and waited to be resumed was given an error response when its service had no endpoint left or its deadline passed: a second head on a response that had begun, which Node.js refuses with an exception. The decision to reject now cuts the client's connection wherever the client has events; retries did that already. Both new cases failed before with an effect "refuse".

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -8,9 +8,8 @@
 import {decaySlowness} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
-	canHaveRun, closeAttempt, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
+	abortResponse, canHaveRun, closeAttempt, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
-import type {RequestOutcome} from './common.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -89,27 +88,10 @@
 		? spendRetry(state.retryBudget, request.service, state.retryBudgetBounds, countLiveRouters(state.quota))
 		: state.retryBudget;
 	return !canRetry || retryBudget === undefined
-		? abandonRequest(state, requeued, retry.fault, now)
+		? rejectRequest(state, requeued, retry.fault, now)
 		: placeRequest({...putRequest(state, requeued), retryBudget}, requeued, random, now);
 };
 
-/** Ends a request by closing the client's connection in the middle of the response. */
-const abortResponse = (state: EdgeState, request: InFlightRequest, requestOutcome: RequestOutcome, now: number): EdgeStep => {
-	const ended = endRequest(state, request, requestOutcome, now);
-	return {state: ended.state, effects: [{kind: 'abort', call: request.id}, {kind: 'cut', call: request.id}, ...ended.effects]};
-};
-
-/** Fails a request: with an error response, or by closing the connection if the client already has events of the stream. */
-const abandonRequest = (state: EdgeState, request: InFlightRequest, fault: Fault, now: number): EdgeStep => {
-	if (request.events === 0) {
-		return rejectRequest(state, request, fault, now);
-	}
-
-	return abortResponse(state, request, {
-		outcome: 'cut', status: 0, events: request.events, fields: {reason: fault.detail},
-	}, now);
-};
-
 type ResponseEvent = EdgeEvent & {kind: 'endpoint-answered'};
 
 const describeRefusal = (head: ResponseHead, request: InFlightRequest): string => head.isOtherIncarnation
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -133,7 +133,21 @@
 };
 
 /**
-Ends a request with an error response.
+Ends a request by closing the client's connection in the middle of the response.
+
+@param state - The edge state.
+@param request - The request in flight.
+@param requestOutcome - How the request ended.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const abortResponse = (state: EdgeState, request: InFlightRequest, requestOutcome: RequestOutcome, now: number): EdgeStep => {
+	const ended = endRequest(state, request, requestOutcome, now);
+	return {state: ended.state, effects: [{kind: 'abort', call: request.id}, {kind: 'cut', call: request.id}, ...ended.effects]};
+};
+
+/**
+Fails a request: with an error response, or by closing the connection if the client already has events of its stream.
 
 @param state - The edge state.
 @param request - The request in flight.
@@ -142,6 +156,12 @@
 @returns The new state and the effects.
 */
 export const rejectRequest = (state: EdgeState, request: InFlightRequest, fault: Fault, now: number): EdgeStep => {
+	if (request.events > 0) {
+		return abortResponse(state, request, {
+			outcome: 'cut', status: 0, events: request.events, fields: {reason: fault.detail},
+		}, now);
+	}
+
 	const ended = endRequest(state, request, {
 		outcome: fault.kind, status: errorResponses[fault.kind].status, events: 0, fields: {reason: fault.detail, retryAfter: fault.retryAfter},
 	}, now);
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -164,6 +164,15 @@
 		expect(edge.done.flatMap(effect => effect.kind === 'send' ? [effect.metadata.resumeAfter] : [])).toEqual(['3']);
 	});
 
+	test.each<[string, (edge: EdgeHarness) => EdgeHarness]>([
+		['its service has no endpoint left', edge => edge.post({kind: 'endpoints-listed', entries: []}).failAttempt(1, 1, {stage: 'streaming', events: 3, lastEventId: '3'})],
+		['its deadline passes before it is resumed', edge => edge.failAttempt(1, 1, {stage: 'streaming', events: 3, lastEventId: '3'}).advance(3000)],
+	])('is cut, not answered again, if %s', (_, post) => {
+		const edge = post(new EdgeHarness().start().sendRequest(1, 'stream').respond(1, 1, streamHead));
+		expect(edge.listEffects()).toContain('cut');
+		expect(edge.listEffects().some(each => each.startsWith('refuse'))).toBe(false);
+	});
+
 	test('is cut if its route does not allow resumption', () => {
 		const edge = new EdgeHarness().start().sendRequest(1, 'whole').respond(1, 1, streamHead);
 		edge.failAttempt(1, 1, {stage: 'streaming', events: 3, lastEventId: '3'});
