Resume a stream within a response only at its own software version

Cause: after a break the router resumed a stream at the endpoint that suited it best, whatever its version.

Why it works: a request remembers the version of the endpoint whose events its client has, and placement leaves out all others. A stream without events may still begin anywhere.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -176,11 +176,13 @@
 
 	const hasReachedEndpoint = event.stage !== 'unsent';
 	const closed = recordResult(closeAttempt(state, request), request, stageResults[event.stage], now);
+	const events = request.events + event.events;
 	const failed: InFlightRequest = {
 		...request,
 		phase: 'queued',
 		hasPossiblyRun: request.hasPossiblyRun || hasReachedEndpoint,
-		events: request.events + event.events,
+		events,
+		streamVersion: request.streamVersion ?? (events > 0 ? request.sentVersion : undefined),
 		lastEventId: event.lastEventId ?? request.lastEventId,
 	};
 	const fault = failed.hasPossiblyRun
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -32,6 +32,7 @@
 		predicted,
 		slowness: decaySlowness(endpoint, now),
 		sentAt: now,
+		sentVersion: endpoint.softwareVersion,
 	};
 	const updated = updateKnownEndpoint(putRequest(state, sent), endpoint.id, current => ({
 		...current,
@@ -81,6 +82,10 @@
 const queueRequest = (state: EdgeState, request: InFlightRequest, now: number): EdgeStep =>
 	keepState(putRequest(state, request.phase === 'queued' ? request : {...request, phase: 'queued', phaseAt: now}));
 
+/** Tells whether an endpoint may serve a request. What two software versions write does not fit together in one stream. */
+const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
+	endpoint.service === request.service && (request.streamVersion === undefined || endpoint.softwareVersion === request.streamVersion);
+
 /**
 Sends a request to an endpoint, queues it, or rejects it.
 
@@ -92,7 +97,7 @@
 */
 export const placeRequest = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
-	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => endpoint.service === request.service);
+	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => canServe(endpoint, request));
 	const choice: Placement = service === undefined
 		? {kind: 'none'}
 		: chooseEndpoint(endpoints, {
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -109,6 +109,10 @@
 	slowness: number;
 	/** When the latest attempt was sent. */
 	sentAt: number;
+	/** Software version of the endpoint of the latest attempt. */
+	sentVersion: string | undefined;
+	/** Software version at which its stream must go on; undefined while any version may begin it. */
+	streamVersion: string | undefined;
 	/** When the client received the first event; undefined before. */
 	firstEventAt: number | undefined;
 	/** Number of events that the client received. */
@@ -138,6 +142,8 @@
 	predicted: 0,
 	slowness: 1,
 	sentAt: 0,
+	sentVersion: undefined,
+	streamVersion: undefined,
 	firstEventAt: undefined,
 	events: 0,
 	lastEventId: undefined,
