Resume a client's stream only at the software version that began it

Cause: no router knew where a stream that another one had begun came from, and the name of the earlier attempt in the request was ignored.

Why it works: the router that forwards the first event of a stream writes its key, service and version to the store; the row never changes, so a late or repeated write does no harm. A router that is asked to go on reads the row, and placement is bound to that version. Without a row the request goes on only if the service has had a single version for longer than any stream lasts; otherwise it is rejected as not run.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -5,6 +5,7 @@
 import {chain, keepState} from '../loop/step.js';
 import {countLiveRouters} from '../quota/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
+import {recordOrigin} from '../stream-origin/index.js';
 import {decaySlowness} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
@@ -220,6 +221,12 @@
 	};
 };
 
+/** Records where a stream begins if its client may resume it. */
+const recordStream = (state: EdgeState, request: InFlightRequest, now: number): EdgeState =>
+	request.head.resumeAfter !== undefined || request.events > 0 || request.sentVersion === undefined || !isRetryable(request.route)
+		? state
+		: {...state, origins: recordOrigin(state.origins, request.head.key, {service: request.service, softwareVersion: request.sentVersion}, now)};
+
 /**
 Handles the first event of a stream.
 
@@ -231,7 +238,7 @@
 export const receiveFirstOutput = (state: EdgeState, event: EdgeEvent & {kind: 'stream-began'}, now: number): EdgeStep => applyToRequest(state, event.call, request => request.attempt === event.attempt
 	? {
 		state: updateKnownEndpoint(
-			putRequest(state, {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
+			putRequest(recordStream(state, request, now), {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
 			request.triedEndpoints.at(-1),
 			endpoint => recordFirstOutput(endpoint, request, now),
 		),
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -22,6 +22,7 @@
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
 import type {StoredRow} from '../store/index.js';
+import {streamOriginsTable} from '../stream-origin/index.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
 import type {FeedEvent} from './table-feed.js';
@@ -133,6 +134,20 @@
 		store(effect) {
 			runInBackground(async () => requestStore(effect));
 		},
+		'read-origin'(effect) {
+			runInBackground(async () => {
+				const reply = await store.readRow(streamOriginsTable, effect.key);
+				loop.post({
+					kind: 'origin-read', call: effect.call, reply, random: random(),
+				});
+			});
+		},
+		'save-origins'(effect) {
+			runInBackground(async () => {
+				const reply = await store.transact(effect.writes);
+				loop.post({kind: 'origins-saved', isDone: reply.kind === 'done'});
+			});
+		},
 		log(effect) {
 			log.write(effect.level, effect.event, effect.fields);
 		},
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -3,6 +3,7 @@
 import type {RoutingConfig, Route} from '../routing-config/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
 import type {RegistryEntry} from '../registry/index.js';
+import type {StoreReply} from '../store/index.js';
 import {getBudgetHold} from '../quota/index.js';
 import {handleEdge} from './handle.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
@@ -225,6 +226,72 @@
 		const edge = new EdgeHarness().start(twoOfEach).sendRequest(1, 'stream', {resumeAfter: '3', resumedKey});
 		expect(edge.getSentTo()).toBe('');
 	});
+
+	const createReply = (...values: readonly string[]): StoreReply => ({
+		kind: 'done', version: 1, now: 0, rows: values.map(value => ({
+			table: 'streams', key: 'c9', version: 1, value,
+		})),
+	});
+
+	/** A client resumes a stream that another router began. */
+	const resumeForeign = (entries: readonly RegistryEntry[], prepare = (edge: EdgeHarness) => edge) =>
+		prepare(new EdgeHarness().start(entries)).sendRequest(1, 'stream', {resumeAfter: '3', resumedKey: 'c9'});
+
+	test('is taken up by its client at another router, at the version that the store names', () => {
+		const edge = resumeForeign(oneOfEach);
+		expect(edge.listEffects()).toEqual(['read-origin']);
+		edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: createReply('{"service":"s","softwareVersion":"v2"}'),
+		});
+		expect(edge.listEffects()).toEqual(['send e2']);
+	});
+
+	test.each<[string, (edge: EdgeHarness) => EdgeHarness]>([
+		['has no record', edge => edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: createReply(),
+		})],
+		['has a record that cannot be read', edge => edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: createReply('{"service":1}'),
+		})],
+		['names a version without endpoints', edge => edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: createReply('{"service":"s","softwareVersion":"v3"}'),
+		})],
+		['names another service', edge => edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: createReply('{"service":"t","softwareVersion":"v1"}'),
+		})],
+		['cannot be reached', edge => edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: {kind: 'lost', reason: 'cut'},
+		})],
+		['does not answer', edge => edge.advance(301)],
+	])('is rejected as not run if the store %s', (_, reply) => {
+		expect(reply(resumeForeign(oneOfEach)).listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
+	});
+
+	test('is taken up without a record once its service has had only one version for long enough', () => {
+		const reply: EdgeEvent = {
+			kind: 'origin-read', call: 1, random: 0.5, reply: createReply(),
+		};
+		const single = [createEntry('e1'), createEntry('e3')];
+		expect(resumeForeign(single).post(reply).listEffects()).toContain('refuse stream-not-resumable');
+		expect(resumeForeign(single, edge => edge.advance(30_000)).post(reply).getSentTo()).not.toBe('');
+		const retired = resumeForeign(oneOfEach, edge => edge.advance(30_000).post({kind: 'endpoint-changed', id: 'e2', listing: undefined}));
+		expect(retired.post(reply).listEffects()).toContain('refuse stream-not-resumable');
+	});
+
+	test('is saved once it has begun, and again after a failed save', () => {
+		const {edge, first} = startStream(oneOfEach);
+		const writes = [{
+			table: 'streams', key: 'c1', version: undefined, value: JSON.stringify({service: 's', softwareVersion: findVersion(first)}),
+		}];
+		const listWrites = () => edge.done.flatMap(effect => effect.kind === 'save-origins' ? [effect.writes] : []);
+		edge.advance(20);
+		expect(listWrites()).toEqual([writes]);
+		expect(edge.advance(20) && listWrites()).toEqual([]);
+		edge.post({kind: 'origins-saved', isDone: false}).advance(300);
+		expect(listWrites()).toEqual([writes]);
+		edge.post({kind: 'origins-saved', isDone: true}).advance(300);
+		expect(listWrites()).toEqual([]);
+	});
 });
 
 describe('deadlines and time-outs', () => {
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -2,17 +2,20 @@
 import {
 	encodeLoads, removeStalePeers, recordPeerLoads, sumLoads,
 } from '../gossip/index.js';
+import type {RequestPhase} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {hashText} from '../random/index.js';
 import {
 	updateEntry, removeMissing, markUnavailable, markAvailable, replaceEntries,
 } from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
+import {completeSave, recordRetiredVersions} from '../stream-origin/index.js';
 import {receiveRequest} from './receive.js';
 import {
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
 } from './attempt.js';
 import {expireTokenWait, applyTokenEvent} from './reserve.js';
+import {expireLocating, receiveOrigin, saveOrigins} from './resume.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
 import {failOverUnresponsive} from './unresponsive.js';
@@ -46,20 +49,29 @@
 	];
 };
 
-const setRegistry = (state: EdgeState, registry: Registry): EdgeStep => registry === state.registry
+const setRegistry = (state: EdgeState, registry: Registry, now: number): EdgeStep => registry === state.registry
 	? keepState(state)
-	: {state: {...state, registry}, effects: logEndpoints(state.registry, registry)};
+	: {
+		state: {...state, registry, retiredVersions: recordRetiredVersions(state.retiredVersions, state.registry, registry, now)},
+		effects: logEndpoints(state.registry, registry),
+	};
+
+/** Longest wait of a request for the store, which usually responds within a few ms, and when it is slow within 250 ms. */
+const maxStoreWaitMs = 300;
 
-/** Longest wait for tokens: the store usually responds within a few ms, and when it is slow within 250 ms. */
-const maxTokenWaitMs = 300;
+/** Ends the wait of a request for the store, by its phase. */
+const waitExpirers: Readonly<Partial<Record<RequestPhase, (state: EdgeState, call: number, random: number, now: number) => EdgeStep>>> = {
+	granting: expireTokenWait,
+	locating: expireLocating,
+};
 
 const expireRequests: Handler<'tick'> = (state, event, now) => {
 	const requests = [...state.requests.values()].filter(request => request.phase !== 'leaving');
 	const expired = requests.filter(request => now >= request.expiresAt);
-	const waitedTooLong = requests.filter(request => now < request.expiresAt && request.phase === 'granting' && now - request.phaseAt >= maxTokenWaitMs);
+	const waitedTooLong = requests.filter(request => now < request.expiresAt && waitExpirers[request.phase] !== undefined && now - request.phaseAt >= maxStoreWaitMs);
 	return chain(
 		chainAll(state, expired, (current, request) => expireRequest(current, request, event.random, now)),
-		current => chainAll(current, waitedTooLong, (later, request) => expireTokenWait(later, request.id, event.random, now)),
+		current => chainAll(current, waitedTooLong, (later, request) => waitExpirers[request.phase]!(later, request.id, event.random, now)),
 	);
 };
 
@@ -99,7 +111,7 @@
 		return keepState(state);
 	}
 
-	const updated = setRegistry({...state, endpointsCheckedAt: now}, removeMissing(state.registry, now));
+	const updated = setRegistry({...state, endpointsCheckedAt: now}, removeMissing(state.registry, now), now);
 	return chain(updated, current => failOverUnresponsive(current, random, now));
 };
 
@@ -108,7 +120,8 @@
 	const settled = chain(expired, current => now - current.quota.tickedAtMs < tokenSyncIntervalMs ? keepState(current) : applyTokenEvent(current, {kind: 'tick'}, event.random, now));
 	const checked = chain(settled, current => checkEndpoints(current, event.random, now));
 	const gossiped = chain(checked, current => sendGossip(current, now));
-	return chain(gossiped, current => placeWaiting(current, event.random, now));
+	const saved = chain(gossiped, current => saveOrigins(current, now));
+	return chain(saved, current => placeWaiting(current, event.random, now));
 };
 
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Handler<Kind>}> = {
@@ -120,11 +133,13 @@
 	'stream-began': receiveFirstOutput,
 	'stream-ended': receiveStreamEnd,
 	'catalog-read': receiveConfig,
-	'endpoints-listed': (state, event, now) => setRegistry({...state, hasReadRegistry: true}, replaceEntries(state.registry, event.entries, now)),
-	'endpoint-changed': (state, event, now) => setRegistry(state, updateEntry(state.registry, event.id, event.listing, now)),
+	'endpoints-listed': (state, event, now) => setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, event.entries, now), now),
+	'endpoint-changed': (state, event, now) => setRegistry(state, updateEntry(state.registry, event.id, event.listing, now), now),
 	'registry-lost': state => keepState({...state, registry: markUnavailable(state.registry)}),
 	'registry-regained': (state, _event, now) => keepState({...state, registry: markAvailable(state.registry, now)}),
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
+	'origin-read': receiveOrigin,
+	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, now)}),
 	'peer-heard': (state, event, now) => keepState({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}),
 	tick: receiveTick,
 	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds}),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -6,7 +6,7 @@
 import type {Fields, Level} from '../log/index.js';
 import type {QuotaStoreCall} from '../quota/index.js';
 import type {RegistryEntry} from '../registry/index.js';
-import type {StoreReply} from '../store/index.js';
+import type {StoreReply, StoreWrite} from '../store/index.js';
 
 /** How far a failed attempt got. */
 export type FailureStage =
@@ -42,6 +42,9 @@
 	| Readonly<{kind: 'registry-lost'}>
 	| Readonly<{kind: 'registry-regained'}>
 	| Readonly<{kind: 'store-replied'; reply: StoreReply; random: number}>
+	/** The store was asked where a stream began. */
+	| Readonly<{kind: 'origin-read'; call: number; reply: StoreReply; random: number}>
+	| Readonly<{kind: 'origins-saved'; isDone: boolean}>
 	/** A peer reported its requests in flight. */
 	| Readonly<{kind: 'peer-heard'; router: string; loads: EndpointLoads}>
 	| Readonly<{kind: 'tick'; random: number}>
@@ -69,6 +72,9 @@
 	/** Closes the client's connection in the middle of a response. */
 	| Readonly<{kind: 'cut'; call: number}>
 	| Readonly<{kind: 'store'; call: QuotaStoreCall}>
+	/** Asks the store where the stream of the given key began. */
+	| Readonly<{kind: 'read-origin'; call: number; key: string}>
+	| Readonly<{kind: 'save-origins'; writes: readonly StoreWrite[]}>
 	/** Sends a load message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
 	| Readonly<{kind: 'log'; level: Level; event: string; fields: Fields}>
@@ -76,7 +82,7 @@
 	| Readonly<{kind: 'observe'; metric: HistogramName; labels: Readonly<Record<string, string>>; milliseconds: number}>;
 
 /** Names of counters. */
-export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded';
+export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed';
 
 /** Names of histograms. */
 export type HistogramName = 'call' | 'firstOutput';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -26,6 +26,9 @@
 		attemptsFailed: new Counter({
 			name: 'galena_attempts_failed_total', help: 'Failed attempts, by service and how far they got.', labelNames: ['service', 'stage'], registers,
 		}),
+		streamsResumed: new Counter({
+			name: 'galena_streams_resumed_total', help: 'Streams that clients resume, by service and how their origin is known.', labelNames: ['service', 'origin'], registers,
+		}),
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -10,7 +10,7 @@
 import {countLiveRouters} from '../quota/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {putRequest} from './common.js';
-import {reserveForRequest} from './reserve.js';
+import {locateStream} from './resume.js';
 import type {EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
@@ -80,7 +80,7 @@
 */
 export const receiveRequest = (state: EdgeState, event: ArrivalEvent, now: number): EdgeStep => {
 	const {config} = state;
-	if (config === undefined || !state.hasReadRegistry) {
+	if (config === undefined || state.registryReadAt === undefined) {
 		return rejectArrival(state, event, createFault('not-ready', 'the configuration has not been read yet', suggestRetryAfter(event.head.clientTimeoutMs ?? 0, event.random)));
 	}
 
@@ -93,5 +93,5 @@
 	const counted: EdgeState = {
 		...state, retryBudget: creditRequest(state.retryBudget, request.service, state.retryBudgetBounds, countLiveRouters(state.quota)),
 	};
-	return reserveForRequest(putRequest(counted, request), request, event.random, now);
+	return locateStream(putRequest(counted, request), request, event.random, now);
 };
--- /dev/null
+++ b/src/edge/resume.ts
@@ -0,0 +1,133 @@
+import {createFault} from '../errors/index.js';
+import type {InFlightRequest} from '../in-flight/index.js';
+import {keepState} from '../loop/step.js';
+import {suggestRetryAfter} from '../queue/index.js';
+import {
+	decodeOrigin, findOrigin, findSoleVersion, planSave, retentionMs,
+} from '../stream-origin/index.js';
+import type {StreamOrigin} from '../stream-origin/index.js';
+import {applyToRequest, putRequest, rejectRequest} from './common.js';
+import type {EdgeEvent} from './messages.js';
+import {reserveForRequest} from './reserve.js';
+import type {EdgeState, EdgeStep} from './state.js';
+
+/** How the origin of a stream is known, for metrics. */
+type OriginSource = 'own' | 'store' | 'sole-version' | 'none';
+
+const countResumption = (step: EdgeStep, request: InFlightRequest, origin: OriginSource): EdgeStep => ({
+	state: step.state,
+	effects: [{kind: 'count', metric: 'streamsResumed', labels: {service: request.service, origin}}, ...step.effects],
+});
+
+const rejectResumption = (state: EdgeState, request: InFlightRequest, detail: string, random: number, now: number): EdgeStep =>
+	rejectRequest(state, request, createFault('stream-not-resumable', detail, suggestRetryAfter(request.expiresAt - now, random)), now);
+
+/** Continues a stream at the service and version that began it, provided that the route still allows that service. */
+const continueStream = (state: EdgeState, request: InFlightRequest, origin: StreamOrigin, random: number, now: number): EdgeStep => {
+	const {service, softwareVersion} = origin;
+	if (!request.route.services.some(({name}) => name === service)) {
+		return rejectResumption(state, request, `the stream began at service ${service}, which route ${request.route.name} no longer names`, random, now);
+	}
+
+	if (!state.registry.endpoints.some(endpoint => endpoint.service === service && endpoint.softwareVersion === softwareVersion)) {
+		return rejectResumption(state, request, `service ${service} has no endpoint of version ${softwareVersion}, which began the stream`, random, now);
+	}
+
+	const located: InFlightRequest = {
+		...request, phase: 'granting', phaseAt: now, service, streamVersion: softwareVersion,
+	};
+	return reserveForRequest(putRequest(state, located), located, random, now);
+};
+
+/** Continues a stream whose origin is not recorded if its service has only one version, and rejects it otherwise. */
+const continueAtSoleVersion = (state: EdgeState, request: InFlightRequest, reason: string, random: number, now: number): EdgeStep => {
+	const softwareVersion = findSoleVersion(state.registry, state.retiredVersions, request.service, now);
+	return softwareVersion === undefined
+		? countResumption(rejectResumption(state, request, reason, random, now), request, 'none')
+		: countResumption(continueStream(state, request, {service: request.service, softwareVersion}, random, now), request, 'sole-version');
+};
+
+/**
+Tells whether all versions that a service has had lately are known. A process that has just started does not know
+which ones have left, and without the store which ones have come.
+*/
+const isVersionHistoryKnown = (state: EdgeState, now: number): boolean =>
+	!state.registry.isUnavailable && state.registryReadAt !== undefined && now - state.registryReadAt >= retentionMs;
+
+/**
+Sends a new request on; if its client resumes a stream, first finds out where that began.
+
+@param state - The edge state.
+@param request - The request in flight.
+@param random - A random number in [0, 1).
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const locateStream = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
+	const {resumeAfter, resumedKey} = request.head;
+	if (resumeAfter === undefined || request.route.kind !== 'stream') {
+		return reserveForRequest(state, request, random, now);
+	}
+
+	// A client that names no earlier request knows of one version only.
+	if (resumedKey === undefined) {
+		return continueAtSoleVersion(state, request, 'the request names no earlier one, and its service has several versions', random, now);
+	}
+
+	const origin = findOrigin(state.origins, resumedKey);
+	return origin === undefined
+		? {
+			state: putRequest(state, {...request, phase: 'locating', phaseAt: now}),
+			effects: [{kind: 'read-origin', call: request.id, key: resumedKey}],
+		}
+		: countResumption(continueStream(state, request, origin, random, now), request, 'own');
+};
+
+const continueUnrecorded = (state: EdgeState, request: InFlightRequest, reason: string, random: number, now: number): EdgeStep =>
+	isVersionHistoryKnown(state, now)
+		? continueAtSoleVersion(state, request, reason, random, now)
+		: countResumption(rejectResumption(state, request, reason, random, now), request, 'none');
+
+/**
+Handles the store's reply to the question where a stream began.
+
+@param state - The edge state.
+@param event - The reply.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const receiveOrigin = (state: EdgeState, event: EdgeEvent & {kind: 'origin-read'}, now: number): EdgeStep => applyToRequest(state, event.call, request => {
+	const {reply, random} = event;
+	if (request.phase !== 'locating') {
+		return keepState(state);
+	}
+
+	const origin = reply.kind === 'done' ? decodeOrigin(reply.rows[0]?.value) : undefined;
+	return origin === undefined
+		? continueUnrecorded(state, request, `where the stream ${request.head.resumedKey} began is not known: ${'reason' in reply ? reply.reason : 'no readable record'}`, random, now)
+		: countResumption(continueStream(state, request, origin, random, now), request, 'store');
+});
+
+/**
+Ends the wait for the store's reply to the question where a stream began.
+
+@param state - The edge state.
+@param call - The request's number.
+@param random - A random number in [0, 1).
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const expireLocating = (state: EdgeState, call: number, random: number, now: number): EdgeStep => applyToRequest(state, call, request =>
+	continueUnrecorded(state, request, `the store does not say where the stream ${request.head.resumedKey} began`, random, now));
+
+/**
+Saves the origins of streams that began lately.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const saveOrigins = (state: EdgeState, now: number): EdgeStep => {
+	const {origins, writes} = planSave(state.origins, now);
+	return {state: {...state, origins}, effects: writes.length === 0 ? [] : [{kind: 'save-origins', writes}]};
+};
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -9,6 +9,8 @@
 import type {LocalQuota} from '../quota/index.js';
 import {emptyRegistry} from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
+import {createStreamOrigins} from '../stream-origin/index.js';
+import type {RetiredVersions, StreamOrigins} from '../stream-origin/index.js';
 import type {EdgeEffect} from './messages.js';
 
 /** The state of an edge router. */
@@ -19,8 +21,12 @@
 	/** The active configuration; undefined until one has been read. */
 	config: RoutingConfig | undefined;
 	registry: Registry;
-	/** True once the endpoint registry has been read. */
-	hasReadRegistry: boolean;
+	/** When the endpoint registry was first read, in ms; undefined before. */
+	registryReadAt: number | undefined;
+	/** Software versions whose endpoints left the registry. */
+	retiredVersions: RetiredVersions;
+	/** Origins of the streams that this router began. */
+	origins: StreamOrigins;
 	/** Tokens that this router holds of the budgets. */
 	quota: LocalQuota;
 	/** Retry credits of this router, by service. */
@@ -66,7 +72,9 @@
 	retryBudgetBounds: options.retryBudgetBounds,
 	config: undefined,
 	registry: emptyRegistry,
-	hasReadRegistry: false,
+	registryReadAt: undefined,
+	retiredVersions: Map(),
+	origins: createStreamOrigins(),
 	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress),
 	retryBudget: createRetryBudget(),
 	requests: Map(),
@@ -84,7 +92,7 @@
 @returns True once configuration and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown.
 */
 export const isReady = (state: EdgeState): boolean =>
-	!state.isStopping && state.config !== undefined && state.hasReadRegistry && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
+	!state.isStopping && state.config !== undefined && state.registryReadAt !== undefined && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
 
 /**
 Tells whether all tokens held have been returned to the budgets.
--- a/src/edge/store-failover.test.ts
+++ b/src/edge/store-failover.test.ts
@@ -37,7 +37,12 @@
 
 	const operations = openFailoverStore({
 		client: {
-			forAddress: (address): StoreOperations => ({transact: async () => replyFrom(address), read: async () => replyFrom(address), follow: async () => replyFrom(address)}),
+			forAddress(address): StoreOperations {
+				const operate = async () => replyFrom(address);
+				return {
+					transact: operate, read: operate, readRow: operate, follow: operate,
+				};
+			},
 			close: () => undefined,
 		},
 		directAddress: {host: '10.0.0.1', port: 1},
--- a/src/edge/store-failover.ts
+++ b/src/edge/store-failover.ts
@@ -24,8 +24,8 @@
 /**
 Opens store access that fails over to a relay when the store cannot be reached directly.
 
-A transaction that was sent by two paths is applied at most once: both copies require
-the same row versions, and the second copy finds them changed by the first.
+A transaction that was sent by two paths is applied at most once if it states row versions: both copies
+require the same ones, and the second copy finds them changed by the first.
 
 @param options - The store client, the addresses of the store and its relays, and a clock in ms.
 @returns The store operations.
@@ -100,6 +100,7 @@
 	return {
 		transact: async writes => hedgeRequest(async operations => operations.transact(writes)),
 		read: async table => hedgeRequest(async operations => operations.read(table)),
+		readRow: async (table, key) => hedgeRequest(async operations => operations.readRow(table, key)),
 		// The store delays its reply until rows change, so a slow reply does not indicate a broken path, and no hedged request is sent.
 		async follow(table, after) {
 			const [primary = ''] = orderPaths(paths, clock());
--- a/src/errors/kinds.ts
+++ b/src/errors/kinds.ts
@@ -49,6 +49,9 @@
 	'claim-unread': {
 		status: 503, title: 'Whether the work has run cannot be told at present', outcome: 'unknown', retryAfter: 5,
 	},
+	'stream-not-resumable': {
+		status: 503, title: 'The stream cannot go on where it was begun', outcome: 'not-run', retryAfter: 1,
+	},
 	'endpoint-failed': {
 		status: 502, title: 'The endpoint failed before the answer was whole', outcome: 'unknown', retryAfter: 1,
 	},
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -61,6 +61,8 @@
 
 /** Phase of a request. */
 export type RequestPhase =
+	/** Its client resumes a stream, and the store is asked where that began. */
+	| 'locating'
 	/** It waits for tokens of its organisation. */
 	| 'granting'
 	/** It waits for an endpoint. */
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -194,6 +194,30 @@
 		}])).toEqual(reply);
 	});
 
+	test('reads one row, whatever its key contains', async () => {
+		let requestPath = '';
+		const store = await startStore(url => {
+			requestPath = url;
+			return {status: 200, body: '{"ver":1,"rows":[]}'};
+		});
+		expect(await store.readRow('t', 'a&b/ü')).toMatchObject({kind: 'done', rows: []});
+		expect(Object.fromEntries(new URL(requestPath, 'http://h').searchParams)).toEqual({
+			table: 't', part: '', from: 'a&b/ü', to: 'a&b/ü\0', limit: '1',
+		});
+	});
+
+	test('states no version for a write that has none', async () => {
+		let requestBody = '';
+		const store = await startStore((_, body) => {
+			requestBody = body;
+			return {status: 200, body: '{"ver":1}'};
+		});
+		await store.transact([{
+			table: 't', key: 'k', version: undefined, value: 'v',
+		}]);
+		expect(JSON.parse(requestBody)).toMatchObject({expectedRevision: [], writes: [{key: 'k'}]});
+	});
+
 	test('sends the required version of each row, and the rows to remove', async () => {
 		let requestBody = '';
 		const store = await startStore((_, body) => {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -8,10 +8,12 @@
 
 /** Operations of the platform's store. */
 export type StoreOperations = Readonly<{
-	/** Applies all writes atomically, provided that each row has the stated version. */
+	/** Applies all writes atomically, provided that each row has the version that its write states. */
 	transact: (writes: readonly StoreWrite[]) => Promise<StoreReply>;
 	/** Reads all rows of a table. Rows that change while several pages are read are repeated by `follow` from the returned version. */
 	read: (table: string) => Promise<StoreReply>;
+	/** Reads one row; the reply has no rows if it does not exist. */
+	readRow: (table: string, key: string) => Promise<StoreReply>;
 	/** Waits for rows of a table that changed after the given version (long polling). */
 	follow: (table: string, after: number) => Promise<StoreReply>;
 }>;
@@ -155,7 +157,7 @@
 		async transact(writes) {
 			const updates = writes.filter(write => write.value !== undefined);
 			const body = JSON.stringify({
-				expectedRevision: writes.map(write => ({...encodeKey(write), ver: write.version})),
+				expectedRevision: writes.filter(write => write.version !== undefined).map(write => ({...encodeKey(write), ver: write.version})),
 				writes: updates.map(write => ({...encodeKey(write), value: Buffer.from(write.value!, 'utf8').toString('base64')})),
 				remove: writes.filter(write => write.value === undefined).map(write => encodeKey(write)),
 			});
@@ -165,6 +167,13 @@
 			return reply;
 		},
 		read: async table => readAll(endpoint, table, [], 0),
+		async readRow(table, key) {
+			const parameters = new URLSearchParams({
+				table, part: '', from: key, to: `${key}\0`, limit: '1',
+			});
+			const {reply} = await send(endpoint, {method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs});
+			return reply;
+		},
 		async follow(table, after) {
 			const {reply} = await send(endpoint, {
 				method: 'GET', path: `/v1/rows-feed?table=${encodeURIComponent(table)}&after=${after}&waitMs=${followWaitMs}`, timeoutMs: followWaitMs + followMarginMs,
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -10,8 +10,8 @@
 /** A row as read. `value` is undefined for a removed row. */
 export type StoredRow = RowKey & Readonly<{version: number; value: string | undefined}>;
 
-/** One write of a transaction. `version` is the required version of the row, 0 if the row must not exist. Without a value, the row is removed. */
-export type StoreWrite = RowKey & Readonly<{version: number; value: string | undefined}>;
+/** One write of a transaction. `version` is the required version of the row, 0 if the row must not exist, undefined if any will do. Without a value, the row is removed. */
+export type StoreWrite = RowKey & Readonly<{version: number | undefined; value: string | undefined}>;
 
 /** Reply of the store. Times are of the store's monotonic clock, in ms. */
 export type StoreReply =
--- /dev/null
+++ b/src/stream-origin/versions.ts
@@ -0,0 +1,38 @@
+import {Map} from 'immutable';
+import type {Registry} from '../registry/index.js';
+
+/** Time for which streams are remembered: longer than a client waits for a stream and its resumption. */
+export const retentionMs = 30_000;
+
+/** When endpoints of a software version last left the registry, in ms, by service and version. */
+export type RetiredVersions = Map<string, Map<string, number>>;
+
+/**
+Records the versions of endpoints that left the registry.
+
+@param retired - The versions recorded so far.
+@param before - The registry before a change.
+@param after - The registry after it.
+@param now - The current time in ms.
+@returns The versions.
+*/
+export const recordRetiredVersions = (retired: RetiredVersions, before: Registry, after: Registry, now: number): RetiredVersions =>
+	[...before.endpoints.values()]
+		.filter(({id, softwareVersion}) => after.endpoints.get(id)?.softwareVersion !== softwareVersion)
+		.reduce((versions, {service, softwareVersion}) => versions.setIn([service, softwareVersion], now), retired);
+
+/**
+Finds the only software version that can have begun a stream of a service.
+
+@param registry - The registry.
+@param retired - The versions that left it.
+@param service - Name of the service.
+@param now - The current time in ms.
+@returns The version; undefined if the service has, or had within the retention time, several versions or none.
+*/
+export const findSoleVersion = (registry: Registry, retired: RetiredVersions, service: string, now: number): string | undefined => {
+	const present = [...registry.endpoints.values()].filter(endpoint => endpoint.service === service).map(endpoint => endpoint.softwareVersion);
+	const recent = [...retired.get(service, Map<string, number>()).entries()].filter(([, leftAt]) => now - leftAt < retentionMs).map(([version]) => version);
+	const [version, ...others] = new Set([...present, ...recent]);
+	return others.length === 0 ? version : undefined;
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -12,7 +12,7 @@
 			'unicorn/no-array-for-each': 'off',
 			'unicorn/no-array-reduce': 'off',
 			// The constructors of immutable's collections are called without `new`.
-			'new-cap': ['error', {capIsNewExceptions: ['List', 'Map', 'Set', 'Seq']}],
+			'new-cap': ['error', {capIsNewExceptions: ['List', 'Map', 'OrderedMap', 'Set', 'Seq']}],
 			// JSON, which the table service keeps, has null.
 			'@typescript-eslint/no-restricted-types': 'off',
 			// Parts of a stream are read and written in their order.
