Soak: clients resume streams of two software versions

Four endpoints of two versions write their version into each event; clients that lose a stream, or drop it on purpose, resume it at any router. No stream may hold events of both versions, and of 12 or more resumed streams the share that goes on must not be under half of the share of new streams that begin. Streams last 340 ms now instead of 130 ms.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -250,6 +250,13 @@
 		['has no record', edge => edge.post({
 			kind: 'origin-read', call: 1, random: 0.5, reply: createReply(),
 		})],
+		['gives the record of another stream', edge => edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: {
+				kind: 'done', version: 1, now: 0, rows: [{
+					table: 'streams', key: 'c8', version: 1, value: '{"service":"s","softwareVersion":"v1"}',
+				}],
+			},
+		})],
 		['has a record that cannot be read', edge => edge.post({
 			kind: 'origin-read', call: 1, random: 0.5, reply: createReply('{"service":1}'),
 		})],
--- a/src/edge/resume.ts
+++ b/src/edge/resume.ts
@@ -102,7 +102,7 @@
 		return keepState(state);
 	}
 
-	const origin = reply.kind === 'done' ? decodeOrigin(reply.rows[0]?.value) : undefined;
+	const origin = reply.kind === 'done' ? decodeOrigin(reply.rows.find(({key}) => key === request.head.resumedKey)?.value) : undefined;
 	return origin === undefined
 		? continueUnrecorded(state, request, `where the stream ${request.head.resumedKey} began is not known: ${'reason' in reply ? reply.reason : 'no readable record'}`, random, now)
 		: countResumption(continueStream(state, request, origin, random, now), request, 'store');
--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -22,24 +22,31 @@
 }>;
 
 /** Number of events in a complete stream. */
-export const eventCount = 6;
+export const eventCount = 12;
 
 /** Time after registering as draining during which new requests may still arrive, in ms. */
 const drainGraceMs = 2000;
 
 /** Delays, in ms: until the response to an unsafe request, between events, and until the first event. */
-const delaysMs = {act: 20, event: 15, first: 40} as const;
+const delaysMs = {act: 20, event: 25, first: 40} as const;
 
 /**
 Starts an endpoint on a free loopback port, and registers it as ready.
 
 @param name - Prefix of its id; the incarnation follows.
+@param softwareVersion - Version that it registers, and writes into each event.
 @param store - The store in which it registers.
 @param executions - The executions by request id, shared by all endpoints.
 @param report - Called with each violation that the endpoint sees.
 @returns The endpoint.
 */
-export const startEndpoint = async (name: string, store: FakeStore, executions: Map<string, Execution>, report: (violation: string) => void): Promise<FakeEndpoint> => {
+export const startEndpoint = async (
+	name: string,
+	softwareVersion: string,
+	store: FakeStore,
+	executions: Map<string, Execution>,
+	report: (violation: string) => void,
+): Promise<FakeEndpoint> => {
 	let incarnation = 0;
 	let drainingSince = Number.POSITIVE_INFINITY;
 	const sockets = new Set<Socket>();
@@ -47,7 +54,8 @@
 
 	const register = (state: 'ready' | 'draining') => {
 		store.put('servers', getId(), {
-			service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'z', version: 'v1', slots: 64, state, coldRemainingMs: 0, sequence: 1, born: 1000 + incarnation,
+			service: 's',
+			address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'z', version: softwareVersion, slots: 64, state, coldRemainingMs: 0, sequence: 1, born: 1000 + incarnation,
 		});
 	};
 
@@ -82,7 +90,7 @@
 				response.writeHead(200, {...createHeaders(incoming), 'content-type': 'text/event-stream'});
 			}
 
-			response.write(`id: ${index}\ndata: ${id}:${index}\n\n`);
+			response.write(`id: ${index}\ndata: ${id}:${index}\n: ${softwareVersion}\n\n`);
 			if (index >= eventCount) {
 				response.end();
 			} else {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -14,12 +14,11 @@
 
 const runSeed = async (seed: number) => {
 	const result = await runSoak(seed);
-	if (result.violations.length > 0) {
-		mkdirSync('dist/soak', {recursive: true});
-		writeFileSync(`dist/soak/${seed}.log`, [...result.violations, ...result.faults, ...result.logs].join('\n'));
-	}
+	mkdirSync('dist/soak', {recursive: true});
+	writeFileSync(`dist/soak/${seed}.log`, [...result.violations, ...result.faults, ...result.logs].join('\n'));
 
-	process.stdout.write(`seed=${seed} asked=${result.sentCount} served=${result.servedCount} faults="${result.faults.join('; ')}"\n`);
+	const counts = `asked=${result.sentCount} served=${result.servedCount} resumed=${result.resumedCount} continued=${result.continuedCount}`;
+	process.stdout.write(`seed=${seed} ${counts} faults="${result.faults.join('; ')}"\n`);
 	expect(result.violations).toEqual([]);
 };
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -22,7 +22,10 @@
 	faults: readonly string[];
 	sentCount: number;
 	servedCount: number;
-	/** The last log lines of each router; written to a file if the seed fails. */
+	/** Streams that clients resumed after an interruption, and those of them that went on. */
+	resumedCount: number;
+	continuedCount: number;
+	/** The last log lines of each router. */
 	logs: readonly string[];
 }>;
 
@@ -32,6 +35,8 @@
 	readonly router: number;
 	readonly organisation: string;
 	readonly sentAt: number;
+	/** For a resumed stream: the call that brought its first event, and the last event received since. */
+	readonly resumed: Readonly<{origin: Call; lastEvent: number}> | undefined;
 	status: number | undefined;
 	body: string;
 	isComplete: boolean;
@@ -114,6 +119,9 @@
 /** Time between client requests, in ms. */
 const callIntervalMs = 12;
 
+/** Resumed streams from which on the share of those that go on counts. */
+const minResumed = 12;
+
 /** Statuses that guarantee that a request has not been executed and never will be. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -159,10 +167,31 @@
 	});
 });
 
-const formatExpectedBody = (id: string): string => Array.from({length: eventCount}, (_, index) => `id: ${index + 1}\ndata: ${id}:${index + 1}\n\n`).join('');
+/** A line in each event that names the version of the endpoint that wrote it. */
+const versionLine = /^: (?<version>\S+)\n/gmv;
+
+const formatExpectedBody = ({id, resumed}: Call): string => {
+	const first = (resumed?.lastEvent ?? 0) + 1;
+	return Array.from({length: eventCount - first + 1}, (_, index) => `id: ${index + first}\ndata: ${id}:${index + first}\n\n`).join('');
+};
+
+const listVersions = (call: Call): readonly string[] => [...call.body.matchAll(versionLine)].map(match => match.groups!.version!);
+
+/** Finds streams with events of more than one version, in one response or over their client's calls. */
+const findMixedStreams = (calls: readonly Call[]): readonly string[] => {
+	const versions = new Map<Call, ReadonlySet<string>>();
+	calls.forEach(call => {
+		const origin = call.resumed?.origin ?? call;
+		versions.set(origin, new Set([...versions.get(origin) ?? [], ...listVersions(call)]));
+	});
+	return [...versions].filter(([, each]) => each.size > 1).map(([origin, each]) => `${origin.id} has events of the versions ${[...each].join(', ')}`);
+};
 
 const countDelivered = (call: Call): number => call.body.split('\n').filter(line => line.startsWith('data: ')).length;
 
+/** The last event that a client has of a stream; an event counts once its end has arrived. */
+const findLastEvent = (call: Call): number => (call.resumed?.lastEvent ?? 0) + call.body.split('\n\n').length - 1;
+
 /** Checks what clients and endpoints recorded against the guarantees of the routers. */
 const findViolations = (calls: readonly Call[], executions: ReadonlyMap<string, Execution>, shutdowns: readonly Span[], faultSpans: readonly Span[]): readonly string[] => {
 	const byId = new Map(calls.map(call => [call.id, call]));
@@ -177,8 +206,9 @@
 		...[...executions].filter(([, execution]) => execution.isAct && execution.startCount > 1).map(([id, execution]) => `unsafe request ${id} was executed ${execution.startCount} times`),
 		...[...executions].filter(([id]) => !byId.has(id)).map(([id]) => `${id} was executed, but no client sent it`),
 		...calls.filter(call => call.status !== undefined && notRunStatuses.has(call.status) && executions.has(call.id)).map(call => `${call.id} was executed despite status ${call.status}`),
-		...calls.filter(call => call.status === 200 && call.isComplete && call.body !== (call.id.startsWith('act') ? call.id : formatExpectedBody(call.id)))
+		...calls.filter(call => call.status === 200 && call.isComplete && call.body.replaceAll(versionLine, '') !== (call.id.startsWith('act') ? call.id : formatExpectedBody(call)))
 			.map(call => `${call.id} got an unexpected response body: ${JSON.stringify(call.body)}`),
+		...findMixedStreams(calls),
 		...calls.filter(call => !call.isComplete && !call.hasDisconnected && isOutsideFaults(call) && shutdowns.some(span => isDuringShutdown(call, span)))
 			.map(call => `the response to ${call.id} was truncated during a graceful shutdown`),
 	];
@@ -207,7 +237,9 @@
 		violations.push(violation);
 	};
 
-	const endpoints: readonly FakeEndpoint[] = await Promise.all(['a', 'b', 'c'].map(async name => startEndpoint(name, store, executions, report)));
+	const endpoints: readonly FakeEndpoint[] = await Promise.all(Object.entries({
+		a: 'v1', b: 'v1', c: 'v2', d: 'v2',
+	}).map(async ([name, version]) => startEndpoint(name, version, store, executions, report)));
 	const relayPorts = await Promise.all([findPort(), findPort()]);
 	const relaySettings = path.join(folder, `relay-${seed}.ini`);
 	writeFileSync(relaySettings, `[host]\nname = relay\n[listen]\nrouters = 127.0.0.1:${relayPorts[0]}\nmetrics = 127.0.0.1:${relayPorts[1]}\n[store]\naddress = 127.0.0.1:${storePort}\n`);
@@ -225,9 +257,10 @@
 	}));
 
 	const calls: Call[] = [];
-	const sendCall = () => {
-		const isAct = random.pick(4) === 0;
-		const organisation = random.pick(2) === 0 ? 'rich' : 'poor';
+	let isLoading = true;
+	const sendCall = (interrupted?: Call) => {
+		const isAct = interrupted === undefined && random.pick(4) === 0;
+		const organisation = interrupted?.organisation ?? (random.pick(2) === 0 ? 'rich' : 'poor');
 		const index = random.pick(routers.length);
 		const router = routers[index]!;
 		const call: Call = {
@@ -235,6 +268,7 @@
 			router: index,
 			organisation,
 			sentAt: getNow(),
+			resumed: interrupted === undefined ? undefined : {origin: interrupted.resumed?.origin ?? interrupted, lastEvent: findLastEvent(interrupted)},
 			status: undefined,
 			body: '',
 			isComplete: false,
@@ -242,8 +276,15 @@
 			endedAt: Number.POSITIVE_INFINITY,
 		};
 		calls.push(call);
+		// Some clients lose their connection and resume at any router; others leave for good.
+		const isLeaving = random.pick(15) === 0;
+		const isResuming = !isLeaving && !isAct && random.pick(10) === 0;
 		const recordEnd = () => {
+			const isFirst = call.endedAt === Number.POSITIVE_INFINITY;
 			call.endedAt = Math.min(call.endedAt, getNow());
+			if (isFirst && !isAct && !call.isComplete && (!call.hasDisconnected || isResuming) && findLastEvent(call) > 0 && isLoading) {
+				sendCall(call);
+			}
 		};
 
 		const outgoing = request({
@@ -253,6 +294,7 @@
 				'request-deadline-ms': '2500',
 				authorization: `Token key-${organisation}`,
 				...(!isAct && {'token-counts': `${50 + random.pick(300)},${eventCount}`, model: 'm'}),
+				...(call.resumed !== undefined && {'last-event-id': String(call.resumed.lastEvent), resumes: call.resumed.origin.id}),
 			},
 		}, incoming => {
 			call.status = incoming.statusCode;
@@ -268,11 +310,11 @@
 		});
 		outgoing.on('error', recordEnd);
 		outgoing.end();
-		if (random.pick(15) === 0) {
+		if (isLeaving || isResuming) {
 			setTimeout(() => {
-				call.hasDisconnected = true;
+				call.hasDisconnected = !call.isComplete;
 				outgoing.destroy();
-			}, random.pick(100));
+			}, random.pick(isLeaving ? 100 : 400));
 		}
 	};
 
@@ -359,7 +401,9 @@
 	];
 
 	await wait(1500);
-	const callTimer = setInterval(sendCall, callIntervalMs);
+	const callTimer = setInterval(() => {
+		sendCall();
+	}, callIntervalMs);
 	const faultPhaseStartedAt = getNow();
 	const count = 3 + random.pick(4);
 	const candidates = Array.from({length: count}, () => ({
@@ -374,9 +418,13 @@
 	}));
 	await wait(Math.max(0, faultPhaseStartedAt + faultPhaseMs - getNow()) + recoveryPhaseMs);
 	clearInterval(callTimer);
+	isLoading = false;
 	const loadEndedAt = getNow();
 	await wait(2700);
 
+	const [resumed, begun] = [true, false].map(isResumed => calls.filter(call => call.id.startsWith('chat') && (call.resumed !== undefined) === isResumed));
+	const countShare = (group: readonly Call[]) => group.filter(call => countDelivered(call) > 0).length / Math.max(1, group.length);
+	const isResumable = resumed!.length < minResumed || countShare(resumed!) >= countShare(begun!) / 2;
 	const recentCalls = calls.filter(call => call.sentAt > loadEndedAt - 1000 && call.organisation === 'rich');
 	const recentServedCount = recentCalls.filter(call => call.status === 200 && call.isComplete).length;
 	const isServing = recentServedCount >= recentCalls.length / 2;
@@ -396,11 +444,14 @@
 		violations: [
 			...violations,
 			...findViolations(calls, executions, shutdowns, faultSpans),
+			...(isResumable ? [] : [`of ${resumed!.length} resumed streams a share of ${countShare(resumed!).toFixed(2)} went on, of new ones ${countShare(begun!).toFixed(2)} began`]),
 			...(isServing ? [] : [`after the faults, ${recentServedCount} of the last ${recentCalls.length} requests were served`]),
 		],
 		faults,
 		sentCount: calls.length,
 		servedCount: calls.filter(call => call.status === 200 && call.isComplete).length,
+		resumedCount: resumed!.length,
+		continuedCount: resumed!.filter(call => countDelivered(call) > 0).length,
 		logs: routers.flatMap(router => router.lines.slice(-400)),
 	};
 };
