Read a stream's origin again while it may still be saved

Clients that lost a stream within its first 50 ms were told that it cannot go on, as its row was not yet in the store. A router that finds no row reads it again for up to 80 ms.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -136,6 +136,7 @@
 		},
 		'read-origin'(effect) {
 			runInBackground(async () => {
+				await sleep(effect.delayMs);
 				const reply = await store.readRow(streamOriginsTable, effect.key);
 				loop.post({
 					kind: 'origin-read', call: effect.call, reply, random: random(),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -72,8 +72,8 @@
 	/** Closes the client's connection in the middle of a response. */
 	| Readonly<{kind: 'cut'; call: number}>
 	| Readonly<{kind: 'store'; call: QuotaStoreCall}>
-	/** Asks the store where the stream of the given key began. */
-	| Readonly<{kind: 'read-origin'; call: number; key: string}>
+	/** Asks the store, after a delay, where the stream of the given key began. */
+	| Readonly<{kind: 'read-origin'; call: number; key: string; delayMs: number}>
 	| Readonly<{kind: 'save-origins'; writes: readonly StoreWrite[]}>
 	/** Sends a load message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
--- a/src/edge/resume.ts
+++ b/src/edge/resume.ts
@@ -11,6 +11,10 @@
 import {reserveForRequest} from './reserve.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
+/** Delay before a missing row is read again, and for how long: a stream that has just begun is saved within that time. */
+const rereadDelayMs = 40;
+const rereadLimitMs = 80;
+
 /** How the origin of a stream is known, for metrics. */
 type OriginSource = 'own' | 'store' | 'sole-version' | 'none';
 
@@ -78,7 +82,9 @@
 	return origin === undefined
 		? {
 			state: putRequest(state, {...request, phase: 'locating', phaseAt: now}),
-			effects: [{kind: 'read-origin', call: request.id, key: resumedKey}],
+			effects: [{
+				kind: 'read-origin', call: request.id, key: resumedKey, delayMs: 0,
+			}],
 		}
 		: countResumption(continueStream(state, request, origin, random, now), request, 'own');
 };
@@ -102,9 +108,18 @@
 		return keepState(state);
 	}
 
-	const origin = reply.kind === 'done' ? decodeOrigin(reply.rows.find(({key}) => key === request.head.resumedKey)?.value) : undefined;
+	const {resumedKey = ''} = request.head;
+	const origin = reply.kind === 'done' ? decodeOrigin(reply.rows.find(({key}) => key === resumedKey)?.value) : undefined;
+	if (reply.kind === 'done' && reply.rows.length === 0 && now - request.phaseAt < rereadLimitMs) {
+		return {
+			state, effects: [{
+				kind: 'read-origin', call: request.id, key: resumedKey, delayMs: rereadDelayMs,
+			}],
+		};
+	}
+
 	return origin === undefined
-		? continueUnrecorded(state, request, `where the stream ${request.head.resumedKey} began is not known: ${'reason' in reply ? reply.reason : 'no readable record'}`, random, now)
+		? continueUnrecorded(state, request, `where the stream ${resumedKey} began is not known: ${'reason' in reply ? reply.reason : 'no readable record'}`, random, now)
 		: countResumption(continueStream(state, request, origin, random, now), request, 'store');
 });
 
