Send a resumed stream even if it will be late

A resumed stream was turned away or made to wait where its endpoints were loaded, by the rule for requests that can go elsewhere, while new streams began at endpoints of other versions. It is sent like a request that was sent before, since part of its work is done. The new test failed before (refuse).

--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -152,3 +152,11 @@
 		expect(retryStorm.backlog * 2).toBeLessThan(1000);
 	});
 });
+
+test('a resumed stream is sent although it will be late: no endpoint of another version can serve it', () => {
+	const query = {
+		predicted: 2000, predictedIdleMs: 150, waiting: 100, endpointCount: 2, now: 0,
+	};
+	expect(decideDispatch({...query, request: createRequest(1, 0)})).toBe('refuse');
+	expect(decideDispatch({...query, request: {...createRequest(1, 0), streamVersion: 'v1'}})).toBe('send');
+});
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -63,15 +63,16 @@
 Load pattern: endpoints are lost, and the rest cannot process prompts as fast as
 they arrive. In order of arrival, every request would be late. So requests that can be
 on time go first, and a late one only where it delays none of them. Late requests that
-would wait too long are rejected at once.
+would wait too long are rejected at once. Neither holds for a request whose work has begun.
 
 @param query - The request, the predictions for it and the load.
 @returns The decision.
 */
 export const decideDispatch = (query: DispatchQuery): Dispatch => {
 	const {request, predicted, predictedIdleMs, now} = query;
-	const hasBeenSent = request.attempt > 0;
-	if (hasBeenSent || isOnTime(query) || predicted <= predictedIdleMs + lightLoadMarginMs) {
+	// Part of the work of a request that was sent before, or of a resumed stream, is done.
+	const hasBegun = request.attempt > 0 || request.streamVersion !== undefined;
+	if (hasBegun || isOnTime(query) || predicted <= predictedIdleMs + lightLoadMarginMs) {
 		return 'send';
 	}
 
