Save the origins of streams in a part of their own, at a bounded rate

The saves shared the part of the tables with the budgets: twelve routers would make 240 transactions a second there, above the 200 that the store applies to one part, and delay those of the budgets. Origins have a part of their own now, and the interval between saves grows with the number of routers: 140 saves a second over all. The test of the rate is new; the fake store keeps parts apart.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -22,7 +22,7 @@
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
 import type {StoredRow} from '../store/index.js';
-import {streamOriginsTable} from '../stream-origin/index.js';
+import {locateOrigin} from '../stream-origin/index.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
 import type {FeedEvent} from './table-feed.js';
@@ -137,7 +137,7 @@
 		'read-origin'(effect) {
 			runInBackground(async () => {
 				await sleep(effect.delayMs);
-				const reply = await store.readRow(streamOriginsTable, effect.key);
+				const reply = await store.readRow(locateOrigin(effect.key));
 				loop.post({
 					kind: 'origin-read', call: effect.call, reply, random: random(),
 				});
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -292,7 +292,7 @@
 	test('is saved once it has begun, and again after a failed save', () => {
 		const {edge, first} = startStream(oneOfEach);
 		const writes = [{
-			table: 'streams', key: 'c1', version: undefined, value: JSON.stringify({service: 's', softwareVersion: findVersion(first)}),
+			table: 'streams', part: 'streams', key: 'c1', version: undefined, value: JSON.stringify({service: 's', softwareVersion: findVersion(first)}),
 		}];
 		const listWrites = () => edge.done.flatMap(effect => effect.kind === 'save-origins' ? [effect.writes] : []);
 		edge.advance(20);
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -9,6 +9,7 @@
 	updateEntry, removeMissing, markUnavailable, markAvailable, replaceEntries,
 } from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
+import {countLiveRouters} from '../quota/index.js';
 import {completeSave, recordRetiredVersions} from '../stream-origin/index.js';
 import {receiveRequest} from './receive.js';
 import {
@@ -139,7 +140,7 @@
 	'registry-regained': (state, _event, now) => keepState({...state, registry: markAvailable(state.registry, now)}),
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	'origin-read': receiveOrigin,
-	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, now)}),
+	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, countLiveRouters(state.quota), now)}),
 	'peer-heard': (state, event, now) => keepState({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}),
 	tick: receiveTick,
 	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds}),
--- a/src/edge/store-failover.ts
+++ b/src/edge/store-failover.ts
@@ -100,7 +100,7 @@
 	return {
 		transact: async writes => hedgeRequest(async operations => operations.transact(writes)),
 		read: async table => hedgeRequest(async operations => operations.read(table)),
-		readRow: async (table, key) => hedgeRequest(async operations => operations.readRow(table, key)),
+		readRow: async key => hedgeRequest(async operations => operations.readRow(key)),
 		// The store delays its reply until rows change, so a slow reply does not indicate a broken path, and no hedged request is sent.
 		async follow(table, after) {
 			const [primary = ''] = orderPaths(paths, clock());
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -200,9 +200,9 @@
 			requestPath = url;
 			return {status: 200, body: '{"ver":1,"rows":[]}'};
 		});
-		expect(await store.readRow('t', 'a&b/ü')).toMatchObject({kind: 'done', rows: []});
+		expect(await store.readRow({table: 't', part: 'p', key: 'a&b/ü'})).toMatchObject({kind: 'done', rows: []});
 		expect(Object.fromEntries(new URL(requestPath, 'http://h').searchParams)).toEqual({
-			table: 't', part: '', from: 'a&b/ü', to: 'a&b/ü\0', limit: '1',
+			table: 't', part: 'p', from: 'a&b/ü', to: 'a&b/ü\0', limit: '1',
 		});
 	});
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -13,7 +13,7 @@
 	/** Reads all rows of a table. Rows that change while several pages are read are repeated by `follow` from the returned version. */
 	read: (table: string) => Promise<StoreReply>;
 	/** Reads one row; the reply has no rows if it does not exist. */
-	readRow: (table: string, key: string) => Promise<StoreReply>;
+	readRow: (key: RowKey) => Promise<StoreReply>;
 	/** Waits for rows of a table that changed after the given version (long polling). */
 	follow: (table: string, after: number) => Promise<StoreReply>;
 }>;
@@ -63,7 +63,7 @@
 	value: row.removed === true || row.value === undefined ? undefined : Buffer.from(row.value, 'base64').toString('utf8'),
 });
 
-const encodeKey = (key: RowKey) => ({table: key.table, part: '', key: key.key});
+const encodeKey = ({table, part = '', key}: RowKey) => ({table, part, key});
 
 type HttpReply = Readonly<{status: number; body: WireReply}>;
 
@@ -167,9 +167,10 @@
 			return reply;
 		},
 		read: async table => readAll(endpoint, table, [], 0),
-		async readRow(table, key) {
+		async readRow(rowKey) {
+			const {table, part, key} = encodeKey(rowKey);
 			const parameters = new URLSearchParams({
-				table, part: '', from: key, to: `${key}\0`, limit: '1',
+				table, part, from: key, to: `${key}\0`, limit: '1',
 			});
 			const {reply} = await send(endpoint, {method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs});
 			return reply;
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -4,8 +4,8 @@
 concurrency control).
 */
 
-/** Table and key of a row. */
-export type RowKey = Readonly<{table: string; key: string}>;
+/** Table and key of a row, and the part of the table that it belongs to. Transactions on one part are applied one after another. */
+export type RowKey = Readonly<{table: string; key: string; part?: string}>;
 
 /** A row as read. `value` is undefined for a removed row. */
 export type StoredRow = RowKey & Readonly<{version: number; value: string | undefined}>;
--- a/src/stream-origin/index.ts
+++ b/src/stream-origin/index.ts
@@ -1,5 +1,5 @@
 export {
-	completeSave, createStreamOrigins, decodeOrigin, findOrigin, planSave, recordOrigin, streamOriginsTable,
+	completeSave, createStreamOrigins, decodeOrigin, findOrigin, locateOrigin, planSave, recordOrigin,
 } from './origins.js';
 export type {StreamOrigin, StreamOrigins} from './origins.js';
 export {findSoleVersion, recordRetiredVersions, retentionMs} from './versions.js';
--- a/src/stream-origin/origins.test.ts
+++ b/src/stream-origin/origins.test.ts
@@ -19,7 +19,7 @@
 			}
 		});
 		expect(planned.writes.length).toBeLessThanOrEqual(100);
-		return planned.writes.length === 0 ? planned.origins : completeSave(planned.origins, true, now);
+		return planned.writes.length === 0 ? planned.origins : completeSave(planned.origins, true, 1, now);
 	}, start);
 
 test('rows are removed after the retention time, so that their number stays bounded', () => {
@@ -33,7 +33,7 @@
 
 test('a store that is away costs only the saves of that time', () => {
 	const first = planSave(recordOrigin(createStreamOrigins(), 'c1', origin, 0), 0);
-	const failed = completeSave(first.origins, false, 1000);
+	const failed = completeSave(first.origins, false, 1, 1000);
 	expect(planSave(failed, 1100).writes).toEqual([]);
 	expect(planSave(recordOrigin(failed, 'c2', origin, 1100), 1300).writes.map(({key}) => key)).toEqual(['c1', 'c2']);
 	expect(planSave(failed, retentionMs).writes).toEqual([]);
@@ -44,3 +44,8 @@
 	expect(findOrigin(origins, 'c1')).toMatchObject(origin);
 	expect(recordOrigin(origins, 'é'.repeat(101), origin, 2)).toBe(origins);
 });
+
+test('the saves of all routers together stay below what the store applies to one part', () => {
+	const perSecond = (routers: number) => routers * 1000 / (completeSave(createStreamOrigins(), true, routers, 0).nextSaveAt);
+	expect([1, 4, 30, 470].map(routers => Math.round(perSecond(routers)))).toEqual([20, 80, 140, 140]);
+});
--- a/src/stream-origin/origins.ts
+++ b/src/stream-origin/origins.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {OrderedMap} from 'immutable';
 import {z} from 'zod';
-import type {StoreWrite} from '../store/index.js';
+import type {RowKey, StoreWrite} from '../store/index.js';
 import {retentionMs} from './versions.js';
 
 /** The service and the software version that began a stream. */
@@ -29,11 +29,11 @@
 	nextSaveAt: number;
 }>;
 
-/** Table of the store that holds the origins. */
-export const streamOriginsTable = 'streams';
+/** Shortest interval between saves. If this process is killed, the origins of streams that began within the interval are lost. */
+const minSaveIntervalMs = 50;
 
-/** Interval between saves. If this process is killed, the origins of streams that began within it are lost. */
-const saveIntervalMs = 50;
+/** Saves of all routers together, per second: less than the store applies to one part. */
+const maxSavesPerSecond = 140;
 
 /** Delay after a failed save. */
 const retryDelayMs = 300;
@@ -94,11 +94,17 @@
 
 const encodeWrite = (origins: StreamOrigins, key: string): StoreWrite => {
 	const {service = '', softwareVersion = ''} = origins.recorded.get(key) ?? {};
-	return {
-		table: streamOriginsTable, key, version: undefined, value: JSON.stringify({service, softwareVersion}),
-	};
+	return {...locateOrigin(key), version: undefined, value: JSON.stringify({service, softwareVersion})};
 };
 
+/**
+Locates the row of an origin. Origins have a part of their own, so that their saves delay no other transaction.
+
+@param key - Key of the request that began the stream.
+@returns The key of the row.
+*/
+export const locateOrigin = (key: string): RowKey => ({table: 'streams', part: 'streams', key});
+
 /**
 Begins a save if one is due.
 
@@ -123,9 +129,7 @@
 			},
 			writes: [
 				...saved.map(key => encodeWrite(current, key)),
-				...removed.map(key => ({
-					table: streamOriginsTable, key, version: undefined, value: undefined,
-				})),
+				...removed.map(key => ({...locateOrigin(key), version: undefined, value: undefined})),
 			],
 		};
 };
@@ -135,13 +139,14 @@
 
 @param origins - The origins.
 @param isDone - False if the save failed or its outcome is unknown; it is repeated then.
+@param routerCount - Number of routers that save origins.
 @param now - The current time in ms.
 @returns The origins.
 */
-export const completeSave = (origins: StreamOrigins, isDone: boolean, now: number): StreamOrigins => {
+export const completeSave = (origins: StreamOrigins, isDone: boolean, routerCount: number, now: number): StreamOrigins => {
 	const {saved, removed} = origins.saving ?? {saved: [], removed: []};
 	return isDone
-		? {...origins, saving: undefined, nextSaveAt: now + saveIntervalMs}
+		? {...origins, saving: undefined, nextSaveAt: now + Math.max(minSaveIntervalMs, routerCount * 1000 / maxSavesPerSecond)}
 		: {
 			...origins,
 			saving: undefined,
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -42,9 +42,9 @@
 	let isUnavailable = false;
 	let isDroppingResponses = false;
 
-	/** The rows of a table, or those of a range of keys. */
-	const listRows = (table: string, from = '', to?: string) => [...rows.values()]
-		.filter(row => row.table === table && row.removed !== true && row.key >= from && (to === undefined || row.key < to))
+	/** The rows of a part of a table, or those of a range of keys. */
+	const listRows = (table: string, part: string, from = '', to?: string) => [...rows.values()]
+		.filter(row => row.table === table && row.part === part && row.removed !== true && row.key >= from && (to === undefined || row.key < to))
 		.toSorted((a, b) => a.key < b.key ? -1 : 1);
 	const sendJson = (response: ServerResponse, status: number, body: Readonly<Record<string, unknown>>) => {
 		response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify({...body, ver: version, nowMs: Math.floor(performance.now())}));
@@ -84,7 +84,7 @@
 		if (isUnavailable) {
 			response.writeHead(503).end();
 		} else if (url.pathname === '/v1/rows-get') {
-			sendJson(response, 200, {rows: listRows(table, url.searchParams.get('from') ?? undefined, url.searchParams.get('to') ?? undefined), morePages: false});
+			sendJson(response, 200, {rows: listRows(table, url.searchParams.get('part') ?? '', url.searchParams.get('from') ?? undefined, url.searchParams.get('to') ?? undefined), morePages: false});
 		} else if (url.pathname === '/v1/rows-feed') {
 			pollChanges(response, table, Number(url.searchParams.get('after')), performance.now() + feedTimeoutMs);
 		} else {
