--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -1,5 +1,6 @@
 import {Map} from 'immutable';
 import {describe, expect, test} from 'vitest';
+import {succeed} from '../errors/index.js';
 import type {RoutingConfig, Route} from '../routing-config/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
 import type {RegistryEntry} from '../registry/index.js';
@@ -65,7 +66,8 @@
 	respond(id: number, attempt: number, fields: Partial<ResponseHead> = {}): this {
 		return this.post({
 			kind: 'endpoint-answered', call: id, attempt, random: 0.5, head: {
-				status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined, isStream: false, forwardedHeaders: [], ...fields,
+				status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined,
+				rateLimit: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
 			},
 		});
 	}
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -72,6 +72,7 @@
 					pending: endpoint.pending + (state.peerLoadTotals.get(endpoint.id)?.pending ?? 0),
 					open: endpoint.open,
 					running: endpoint.load?.running,
+					rateLimit: endpoint.rateLimit,
 					loadAge: endpoint.load === undefined ? undefined : Math.round(now - endpoint.load.at),
 				},
 			},
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -1,3 +1,4 @@
+import type {Result} from '../errors/index.js';
 import type {Route} from '../routing-config/index.js';
 
 /** The model and size of a model request. Sizes in tokens. */
@@ -41,6 +42,8 @@
 	/** True if the response has the endpoint's signature header. */
 	isSigned: boolean;
 	load: Readonly<{running: number; waiting: number; slots: number}> | undefined;
+	/** Requests per second that the endpoint takes from all routers together; undefined if it states no limit, a fault if its statement cannot be read. */
+	rateLimit: Result<number | undefined>;
 	isStream: boolean;
 	/** Raw headers that are forwarded to the client. */
 	forwardedHeaders: readonly string[];
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -140,6 +140,19 @@
 		expect(decodeResponse({statusCode: status, headers: fields, rawHeaders: []}).hasNotRun).toBe(hasNotRun);
 	});
 
+	test.each([
+		[{}, undefined],
+		[{'server-limit': '2.7'}, 2.7],
+		[{'server-limit': '0'}, 0],
+		[{'server-limit': '120'}, 120],
+	])('with headers %j states the rate limit %j', (fields, rateLimit) => {
+		expect(decodeResponse({statusCode: 200, headers: fields, rawHeaders: []}).rateLimit.unwrap()).toBe(rateLimit);
+	});
+
+	test.each(['', '-1', '2,7', '1e3', 'none'])('with the rate limit %j names the header that cannot be read', text => {
+		expect(decodeResponse({statusCode: 200, headers: {'server-limit': text}, rawHeaders: []}).rateLimit.val).toMatchObject({detail: expect.stringContaining('server-limit') as string});
+	});
+
 	test('is passed to the client without the headers of a single connection', () => {
 		const raw = ['Response-Seal', 's', 'Transfer-Encoding', 'chunked', 'Keep-Alive', 'timeout=5', 'Replica-Load', '3,0,8', 'X-Own', 'kept'];
 		const response = decodeResponse({statusCode: 200, headers: {'response-seal': 's', 'replica-load': '3,0,8'}, rawHeaders: raw});
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -33,6 +33,8 @@
 	notExecuted: 'not-executed',
 	/** Running requests, waiting requests and slots. */
 	load: 'replica-load',
+	/** Requests per second that the endpoint takes from all routers together. Present only while the limit applies. */
+	rateLimit: 'server-limit',
 } as const;
 
 /** Headers that apply to a single connection or message, and are not copied from one request or response to the next. */
@@ -184,6 +186,17 @@
 		: undefined;
 };
 
+const decimalPattern = /^\d{1,9}(?:\.\d{1,9})?$/v;
+
+const decodeRateLimit = (headers: IncomingHttpHeaders): Result<number | undefined> => {
+	const text = readHeader(headers, headerNames.rateLimit)?.trim();
+	if (text === undefined) {
+		return succeed(undefined);
+	}
+
+	return decimalPattern.test(text) ? succeed(Number(text)) : fail(createFault('bad-request', `${headerNames.rateLimit}: "${text}" is not a decimal number`));
+};
+
 type IncomingResponse = Readonly<{statusCode?: number; headers: IncomingHttpHeaders; rawHeaders: readonly string[]}>;
 
 /** Status of an endpoint whose incarnation is not the intended one. It does not run the request. */
@@ -205,6 +218,7 @@
 		isOtherIncarnation: status === incarnationMismatchStatus,
 		isSigned: headers[headerNames.signature] !== undefined,
 		load: decodeLoad(headers),
+		rateLimit: decodeRateLimit(headers),
 		isStream: (headers['content-type'] ?? '').startsWith('text/event-stream'),
 		forwardedHeaders: omitHeaders(incoming.rawHeaders, strippedFromResponses),
 	};
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -31,6 +31,8 @@
 	pending: number;
 	/** The load that it last reported, and when, in ms. */
 	load: Readonly<{running: number; waiting: number; slots: number; at: number}> | undefined;
+	/** Requests per second that it takes from all routers together, as it last stated; undefined if it states no limit. */
+	rateLimit: number | undefined;
 	/** Requests sent since that report. */
 	sentSinceReport: number;
 	/** When this router last sent it each prompt part, in ms. */
@@ -75,6 +77,7 @@
 	open: 0,
 	pending: 0,
 	load: undefined,
+	rateLimit: undefined,
 	sentSinceReport: 0,
 	promptPartsSentAt: Map(),
 	lastResponseAt: 0,
