Share the rate limit of an endpoint among the routers

Callers saw nothing at first: an endpoint in need, which states how many requests a second it takes from all routers together, got up to twice that and had to turn work away sooner or later. Cause: placement knew nothing of the limit. Each router for itself was close to it, so a limit kept by each router alone would not have been enough either: with 16, 10, 4 and 2 requests by router in 4 s, 28 would still have passed of 24 allowed.

Each router now sends at its share of the limit. The shares follow from the live routers, the same at each, and add up to the limit; a limit smaller than half a request per second and router is divided among a few routers, chosen by rendezvous hash. Routers tell each other what endpoints stated to them, so a router without a share learns that a limit has ended; without any news for 10 s it asks at a low rate. Placement leaves out endpoints whose share is used up. If none is left, a request waits as long as it can be sent in time, and is rejected at once otherwise, as not run and with the time after which to come back.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -11,6 +11,7 @@
 import {
 	abortResponse, canHaveRun, closeAttempt, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
+import {recordRateLimit} from './limits.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -65,34 +66,6 @@
 			...endpoint, lastResponseAt: now, load: {...head.load, at: now}, sentSinceReport: 0,
 		});
 
-const describeLimit = (rateLimit: number | undefined): number | 'none' => rateLimit ?? 'none';
-
-/** Records the rate limit that an endpoint states, and logs each change. The response of another incarnation says nothing of this endpoint. */
-const recordRateLimit = (state: EdgeState, request: InFlightRequest, {rateLimit, isOtherIncarnation}: ResponseHead): EdgeStep => {
-	const id = request.triedEndpoints.at(-1);
-	const endpoint = state.registry.endpoints.get(id ?? '');
-	if (endpoint === undefined || isOtherIncarnation) {
-		return keepState(state);
-	}
-
-	if (rateLimit.err) {
-		return {
-			state, effects: [{
-				kind: 'log', level: 'failure', event: 'rate-limit-unreadable', fields: {endpoint: id, reason: rateLimit.val.detail},
-			}],
-		};
-	}
-
-	return rateLimit.val === endpoint.rateLimit
-		? keepState(state)
-		: {
-			state: updateKnownEndpoint(state, id, current => ({...current, rateLimit: rateLimit.val})),
-			effects: [{
-				kind: 'log', level: 'routine', event: 'rate-limit-changed', fields: {endpoint: id, limit: describeLimit(rateLimit.val), before: describeLimit(endpoint.rateLimit)},
-			}],
-		};
-};
-
 /** Counts the attempts that may have reached an endpoint; those without a connection do not count towards the route's limit. */
 const countReachedAttempts = (request: InFlightRequest, unsent: number): number => request.attempt - unsent;
 
@@ -177,7 +150,7 @@
 		return keepState(state);
 	}
 
-	const limited = recordRateLimit(recordLoad(state, request, event.head, now), request, event.head);
+	const limited = recordRateLimit(recordLoad(state, request, event.head, now), request, event.head, now);
 	const step = chain(limited, recorded => event.head.hasNotRun
 		? receiveRefusal(recorded, request, event, now)
 		: (event.head.isStream && event.head.status === 200
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -17,6 +17,7 @@
 } from './attempt.js';
 import {expireTokenWait, applyTokenEvent} from './reserve.js';
 import {expireLocating, receiveOrigin, saveOrigins} from './resume.js';
+import {receivePeerLimits, updateShares} from './limits.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
 import {failOverUnresponsive} from './unresponsive.js';
@@ -97,7 +98,7 @@
 		state: {
 			...state, gossipSentAt: now, peers, peerLoadTotals: sumLoads(peers),
 		},
-		effects: [{kind: 'tell-peers', addresses, message: encodeLoads(state.quota.router, state.registry.endpoints.valueSeq().toArray())}],
+		effects: [{kind: 'tell-peers', addresses, message: encodeLoads(state.quota.router, state.registry.endpoints.valueSeq().toArray(), now)}],
 	};
 };
 
@@ -113,7 +114,7 @@
 	}
 
 	const updated = setRegistry({...state, endpointsCheckedAt: now}, removeMissing(state.registry, now), now);
-	return chain(updated, current => failOverUnresponsive(current, random, now));
+	return chain(updated, current => failOverUnresponsive(updateShares(current, now), random, now));
 };
 
 const receiveTick: Handler<'tick'> = (state, event, now) => {
@@ -141,7 +142,7 @@
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	'origin-read': receiveOrigin,
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, countLiveRouters(state.quota), now)}),
-	'peer-heard': (state, event, now) => keepState({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}),
+	'peer-heard': (state, event, now) => receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
 	tick: receiveTick,
 	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
--- /dev/null
+++ b/src/edge/limits.ts
@@ -0,0 +1,103 @@
+import {listLiveRouters} from '../quota/index.js';
+import {adoptStatement, setShare} from '../rate-limit/index.js';
+import type {RateLimitStatement} from '../rate-limit/index.js';
+import type {Endpoint} from '../registry/index.js';
+import type {PeerMessage} from '../gossip/index.js';
+import type {InFlightRequest, ResponseHead} from '../in-flight/index.js';
+import {chainAll, keepState} from '../loop/step.js';
+import {updateKnownEndpoint} from './common.js';
+import type {EdgeState, EdgeStep} from './state.js';
+
+const updateShare = (state: EdgeState, endpoint: Endpoint, now: number): Endpoint => ({
+	...endpoint, rateLimit: setShare(endpoint.rateLimit, endpoint.id, state.quota.router, state.liveRouters, now),
+});
+
+const describeLimit = (requestsPerSecond: number | undefined): number | 'none' => requestsPerSecond ?? 'none';
+
+/** Applies what an endpoint stated about its rate limit, and logs each change. */
+const applyStatement = (state: EdgeState, id: string, statement: RateLimitStatement, source: string, now: number): EdgeStep => {
+	const endpoint = state.registry.endpoints.get(id);
+	if (endpoint === undefined) {
+		return keepState(state);
+	}
+
+	const {rateLimit: before} = endpoint;
+	const rateLimit = adoptStatement(before, statement, now);
+	if (rateLimit.requestsPerSecond === before.requestsPerSecond) {
+		return keepState(updateKnownEndpoint(state, id, current => ({...current, rateLimit})));
+	}
+
+	const updated = updateShare(state, {...endpoint, rateLimit}, now);
+	return {
+		state: updateKnownEndpoint(state, id, () => updated),
+		effects: [{
+			kind: 'log', level: 'routine', event: 'rate-limit-changed', fields: {
+				endpoint: id,
+				limit: describeLimit(rateLimit.requestsPerSecond),
+				before: describeLimit(before.requestsPerSecond),
+				source,
+				age: Math.round(now - statement.statedAt),
+				share: updated.rateLimit.share,
+				routers: state.liveRouters.length,
+			},
+		}],
+	};
+};
+
+/**
+Records the rate limit that an endpoint's response states. The response of another
+incarnation says nothing about the endpoint.
+
+@param state - The edge state.
+@param request - The request that the response belongs to.
+@param head - The head of the response.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const recordRateLimit = (state: EdgeState, request: InFlightRequest, {rateLimit, isOtherIncarnation}: ResponseHead, now: number): EdgeStep => {
+	const id = request.triedEndpoints.at(-1) ?? '';
+	if (isOtherIncarnation) {
+		return keepState(state);
+	}
+
+	return rateLimit.ok
+		? applyStatement(state, id, {requestsPerSecond: rateLimit.val, statedAt: now, isFirstHand: true}, 'endpoint', now)
+		: {
+			state, effects: [{
+				kind: 'log', level: 'failure', event: 'rate-limit-unreadable', fields: {endpoint: id, reason: rateLimit.val.detail},
+			}],
+		};
+};
+
+/**
+Applies the rate limits that endpoints stated to a peer.
+
+@param state - The edge state.
+@param message - The peer's message.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const receivePeerLimits = (state: EdgeState, {router, limits}: PeerMessage, now: number): EdgeStep => chainAll(state, limits, (current, {endpoint, requestsPerSecond, ageMs}) =>
+	applyStatement(current, endpoint, {requestsPerSecond, statedAt: now - ageMs, isFirstHand: false}, router, now));
+
+/**
+Divides the rate limits anew if other routers are live than before. A router counts as
+live by its row in the store, or by its messages while the store does not show it.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state.
+*/
+export const updateShares = (state: EdgeState, now: number): EdgeState => {
+	const liveRouters = [...new Set([...listLiveRouters(state.quota), ...state.peers.keys()])].toSorted();
+	if (liveRouters.join('\n') === state.liveRouters.join('\n')) {
+		return state;
+	}
+
+	const updated: EdgeState = {...state, liveRouters};
+	return {
+		...updated, registry: {
+			...state.registry, endpoints: state.registry.endpoints.map(endpoint => endpoint.rateLimit.requestsPerSecond === undefined ? endpoint : updateShare(updated, endpoint, now)),
+		},
+	};
+};
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -2,7 +2,7 @@
 import type {RoutingConfig} from '../routing-config/index.js';
 import type {Fault} from '../errors/index.js';
 import type {ResponseHead, RequestHead, ForwardingMetadata} from '../in-flight/index.js';
-import type {EndpointLoads} from '../gossip/index.js';
+import type {PeerMessage} from '../gossip/index.js';
 import type {Fields, Level} from '../log/index.js';
 import type {QuotaStoreCall} from '../quota/index.js';
 import type {RegistryEntry} from '../registry/index.js';
@@ -45,8 +45,8 @@
 	/** The store was asked where a stream began. */
 	| Readonly<{kind: 'origin-read'; call: number; reply: StoreReply; random: number}>
 	| Readonly<{kind: 'origins-saved'; isDone: boolean}>
-	/** A peer reported its requests in flight. */
-	| Readonly<{kind: 'peer-heard'; router: string; loads: EndpointLoads}>
+	/** A peer reported its requests in flight, and rate limits of endpoints. */
+	| (Readonly<{kind: 'peer-heard'}> & PeerMessage)
 	| Readonly<{kind: 'tick'; random: number}>
 	/** The limits of the retry budget were reconfigured. */
 	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds}>
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -4,9 +4,10 @@
 import {chooseEndpoint} from '../placement/index.js';
 import type {Placement} from '../placement/index.js';
 import {
-	decideDispatch, hasWaitedTooLong, orderQueue, suggestRetryAfter,
+	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, orderQueue, predictLimitedSendAt, suggestRetryAfter,
 } from '../queue/index.js';
-import type {Dispatch} from '../queue/index.js';
+import type {Dispatch, LimitedQuery} from '../queue/index.js';
+import {spendCredit} from '../rate-limit/index.js';
 import {decaySlowness} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {updateKnownEndpoint, putRequest, rejectRequest} from './common.js';
@@ -39,6 +40,7 @@
 		open: current.open + 1,
 		pending: current.pending + newTokens,
 		sentSinceReport: current.sentSinceReport + 1,
+		rateLimit: spendCredit(current.rateLimit, now),
 		promptPartsSentAt: recordPromptParts(current, request, now),
 	}));
 	return {
@@ -72,7 +74,7 @@
 					pending: endpoint.pending + (state.peerLoadTotals.get(endpoint.id)?.pending ?? 0),
 					open: endpoint.open,
 					running: endpoint.load?.running,
-					rateLimit: endpoint.rateLimit,
+					rateLimit: endpoint.rateLimit.requestsPerSecond,
 					loadAge: endpoint.load === undefined ? undefined : Math.round(now - endpoint.load.at),
 				},
 			},
@@ -87,6 +89,14 @@
 const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
 	endpoint.service === request.service && (request.streamVersion === undefined || endpoint.softwareVersion === request.streamVersion);
 
+/** Rejects a request that the rate limits of its endpoints keep from being sent in time. */
+const rejectLimited = (state: EdgeState, request: InFlightRequest, sendAt: number, random: number, now: number): EdgeStep => {
+	const isKnown = Number.isFinite(sendAt);
+	const detail = `all endpoints of service ${request.service} have reached their rate limits${isKnown ? ` for ${Math.round(sendAt - now)} ms` : ''}`;
+	const retryAfter = Math.max(suggestRetryAfter(request.expiresAt - now, random), isKnown ? Math.round(sendAt - now) / 1000 : 0);
+	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
+};
+
 /**
 Sends a request to an endpoint, queues it, or rejects it.
 
@@ -129,6 +139,12 @@
 	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
 		endpoint: placement => dispatchers[dispatch(placement)](placement),
 		busy: () => queueRequest(state, request, now),
+		limited({nextSendAt, requestsPerSecond}) {
+			const query: LimitedQuery = {
+				request, nextSendAt, requestsPerSecond, waiting: countQueued(),
+			};
+			return decideLimitedDispatch(query) === 'wait' ? queueRequest(state, request, now) : rejectLimited(state, request, predictLimitedSendAt(query), random, now);
+		},
 		none: () => rejectRequest(state, request, request.hasPossiblyRun
 			? createFault('endpoint-failed', 'the endpoint failed, and the service has no other endpoint')
 			: createFault('not-ready', `service ${request.service} has no endpoint`, suggestRetryAfter(request.expiresAt - now, random)), now),
--- a/src/edge/rate-limit.test.ts
+++ b/src/edge/rate-limit.test.ts
@@ -89,8 +89,9 @@
 	};
 
 	const tellPeers = ({addresses, message}: EdgeEffect & {kind: 'tell-peers'}, now: number): void => {
+		const event: EdgeEvent = {kind: 'peer-heard', ...parseLoads(message).unwrap()};
 		addresses.filter(() => random.draw() >= (load.lostMessages ?? 0)).forEach(address => {
-			schedule(now + messageDelayMs, names.indexOf(address.split(':')[0]!), {kind: 'peer-heard', ...parseLoads(message).unwrap()});
+			schedule(now + messageDelayMs, names.indexOf(address.split(':')[0]!), event);
 		});
 	};
 
@@ -199,3 +200,34 @@
 		});
 	});
 });
+
+test('endpoints whose limit has ended get their part of the requests again', () => {
+	const {arrivals} = playLoad({
+		routers: 20, requestsPerSecond: 80, getLimit: (endpoint, at) => at < 8000 ? limitTwo(3.1)(endpoint, at) : undefined,
+	}, 1, 14_000);
+	const countWithin = (endpoint: string, from: number, until: number) => arrivals.filter(each => each.endpoint === endpoint && each.at >= from && each.at < until).length;
+	limitedIds.forEach(id => {
+		expect(countWithin(id, 10_000, 14_000)).toBeGreaterThan(countWithin(id, 0, limitAt) / 2);
+	});
+});
+
+describe('requests beyond the limits of all endpoints', () => {
+	const {arrivals, outcomes} = playLoad({routers: 4, requestsPerSecond: 60, getLimit: (_, at) => at >= limitAt ? 3.1 : undefined}, 1, 16_000);
+	const settled = outcomes.filter(({at}) => at >= limitAt + noticeMs);
+	const refused = settled.filter(({kind}) => kind === 'refused');
+
+	test('are rejected long before their deadline, with a time to come back', () => {
+		expect(refused.length).toBeGreaterThan(0);
+		expect(Math.max(...refused.map(({after}) => after))).toBeLessThan(route.timeout * 0.7);
+		expect(refused.every(({retryAfter}) => retryAfter !== undefined && retryAfter > 0)).toBe(true);
+		expect(refused.filter(({after}) => after === 0).length).toBeGreaterThan(refused.length * 0.9);
+	});
+
+	test('do not keep the endpoints from what they take', () => {
+		const used = arrivals.filter(({at}) => at >= limitAt + noticeMs).length / (16 - 7);
+		expect(used).toBeGreaterThan(0.8 * 3.1 * endpointIds.length);
+		endpointIds.forEach(id => {
+			expect(countMaxInWindow(arrivals, id, limitAt + noticeMs)).toBeLessThanOrEqual(countAllowed(3.1));
+		});
+	});
+});
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -36,6 +36,8 @@
 	/** Load that peers reported, by router, and its totals by endpoint. */
 	peers: PeerLoads;
 	peerLoadTotals: EndpointLoads;
+	/** Ids of the live routers, including this one, in ascending order. */
+	liveRouters: readonly string[];
 	/** Time of the last load message to peers, in ms. */
 	gossipSentAt: number;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
@@ -80,6 +82,7 @@
 	requests: Map(),
 	peers: Map(),
 	peerLoadTotals: Map(),
+	liveRouters: [options.router],
 	gossipSentAt: 0,
 	endpointsCheckedAt: 0,
 	isStopping: false,
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {createValidationFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
+import {listStatements} from '../rate-limit/index.js';
 import type {Endpoint} from '../registry/index.js';
 
 /** Load of one router at an endpoint. */
@@ -24,30 +25,48 @@
 const messageSchema = z.object({
 	router: z.string(),
 	loads: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()])),
+	/** Endpoint, rate limit in requests per second or null for none, and age of the endpoint's statement in ms. Older routers do not send them. */
+	limits: z.array(z.tuple([z.string(), z.number().nonnegative().nullable(), z.number().nonnegative()])).default([]),
 });
 
+/** What a peer reports of the endpoints. */
+export type PeerMessage = Readonly<{
+	router: string;
+	loads: EndpointLoads;
+	/** Rate limits that endpoints stated to the peer. */
+	limits: ReadonlyArray<Readonly<{endpoint: string; requestsPerSecond: number | undefined; ageMs: number}>>;
+}>;
+
 /**
-Encodes the load of a router for its peers.
+Encodes the load of a router, and the rate limits that it knows, for its peers.
 
 @param router - The router's id.
 @param endpoints - The endpoints known to the router.
+@param now - The current time in ms.
 @returns The message.
 */
-export const encodeLoads = (router: string, endpoints: readonly Endpoint[]): string => JSON.stringify({
-	router, loads: endpoints.filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
+export const encodeLoads = (router: string, endpoints: readonly Endpoint[], now: number): string => JSON.stringify({
+	router,
+	loads: endpoints.filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
+	limits: listStatements(endpoints.map(({id, rateLimit}) => [id, rateLimit]), now)
+		.map(([id, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt)]),
 });
 
 /**
-Parses a peer's load message.
+Parses a peer's message.
 
 @param text - The message.
-@returns The sender and its load, or a fault that names the invalid field.
+@returns The message, or a fault that names the invalid field.
 */
-export const parseLoads = (text: string): Result<Readonly<{router: string; loads: EndpointLoads}>> => {
+export const parseLoads = (text: string): Result<PeerMessage> => {
 	try {
 		const parsed = messageSchema.safeParse(JSON.parse(text));
 		return parsed.success
-			? succeed({router: parsed.data.router, loads: Map(parsed.data.loads.map(([id, pending, open]) => [id, {pending, open}] as const))})
+			? succeed({
+				router: parsed.data.router,
+				loads: Map(parsed.data.loads.map(([id, pending, open]) => [id, {pending, open}] as const)),
+				limits: parsed.data.limits.map(([endpoint, requestsPerSecond, ageMs]) => ({endpoint, requestsPerSecond: requestsPerSecond ?? undefined, ageMs})),
+			})
 			: fail(createValidationFault(parsed.error, 'message'));
 	} catch (error) {
 		return fail({kind: 'bad-request', detail: `message: ${error instanceof Error ? error.message : 'is not valid JSON'}`});
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -1,4 +1,6 @@
 export {
 	encodeLoads, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
 } from './gossip.js';
-export type {EndpointLoads, EndpointLoad, PeerLoads} from './gossip.js';
+export type {
+	EndpointLoads, EndpointLoad, PeerLoads, PeerMessage,
+} from './gossip.js';
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -2,6 +2,7 @@
 import type {ModelRequest} from '../in-flight/index.js';
 import type {EndpointLoads} from '../gossip/index.js';
 import {hashText} from '../random/index.js';
+import {canSend, computeNextSendAt, computeRate} from '../rate-limit/index.js';
 import {decaySlowness} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 
@@ -32,8 +33,10 @@
 		/** Prompt tokens that the endpoint is not expected to have cached. */
 		newTokens: number;
 	}>
-	/** All slots of every endpoint are taken. */
+	/** All slots of every endpoint that may be sent a request are taken. */
 	| Readonly<{kind: 'busy'}>
+	/** The rate limits of all endpoints are used up: one request may be sent at `nextSendAt`, and then `requestsPerSecond`. */
+	| Readonly<{kind: 'limited'; nextSendAt: number; requestsPerSecond: number}>
 	/** The service has no endpoint. */
 	| Readonly<{kind: 'none'}>;
 
@@ -177,7 +180,16 @@
 
 	const untried = keepMatching(endpoints, endpoint => !query.triedEndpoints.includes(endpoint.id));
 	const healthy = keepMatching(untried, endpoint => endpoint.ejectedUntil <= query.now);
-	const available = healthy.filter(endpoint => !isFull(endpoint, query.peers, query.now));
+	const permitted = healthy.filter(endpoint => canSend(endpoint.rateLimit, query.now));
+	if (permitted.length === 0) {
+		return {
+			kind: 'limited',
+			nextSendAt: Math.min(...healthy.map(endpoint => computeNextSendAt(endpoint.rateLimit, query.now))),
+			requestsPerSecond: healthy.reduce((sum, endpoint) => sum + computeRate(endpoint.rateLimit, query.now), 0),
+		};
+	}
+
+	const available = permitted.filter(endpoint => !isFull(endpoint, query.peers, query.now));
 	const affinity = pickAffinityPart(query.modelRequest);
 	const affinityEndpoints = affinity === undefined ? [] : pickAffinityEndpoints(affinity, available);
 	const affinityBonusMs = computeAffinityBonusMs(query);
--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -1,4 +1,6 @@
 export {
-	decideDispatch, decideAdmission, hasWaitedTooLong, orderQueue, suggestRetryAfter,
+	decideDispatch, decideLimitedDispatch, decideAdmission, hasWaitedTooLong, orderQueue, predictLimitedSendAt, suggestRetryAfter,
+} from './queue.js';
+export type {
+	Dispatch, DispatchQuery, LimitedQuery, AdmissionDecision,
 } from './queue.js';
-export type {Dispatch, DispatchQuery, AdmissionDecision} from './queue.js';
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -80,6 +80,38 @@
 	return (isNewArrival && query.waiting >= maxLateQueuedPerEndpoint * query.endpointCount) || hasWaitedTooLong(request, now) ? 'refuse' : 'wait';
 };
 
+/** Input of a decision on a request while the rate limits of all its endpoints are used up. */
+export type LimitedQuery = Readonly<{
+	request: InFlightRequest;
+	/** When one request may be sent, in ms; infinite if none may be. */
+	nextSendAt: number;
+	/** Requests that may be sent from then on, per second. */
+	requestsPerSecond: number;
+	/** Requests of the service that are queued at this router. */
+	waiting: number;
+}>;
+
+/**
+Predicts when a request can be sent that waits for the rate limits of its endpoints.
+
+@param query - The request and the limits.
+@returns The time in ms, infinite if it cannot be sent. A request that is queued already is counted as the next one.
+*/
+export const predictLimitedSendAt = ({request, nextSendAt, requestsPerSecond, waiting}: LimitedQuery): number =>
+	nextSendAt + (request.phase === 'queued' || waiting === 0 ? 0 : waiting * 1000 / requestsPerSecond);
+
+/**
+Decides whether a request waits for the rate limits of its endpoints.
+
+Load pattern: all endpoints of a service state limits, and clients send more. What
+cannot be sent in time is rejected at once, so that the queue stays short.
+
+@param query - The request and the limits.
+@returns The decision.
+*/
+export const decideLimitedDispatch = (query: LimitedQuery): Exclude<Dispatch, 'send'> =>
+	hasWaitedTooLong(query.request, predictLimitedSendAt(query)) ? 'refuse' : 'wait';
+
 /** Admission decision on a request that was read completely. */
 export type AdmissionDecision =
 	| 'take'
--- a/src/quota/state.ts
+++ b/src/quota/state.ts
@@ -282,6 +282,14 @@
 	return updateBudgetHold(quota, organisation, {waitingTokens: tokens, smallestWaitingTokens: smallest, usedSinceTick: hold.usedSinceTick + Math.max(0, tokens - hold.waitingTokens)});
 };
 
+/**
+Lists the live routers that share budgets and limits, including this one.
+
+@param quota - The local quota.
+@returns The keys of their rows.
+*/
+export const listLiveRouters = (quota: LocalQuota): readonly string[] => [quota.router, ...quota.peers.filter(peer => peer.isLive).keys()];
+
 /**
 Counts the live routers that share budgets and retry budgets, including this one.
 
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,5 +1,7 @@
 import {Map} from 'immutable';
 import {hashText} from '../random/index.js';
+import {unlimited} from '../rate-limit/index.js';
+import type {RateLimit} from '../rate-limit/index.js';
 
 /** An endpoint's entry in the platform's registry. */
 export type RegistryEntry = Readonly<{
@@ -31,8 +33,8 @@
 	pending: number;
 	/** The load that it last reported, and when, in ms. */
 	load: Readonly<{running: number; waiting: number; slots: number; at: number}> | undefined;
-	/** Requests per second that it takes from all routers together, as it last stated; undefined if it states no limit. */
-	rateLimit: number | undefined;
+	/** Its rate limit, and this router's share. */
+	rateLimit: RateLimit;
 	/** Requests sent since that report. */
 	sentSinceReport: number;
 	/** When this router last sent it each prompt part, in ms. */
@@ -77,7 +79,7 @@
 	open: 0,
 	pending: 0,
 	load: undefined,
-	rateLimit: undefined,
+	rateLimit: unlimited,
 	sentSinceReport: 0,
 	promptPartsSentAt: Map(),
 	lastResponseAt: 0,
