Reconsider the queued requests of each service by themselves

The five requests that come first were reconsidered at each tick, and one when an attempt ended, whatever their service. While all endpoints of one service are full, or have reached their rate limits, its requests kept those of another service queued, although that had free endpoints. Each service has its own five and one now. Test: handle.test.ts, 'queued requests of one service do not keep those of another from its endpoints'; failed before.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -156,7 +156,7 @@
 		: (event.head.isStream && event.head.status === 200
 			? beginStream(recorded, request, now)
 			: receiveResponse(recorded, request, event, now)));
-	return chain(step, current => placeNext(current, event.random, now));
+	return chain(step, current => placeNext(current, request.service, event.random, now));
 });
 
 type FailureEvent = EdgeEvent & {kind: 'endpoint-failed'};
@@ -206,7 +206,7 @@
 			...step.effects,
 		],
 	};
-	return chain(logged, current => placeNext(current, event.random, now));
+	return chain(logged, current => placeNext(current, request.service, event.random, now));
 });
 
 const recordFirstOutput = (endpoint: Endpoint, request: InFlightRequest, now: number): Endpoint => {
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -101,6 +101,18 @@
 
 const streamHead = {isStream: true};
 
+test('queued requests of one service do not keep those of another from its endpoints', () => {
+	const config = createConfig(1, [...routes, createRoute('other', 'safe', {services: [{name: 't', weight: 1}]})]);
+	const services = config.services.set('t', {name: 't', maxConnections: 100, engine: undefined});
+	const edge = new EdgeHarness().start([createEntry('e1', {slots: 1}), createEntry('e2', {service: 't', slots: 1})], {...config, services});
+	Array.from({length: 10}, (_, index) => edge.sendRequest(index + 1, 'safe'));
+	edge.sendRequest(11, 'other').sendRequest(12, 'other');
+	expect(edge.respond(11, 1).getSentTo()).toBe('e2');
+	expect(edge.advance(20).getSentTo()).toBe('');
+	edge.sendRequest(13, 'other');
+	expect(edge.post({kind: 'caller-left', call: 12, events: 0}).advance(20).getSentTo()).toBe('e2');
+});
+
 describe('the first decision on a request', () => {
 	test.each<[string, (edge: EdgeHarness) => EdgeHarness, string]>([
 		['no configuration yet', edge => edge.sendRequest(1, 'safe'), 'refuse not-ready'],
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -4,7 +4,7 @@
 import {chooseEndpoint} from '../placement/index.js';
 import type {Placement} from '../placement/index.js';
 import {
-	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, orderQueue, predictLimitedSendAt, suggestRetryAfter,
+	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, pickNext, predictLimitedSendAt, suggestRetryAfter,
 } from '../queue/index.js';
 import type {Dispatch, LimitedQuery} from '../queue/index.js';
 import {spendCredit} from '../rate-limit/index.js';
@@ -152,28 +152,27 @@
 	return (handlers[choice.kind] as (placement: Placement) => EdgeStep)(choice);
 };
 
-/** Queued requests that are reconsidered when an attempt ends and at each tick. Reconsidering all of them each time would cost CPU time that on-time requests need. */
+/** Queued requests of a service that are reconsidered when an attempt ends and at each tick. Reconsidering all of them each time would cost CPU time that on-time requests need. */
 const placementsPerCompletion = 1;
 const placementsPerTick = 5;
 
 const listQueued = (state: EdgeState): readonly InFlightRequest[] => state.requests.valueSeq().toArray().filter(request => request.phase === 'queued');
 
-const placeQueued = (state: EdgeState, limit: number, random: number, now: number): EdgeStep => {
-	const waiting = listQueued(state);
-	return waiting.length === 0
-		? keepState(state)
-		: chainAll(state, orderQueue(waiting).slice(0, limit), (current, request) => placeRequest(current, request, random, now));
-};
+const placeQueued = (state: EdgeState, waiting: readonly InFlightRequest[], countPerService: number, random: number, now: number): EdgeStep => waiting.length === 0
+	? keepState(state)
+	: chainAll(state, pickNext(waiting, countPerService), (current, request) => placeRequest(current, request, random, now));
 
 /**
-Reconsiders the first queued request, after an attempt has ended.
+Reconsiders the first queued request of a service, after an attempt there has ended.
 
 @param state - The edge state.
+@param service - The service.
 @param random - A random number in [0, 1).
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const placeNext = (state: EdgeState, random: number, now: number): EdgeStep => placeQueued(state, placementsPerCompletion, random, now);
+export const placeNext = (state: EdgeState, service: string, random: number, now: number): EdgeStep =>
+	placeQueued(state, listQueued(state).filter(request => request.service === service), placementsPerCompletion, random, now);
 
 /**
 Reconsiders queued requests, and rejects those that have waited too long.
@@ -187,6 +186,6 @@
 	const tooLate = listQueued(state).filter(request => hasWaitedTooLong(request, now));
 	return chain(
 		chainAll(state, tooLate, (current, request) => placeRequest(current, request, random, now)),
-		current => placeQueued(current, placementsPerTick, random, now),
+		current => placeQueued(current, listQueued(current), placementsPerTick, random, now),
 	);
 };
--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -1,5 +1,5 @@
 export {
-	decideDispatch, decideLimitedDispatch, decideAdmission, hasWaitedTooLong, orderQueue, predictLimitedSendAt, suggestRetryAfter,
+	decideDispatch, decideLimitedDispatch, decideAdmission, hasWaitedTooLong, orderQueue, pickNext, predictLimitedSendAt, suggestRetryAfter,
 } from './queue.js';
 export type {
 	Dispatch, DispatchQuery, LimitedQuery, AdmissionDecision,
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -14,6 +14,22 @@
 	|| ((a.arrivedAt + a.route.targetMs) - (b.arrivedAt + b.route.targetMs))
 	|| (a.id - b.id));
 
+/**
+Picks the queued requests that are reconsidered next.
+
+Load pattern: the endpoints of one service are full or have reached their rate
+limits. Its queued requests must not keep those of other services from theirs.
+
+@param requests - The queued requests.
+@param countPerService - Number of requests to pick of each service.
+@returns The picked requests, the next one first.
+*/
+export const pickNext = (requests: readonly InFlightRequest[], countPerService: number): readonly InFlightRequest[] => {
+	const ordered = orderQueue(requests);
+	const services = [...new Set(ordered.map(({service}) => service))];
+	return orderQueue(services.flatMap(service => ordered.filter(request => request.service === service).slice(0, countPerService)));
+};
+
 /** Decision on a request for which an endpoint was selected. */
 export type Dispatch =
 	| 'send'
