Share the connections that an endpoint accepts among the routers

An endpoint accepts a limited number of connections of all routers together and resets any beyond. Each router allowed itself 0.4 of them, so three routers or more could exceed the limit, and requests beyond a router's part waited unseen in the HTTP agent. A router now uses 0.9 of the connections, divided by the live routers; placement leaves out an endpoint to which this router has as many open.

--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -23,9 +23,6 @@
 /** Time that an idle connection is kept, in ms. An endpoint may announce a shorter keep-alive time. */
 const idleTimeoutMs = 20_000;
 
-/** Fraction of an endpoint's connections that one router may use. There are at most tens of routers, and their load is uneven. */
-const connectionFraction = 0.4;
-
 type SendEffect = EdgeEffect & {kind: 'send'};
 
 /** A client request whose response is not complete. */
@@ -128,11 +125,12 @@
 	const getAgent = (address: string, maxConnections: number): Agent => {
 		const existing = agents.get(address);
 		if (existing !== undefined) {
+			existing.maxSockets = maxConnections;
 			return existing;
 		}
 
 		const agent = new Agent({
-			keepAlive: true, maxSockets: Math.max(4, Math.floor(maxConnections * connectionFraction)), timeout: idleTimeoutMs, scheduling: 'lifo',
+			keepAlive: true, maxSockets: maxConnections, timeout: idleTimeoutMs, scheduling: 'lifo',
 		});
 		agents.set(address, agent);
 		return agent;
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -56,6 +56,7 @@
 
 /** Effects that the edge router carries out. */
 export type EdgeEffect =
+	/** Sends a request to an endpoint, to which at most `maxConnections` may be open. */
 	| Readonly<{kind: 'send'; call: number; attempt: number; address: string; maxConnections: number; metadata: ForwardingMetadata}>
 	/** Aborts the current attempt, whose response is no longer needed. */
 	| Readonly<{kind: 'abort'; call: number}>
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -1,7 +1,7 @@
 import {createFault} from '../errors/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
-import {chooseEndpoint} from '../placement/index.js';
+import {chooseEndpoint, computeConnectionShare} from '../placement/index.js';
 import type {Placement} from '../placement/index.js';
 import {
 	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, pickNext, predictLimitedSendAt, suggestRetryAfter,
@@ -21,6 +21,11 @@
 	return parts.size <= maxPromptParts ? parts : parts.sortBy(at => -at).take(maxPromptParts / 2);
 };
 
+const computeConnections = (state: EdgeState, request: InFlightRequest): number => {
+	const service = state.config?.services.get(request.service);
+	return service === undefined ? 0 : computeConnectionShare(service.maxConnections, state.liveRouters.length);
+};
+
 const sendRequest = (state: EdgeState, request: InFlightRequest, placement: Placement & {kind: 'endpoint'}, now: number): EdgeStep => {
 	const {endpoint, predicted, newTokens} = placement;
 	const sent: InFlightRequest = {
@@ -51,7 +56,7 @@
 				call: request.id,
 				attempt: sent.attempt,
 				address: endpoint.address,
-				maxConnections: state.config?.services.get(request.service)?.maxConnections ?? endpoint.slots,
+				maxConnections: computeConnections(state, request),
 				metadata: {
 					endpoint: endpoint.id,
 					remainingMs: request.expiresAt - now,
@@ -115,6 +120,7 @@
 			service,
 			modelRequest: request.head.modelRequest,
 			dataCentre: state.dataCentre,
+			connections: computeConnections(state, request),
 			triedEndpoints: request.triedEndpoints,
 			peers: state.peerLoadTotals,
 			timeToTargetMs: request.arrivedAt + request.route.targetMs - now,
--- a/src/edge/rate-limit.test.ts
+++ b/src/edge/rate-limit.test.ts
@@ -16,10 +16,13 @@
 	maxAttempts: 2, isAnonymous: true, isResumable: false, eventGapTargetMs: undefined,
 };
 
+/** Connections that an endpoint accepts of all routers together. */
+const maxConnections = 100;
+
 const config: RoutingConfig = {
 	version: 1,
 	routes: Map([['h', [route]]]),
-	services: Map([['s', {name: 's', maxConnections: 10_000, engine: undefined}]]),
+	services: Map([['s', {name: 's', maxConnections, engine: undefined}]]),
 	organisations: Map(),
 	budgets: Map(),
 	needsAuthentication: false,
@@ -42,6 +45,8 @@
 	firstRouterFraction?: number;
 	/** Returns the limit that an endpoint states at a time; undefined if it states none. */
 	getLimit: (endpoint: string, at: number) => number | undefined;
+	/** Time between the send of a request and its response. */
+	serviceMs?: number;
 	/** Returns the fraction of the requests that an endpoint fails with status 500. */
 	getFailedFraction?: (endpoint: string) => number;
 	/** Time from which the store shows no router as live, although all are. */
@@ -53,8 +58,7 @@
 type Arrival = Readonly<{endpoint: string; router: number; at: number}>;
 type Outcome = Readonly<{kind: 'delivered' | 'refused'; at: number; after: number; retryAfter: number | undefined}>;
 
-/** Time between the send of a request and its response. */
-const serviceMs = 120;
+const defaultServiceMs = 120;
 const tickMs = 20;
 const messageDelayMs = 2;
 
@@ -71,7 +75,7 @@
 			dataCentre: 'z', router: name, incarnation: name, peerAddress: `${name}:1`, retryBudgetBounds: {ratio: 0.2, slack: 54},
 		});
 		const peers = Map<string, PeerRouter>(names.filter(each => each !== name).map(each => [each, {peerAddress: `${each}:1`, isLive: true, holds: Map()}]));
-		return {...state, quota: {...state.quota, peers}};
+		return {...state, quota: {...state.quota, peers}, liveRouters: names.toSorted()};
 	});
 
 	const schedule = (at: number, router: number, event: EdgeEvent): void => {
@@ -82,7 +86,7 @@
 		const rateLimit = load.getLimit(endpoint, now);
 		const isFailed = random.draw() < (load.getFailedFraction?.(endpoint) ?? 0);
 		arrivals.push({endpoint, router, at: now});
-		schedule(now + serviceMs, router, {
+		schedule(now + (load.serviceMs ?? defaultServiceMs), router, {
 			kind: 'endpoint-answered', call, attempt, random: random.draw(), head: {
 				status: isFailed ? 500 : 200, key: undefined, hasNotRun: false, isOtherIncarnation: false, isSigned: true,
 				load: undefined, rateLimit: succeed(rateLimit), isStream: false, forwardedHeaders: [],
@@ -240,3 +244,14 @@
 		});
 	});
 });
+
+test('routers together open no more connections to an endpoint than it accepts', () => {
+	// No request ends or is given up while this is played.
+	const endMs = 900;
+	const {arrivals} = playLoad({
+		routers: 4, requestsPerSecond: 1000, firstRouterFraction: 0.5, serviceMs: endMs, getLimit: () => undefined,
+	}, 1, endMs);
+	endpointIds.forEach(id => {
+		expect(arrivals.filter(({endpoint}) => endpoint === id).length).toBeLessThanOrEqual(maxConnections);
+	});
+});
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,4 @@
 export {
-	chooseEndpoint, countUncachedTokens, isFull,
+	chooseEndpoint, computeConnectionShare, countUncachedTokens, isFull,
 } from './placement.js';
 export type {PlacementQuery, Placement} from './placement.js';
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -20,7 +20,7 @@
 const listEndpoints = (from: Registry): readonly Endpoint[] => from.endpoints.valueSeq().toArray();
 
 const choose = (from: Registry, timeToTargetMs: number) => chooseEndpoint(listEndpoints(from), {
-	service, modelRequest, dataCentre: 'z', triedEndpoints: [], peers: Map(), timeToTargetMs, now: 0,
+	service, modelRequest, dataCentre: 'z', connections: 100, triedEndpoints: [], peers: Map(), timeToTargetMs, now: 0,
 });
 
 /** Places requests one after the other, none of which has produced output. */
@@ -55,7 +55,7 @@
 	const slow = listEndpoints(registry).reduce((current, {id}) => updateEndpoint(current, id, endpoint => ({...endpoint, slowness: 10, slownessUpdatedAt: 0})), registry);
 	const predict = (now: number) => {
 		const choice = chooseEndpoint(listEndpoints(slow), {
-			service, modelRequest, dataCentre: 'z', triedEndpoints: [], peers: Map(), timeToTargetMs: 500, now,
+			service, modelRequest, dataCentre: 'z', connections: 100, triedEndpoints: [], peers: Map(), timeToTargetMs: 500, now,
 		});
 		return choice.kind === 'endpoint' ? choice.predicted : 0;
 	};
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -14,6 +14,8 @@
 	dataCentre: string;
 	/** Ids of endpoints that the request was sent to before; avoided while there are others. */
 	triedEndpoints: readonly string[];
+	/** Connections that this router may have open to one endpoint. */
+	connections: number;
 	/** Load that other routers reported, by endpoint. */
 	peers: EndpointLoads;
 	/** Time left within which the first output is on time. */
@@ -33,7 +35,7 @@
 		/** Prompt tokens that the endpoint is not expected to have cached. */
 		newTokens: number;
 	}>
-	/** All slots of every endpoint that may be sent a request are taken. */
+	/** All slots of every endpoint that may be sent a request are taken, or all connections that this router may open to it. */
 	| Readonly<{kind: 'busy'}>
 	/** The rate limits of all endpoints are used up: one request may be sent at `nextSendAt`, and then `requestsPerSecond`. */
 	| Readonly<{kind: 'limited'; nextSendAt: number; requestsPerSecond: number}>
@@ -81,6 +83,19 @@
 	return Math.max(0, modelRequest.promptTokens - cachedTokens);
 };
 
+/** Fraction of an endpoint's connections that the routers use. The rest is left for connections whose router has just died. */
+const connectionFraction = 0.9;
+
+/**
+Computes how many connections one router may open to an endpoint, which accepts a limited number of all routers together.
+
+@param maxConnections - The endpoint's limit.
+@param routerCount - The number of live routers.
+@returns The number of connections, at least 1.
+*/
+export const computeConnectionShare = (maxConnections: number, routerCount: number): number =>
+	Math.max(1, Math.floor(maxConnections * connectionFraction / routerCount));
+
 /** Counts the requests at an endpoint: the load that it reported or the load known to the routers, whichever is higher. */
 const countRequests = (endpoint: Endpoint, peers: EndpointLoads, now: number): number => {
 	const {load} = endpoint;
@@ -189,7 +204,7 @@
 		};
 	}
 
-	const available = permitted.filter(endpoint => !isFull(endpoint, query.peers, query.now));
+	const available = permitted.filter(endpoint => endpoint.open < query.connections && !isFull(endpoint, query.peers, query.now));
 	const affinity = pickAffinityPart(query.modelRequest);
 	const affinityEndpoints = affinity === undefined ? [] : pickAffinityEndpoints(affinity, available);
 	const affinityBonusMs = computeAffinityBonusMs(query);
