Fail an attempt whose response has no end

An endpoint in trouble may send bytes without end, in a body or in an event. The router kept them all in memory until the deadline, which a process of 200 MB does not survive: all its callers' connections would break. A response is limited to 8 MiB, all responses in memory to 32 MiB (small ones go on), an event to 1 MiB; the attempt then fails like one whose connection breaks. The agent limits events alike; its bodies had a limit. A head without end was refused by the HTTP parser before.

--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -11,7 +11,7 @@
 };
 
 /** Sends a request to an endpoint that writes raw bytes. */
-const runAgainst = async (respond: (socket: Socket) => void): Promise<EndpointResult> => {
+const runAgainst = async (respond: (socket: Socket) => void, request = plainRequest): Promise<EndpointResult> => {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
@@ -22,7 +22,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const client = openEndpoint(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 2);
-	const result = await client.run(plainRequest, {push: () => undefined, credit: createCredit(), signal: new AbortController().signal});
+	const result = await client.run(request, {push: () => undefined, credit: createCredit(), signal: new AbortController().signal});
 	await client.close();
 	server.close();
 	return result;
@@ -40,3 +40,23 @@
 ])('a response without a length %s', async (_, respond, outcome) => {
 	expect(await runAgainst(respond)).toMatchObject({outcome});
 });
+
+test.each([
+	['in a body', plainRequest, 'HTTP/1.1 200 OK\r\n\r\n'],
+	['in an event', {...plainRequest, isStream: true, remainingMs: 20_000}, 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: '],
+])('bytes without end %s fail the attempt', async (_, request, head) => {
+	const filler = Buffer.alloc(60_000, 'x');
+	const result = await runAgainst(socket => {
+		let written = 0;
+		const write = () => {
+			written += filler.length;
+			if (!socket.destroyed && written < 64 * 1024 * 1024) {
+				socket.write(filler, write);
+			}
+		};
+
+		socket.write(head);
+		write();
+	}, request);
+	expect(result).toMatchObject({outcome: 'failed'});
+}, 5000);
--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -59,6 +59,8 @@
 
 const chunkSizeBytes = 64 * 1024;
 const maxResponseBytes = 16 * 1024 * 1024;
+/** Largest event of a stream. */
+const maxEventCharacters = 1024 * 1024;
 const connectTimeoutMs = 2000;
 /** Timeout of requests that must not be repeated. They are not aborted at the client's deadline. */
 const actTimeoutMs = 300_000;
@@ -131,6 +133,8 @@
 	};
 	let parsedEvents: string[] = [];
 	const parser = createParser({
+		// Beyond it the parser throws, which fails the attempt.
+		maxBufferSize: maxEventCharacters,
 		onEvent(event) {
 			parsedEvents.push(event.data);
 		},
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -255,6 +255,43 @@
 	expect(result.isComplete).toBe(false);
 });
 
+describe('bytes without end from an endpoint', () => {
+	/** Writes the same bytes again and again until the connection is closed, but no more than the proxy must have refused by then. */
+	const writeOn = (socket: Socket, bytes: Buffer, written: {total: number}): void => {
+		const maxWritten = 64 * 1024 * 1024;
+		const write = () => {
+			if (socket.destroyed || written.total > maxWritten) {
+				return;
+			}
+
+			written.total += bytes.length;
+			socket.write(bytes, write);
+		};
+
+		write();
+	};
+
+	const chunk = (bytes: Buffer): Buffer => Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]);
+	const filler = Buffer.alloc(60_000, 'x');
+
+	test.each<[string, string, Buffer, typeof deliverOrClose]>([
+		['in the head of a response', 'HTTP/1.1 200 OK\r\n', Buffer.from(`X-More: ${filler.toString()}\r\n`), deliverOrClose],
+		['in a response with chunks', `${signedHead}Transfer-Encoding: chunked\r\n\r\n`, chunk(filler), deliverOrClose],
+		['in a response without a length', `${signedHead}\r\n`, filler, deliverOrClose],
+		['in a rejection', 'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n\r\n', filler, deliverOrClose],
+		['in an event', `${stream}\r\nid: 1\ndata: a\n\nid: 2\ndata: `, filler, streamOrClose],
+		['in an event with chunks', `${stream}Transfer-Encoding: chunked\r\n\r\n`, chunk(filler), streamOrClose],
+	])('%s fail the attempt', async (_, head, bytes, react) => {
+		const written = {total: 0};
+		const result = await proxyRequest(socket => {
+			socket.write(head);
+			writeOn(socket, bytes, written);
+		}, react);
+		expect(result).toMatchObject({event: {kind: 'endpoint-failed'}, isComplete: false});
+		expect(written.total).toBeLessThan(32 * 1024 * 1024);
+	}, 5000);
+});
+
 describe('splitting an event stream', () => {
 	test.each([
 		['a partial event', {
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -9,6 +9,7 @@
 import {runInBackground} from '../loop/background.js';
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
+import {findBufferExcess, findEventExcess} from './buffer-limits.js';
 import {canEndAfter, splitEvents} from './event-stream.js';
 import type {
 	EdgeEffect, EdgeEvent, FailureStage, Framing,
@@ -44,6 +45,8 @@
 	initialBytesRead: number;
 	response: Readonly<{head: ResponseHead; incoming: IncomingMessage}> | undefined;
 	chunks: readonly Buffer[];
+	/** Bytes of the chunks. */
+	chunkBytes: number;
 	/** True if the request asks for the rest of a stream, which may be empty. */
 	readonly isResumed: boolean;
 	partialEvent: Buffer;
@@ -136,8 +139,12 @@
 		return agent;
 	};
 
+	const countBufferedBytes = (): number => [...activeRequests.values()].reduce((sum, {upstream}) => sum + (upstream?.chunkBytes ?? 0), 0);
+
 	const destroyUpstream = (upstream: Upstream): void => {
 		upstream.isFinished = true;
+		upstream.chunks = [];
+		upstream.chunkBytes = 0;
 		upstream.outgoing.destroy();
 	};
 
@@ -196,7 +203,16 @@
 
 	const collectResponse = (requestId: number, upstream: Upstream, head: ResponseHead, incoming: IncomingMessage): void => {
 		incoming.on('data', (chunk: Buffer) => {
+			if (upstream.isFinished) {
+				return;
+			}
+
 			upstream.chunks = [...upstream.chunks, chunk];
+			upstream.chunkBytes += chunk.length;
+			const excess = findBufferExcess(upstream.chunkBytes, countBufferedBytes);
+			if (excess !== undefined) {
+				failAttempt(requestId, upstream, 'sent', excess);
+			}
 		});
 		incoming.on('end', () => {
 			if (!incoming.complete) {
@@ -289,6 +305,7 @@
 			initialBytesRead: 0,
 			response: undefined,
 			chunks: [],
+			chunkBytes: 0,
 			isResumed: effect.metadata.resumeAfter !== undefined,
 			partialEvent: Buffer.alloc(0),
 			eventCount: 0,
@@ -426,6 +443,10 @@
 		incoming.on('data', (chunk: Buffer) => {
 			if (!upstream.isFinished) {
 				forwardEvents(requestId, activeRequest, upstream, chunk);
+				const excess = findEventExcess(upstream.partialEvent.length);
+				if (excess !== undefined) {
+					failAttempt(requestId, upstream, 'streaming', excess);
+				}
 			}
 		});
 		incoming.on('end', () => {
