Soak: an endpoint states a rate limit, and clients send slow bodies

Some clients pause in their bodies, and a request that an endpoint has run counts as truncated by a graceful shutdown however late it was sent.

--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -18,6 +18,8 @@
 	crash: () => void;
 	/** Registers as draining; requests are still served, but reported if they arrive after the grace period. */
 	drain: () => void;
+	/** States a rate limit in its responses from now on, and reports if more requests arrive than it allows; undefined ends the limit. */
+	setRateLimit: (requestsPerSecond: number | undefined) => void;
 	close: () => void;
 }>;
 
@@ -27,6 +29,9 @@
 /** Time after registering as draining during which new requests may still arrive, in ms. */
 const drainGraceMs = 2000;
 
+/** Window in which requests are counted against a rate limit, and time after the limit was first stated from which it must be kept, in ms. */
+const rateLimitMs = {window: 4000, notice: 3000} as const;
+
 /** Delays, in ms: until the response to an unsafe request, between events, and until the first event. */
 const delaysMs = {act: 20, event: 25, first: 40} as const;
 
@@ -49,6 +54,8 @@
 ): Promise<FakeEndpoint> => {
 	let incarnation = 0;
 	let drainingSince = Number.POSITIVE_INFINITY;
+	let rateLimit: Readonly<{requestsPerSecond: number; from: number}> | undefined;
+	let arrivals: readonly number[] = [];
 	const sockets = new Set<Socket>();
 	const getId = () => `${name}-${incarnation}`;
 
@@ -68,7 +75,27 @@
 		executions.set(id, execution);
 	};
 
-	const createHeaders = (incoming: IncomingMessage) => ({'response-seal': 's', 'attempt-id': String(incoming.headers['attempt-id']), 'replica-load': '1,0,64'});
+	const createHeaders = (incoming: IncomingMessage) => ({
+		'response-seal': 's', 'attempt-id': String(incoming.headers['attempt-id']), 'replica-load': '1,0,64', ...(rateLimit !== undefined && {'server-limit': String(rateLimit.requestsPerSecond)}),
+	});
+
+	const setRateLimit = (requestsPerSecond: number | undefined) => {
+		rateLimit = requestsPerSecond === undefined ? undefined : {requestsPerSecond, from: Date.now()};
+		arrivals = [];
+	};
+
+	const recordArrival = () => {
+		if (rateLimit === undefined || Date.now() < rateLimit.from + rateLimitMs.notice) {
+			return;
+		}
+
+		const now = Date.now();
+		const allowed = (1.5 * rateLimit.requestsPerSecond * rateLimitMs.window / 1000) + 5;
+		arrivals = [...arrivals.filter(at => at > now - rateLimitMs.window), now];
+		if (arrivals.length > allowed) {
+			report(`${getId()} received ${arrivals.length} requests in ${rateLimitMs.window} ms, of ${allowed} that its rate limit allows`);
+		}
+	};
 
 	const serveAct = (incoming: IncomingMessage, response: ServerResponse) => {
 		recordExecution(incoming, true);
@@ -110,6 +137,7 @@
 				return;
 			}
 
+			recordArrival();
 			if (Date.now() > drainingSince + drainGraceMs) {
 				report(`${getId()} received ${String(incoming.headers['attempt-id'])} ${Date.now() - drainingSince} ms after registering as draining`);
 			}
@@ -140,6 +168,7 @@
 			destroyConnections();
 			store.put('servers', getId(), undefined);
 			incarnation += 1;
+			setRateLimit(rateLimit?.requestsPerSecond);
 			drainingSince = Number.POSITIVE_INFINITY;
 			register('ready');
 		},
@@ -147,6 +176,7 @@
 			register('draining');
 			drainingSince = Date.now();
 		},
+		setRateLimit,
 		close() {
 			server.close();
 			destroyConnections();
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -119,6 +119,12 @@
 /** Time between client requests, in ms. */
 const callIntervalMs = 12;
 
+/** Rate limit that the endpoint with the most requests states during the fault phase of seeds with an odd number, in requests per second: far below its part of the load. */
+const statedRateLimit = 4;
+
+/** Requests whose clients pause before they send the rest of the body. */
+const slowBodies = {oneIn: 8, pauseMs: 200} as const;
+
 /** Resumed streams from which on the share of those that go on counts. */
 const minResumed = 12;
 
@@ -199,7 +205,7 @@
 		organisation,
 		tokens: [...executions].filter(([, run]) => run.organisation === organisation && !run.isAct).reduce((sum, [id, run]) => sum + run.promptTokens + countDelivered(byId.get(id)!), 0),
 	}));
-	const isDuringShutdown = (call: Call, shutdown: Span) => call.sentAt < shutdown.from + 2500 && call.endedAt > shutdown.from && call.endedAt < shutdown.until;
+	const isDuringShutdown = (call: Call, shutdown: Span) => (call.sentAt < shutdown.from + 2500 || executions.has(call.id)) && call.endedAt > shutdown.from && call.endedAt < shutdown.until;
 	const isOutsideFaults = (call: Call) => !faultSpans.some(span => span.from - 1000 < call.endedAt && span.until + 3000 > call.sentAt);
 	return [
 		...usages.filter(({organisation, tokens}) => tokens > budgets[organisation]!).map(({organisation, tokens}) => `${organisation} used ${tokens} of ${budgets[organisation]} tokens`),
@@ -309,7 +315,15 @@
 			incoming.on('close', recordEnd);
 		});
 		outgoing.on('error', recordEnd);
-		outgoing.end();
+		if (isAct && calls.length % slowBodies.oneIn === 0) {
+			outgoing.write('first part');
+			setTimeout(() => {
+				outgoing.end('second part');
+			}, slowBodies.pauseMs);
+		} else {
+			outgoing.end();
+		}
+
 		if (isLeaving || isResuming) {
 			setTimeout(() => {
 				call.hasDisconnected = !call.isComplete;
@@ -405,6 +419,8 @@
 		sendCall();
 	}, callIntervalMs);
 	const faultPhaseStartedAt = getNow();
+	const limited = endpoints[0]!;
+	limited.setRateLimit(seed % 2 === 1 ? statedRateLimit : undefined);
 	const count = 3 + random.pick(4);
 	const candidates = Array.from({length: count}, () => ({
 		at: random.pick(faultPhaseMs), kind: random.pick(faultActions.length), index: random.pick(3), durationMs: 300 + random.pick(2000),
@@ -416,7 +432,9 @@
 		await wait(at);
 		await faultActions[kind]!(index, durationMs);
 	}));
-	await wait(Math.max(0, faultPhaseStartedAt + faultPhaseMs - getNow()) + recoveryPhaseMs);
+	await wait(Math.max(0, faultPhaseStartedAt + faultPhaseMs - getNow()));
+	limited.setRateLimit(undefined);
+	await wait(recoveryPhaseMs);
 	clearInterval(callTimer);
 	isLoading = false;
 	const loadEndedAt = getNow();
