Wait in a graceful shutdown for every response that is not written yet

A stopping router waited until no request was in flight. A request counts as in flight from its complete arrival to its decision, so a request whose body was still being read, and a response that its client had not received whole, were cut off when the process ended. Besides, Node.js takes a connection for idle once its response has ended, and closes it with the listening socket, whatever is left to be written. The router now waits until all responses are written, again after the budgets are returned, up to the same deadline. Test: edge-shutdown.test.ts; failed before (both clients without a whole response).

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -262,7 +262,14 @@
 	/** Connections on which a request has been received. */
 	const seenConnections = new WeakSet<object>();
 
+	/** Responses that are not yet written to their connections, also of requests whose bodies have not been read. */
+	const openResponses = new Set<ServerResponse>();
+
 	const receiveRequest = (incoming: IncomingMessage, response: ServerResponse) => {
+		openResponses.add(response);
+		response.on('close', () => {
+			openResponses.delete(response);
+		});
 		const isFirstRequest = !seenConnections.has(incoming.socket);
 		seenConnections.add(incoming.socket);
 		response.on('error', () => undefined);
@@ -318,6 +325,14 @@
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000, noDelay: true,
 	}, receiveRequest);
+	const closeIdleConnections = server.closeIdleConnections.bind(server);
+	// Node.js takes a connection for idle once its response has ended, even if the client has not received all of it. Closing the server calls this as well.
+	server.closeIdleConnections = () => {
+		if (![...openResponses].some(response => response.writableEnded)) {
+			closeIdleConnections();
+		}
+	};
+
 	const readyServer = createServer((incoming, response) => {
 		incoming.resume();
 		response.writeHead(isReady(loop.state()) ? 200 : 503, {'content-length': 0}).end();
@@ -368,7 +383,7 @@
 	}));
 
 	const awaitDrained = async (deadline: number): Promise<void> => {
-		if (clock() >= deadline || loop.state().requests.isEmpty()) {
+		if (clock() >= deadline || (loop.state().requests.isEmpty() && openResponses.size === 0)) {
 			return;
 		}
 
@@ -410,7 +425,9 @@
 			await awaitDrained(deadline);
 			loop.post({kind: 'leave-wanted', random: random()});
 			await awaitBudgetRelease(Math.min(deadline, clock() + budgetReleaseTimeoutMs));
-			log.write('routine', 'stopped', {incarnation, calls: loop.state().requests.size});
+			// Connections that were still open may have brought further requests.
+			await awaitDrained(deadline);
+			log.write('routine', 'stopped', {incarnation, calls: loop.state().requests.size, responses: openResponses.size});
 			client.close();
 			peerSocket.close();
 			proxy.close();
