Take out an endpoint as soon as its response says that it is leaving

An endpoint that leaves says so in its responses, often before its entry in the store does; while the store is away, only there. The endpoint is removed on the first such response of any kind; its entry does not bring it back, unless it has started anew. Requests that wait or are retried go elsewhere. A router that was restarted since does not know: its first request to the endpoint tells it.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -10,6 +10,7 @@
 import {
 	abortResponse, canHaveRun, closeAttempt, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
+import {recordLeaving} from './endpoints.js';
 import {recordRateLimit} from './limits.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
@@ -150,7 +151,8 @@
 	}
 
 	const limited = recordRateLimit(recordLoad(state, request, event.head, now), request, event.head, now);
-	const step = chain(limited, recorded => event.head.hasNotRun
+	const left = chain(limited, recorded => recordLeaving(recorded, request, event.head, now));
+	const step = chain(left, recorded => event.head.hasNotRun
 		? receiveRefusal(recorded, request, event, now)
 		: (event.head.isStream && event.head.status === 200
 			? beginStream(recorded, request, now)
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -5,10 +5,22 @@
 import type {Route} from '../routing-config/index.js';
 import {errorResponses} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
+import type {Fields} from '../log/index.js';
 import {keepState} from '../loop/step.js';
 import type {EdgeEffect} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
+/**
+Creates an effect that writes a routine log line.
+
+@param event - The event.
+@param fields - Its fields.
+@returns The effect.
+*/
+export const createLogEffect = (event: string, fields: Fields): EdgeEffect => ({
+	kind: 'log', level: 'routine', event, fields,
+});
+
 /**
 Tells whether a request may be retried after it may have run.
 
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -67,7 +67,7 @@
 		return this.post({
 			kind: 'endpoint-answered', call: id, attempt, random: 0.5, head: {
 				status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined,
-				rateLimit: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
+				rateLimit: succeed(undefined), isLeaving: false, isStream: false, forwardedHeaders: [], ...fields,
 			},
 		});
 	}
@@ -172,6 +172,48 @@
 	});
 });
 
+describe('an endpoint whose response says that it is leaving', () => {
+	const startLeaving = (fields: Partial<ResponseHead> = {}) => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const leaving = edge.getSentTo();
+		edge.respond(1, 1, {isLeaving: true, ...fields});
+		return {edge, leaving};
+	};
+
+	const listTargets = (edge: EdgeHarness, from: number) => Array.from({length: 6}, (_, index) => edge.sendRequest(from + index, 'safe').getSentTo());
+
+	test.each<[string, Partial<ResponseHead>]>([
+		['a success', {}],
+		['the head of a stream', streamHead],
+		['a rejection', {status: 503, hasNotRun: true}],
+		['a failure', {status: 500}],
+	])('gets no further request after %s', (_, fields) => {
+		const {edge, leaving} = startLeaving(fields);
+		expect(listTargets(edge, 10)).not.toContain(leaving);
+	});
+
+	test.each<[string, (edge: EdgeHarness, id: string) => EdgeHarness]>([
+		['its entry changes but is still ready', (edge, id) => edge.post({kind: 'endpoint-changed', id, listing: createEntry(id, {slots: 7})})],
+		['all entries are read again', edge => edge.post({kind: 'endpoints-listed', entries: [createEntry('e1'), createEntry('e2')]})],
+		['its entry was missing for a while', (edge, id) => edge.post({kind: 'endpoint-changed', id, listing: undefined}).post({kind: 'endpoint-changed', id, listing: createEntry(id)})],
+	])('is not used again when %s', (_, change) => {
+		const {edge, leaving} = startLeaving();
+		expect(listTargets(change(edge, leaving), 10)).not.toContain(leaving);
+	});
+
+	test('is used again once it has started anew under its id', () => {
+		const {edge, leaving} = startLeaving();
+		edge.post({kind: 'endpoint-changed', id: leaving, listing: createEntry(leaving, {startedAt: 2})});
+		expect(listTargets(edge, 10)).toContain(leaving);
+	});
+
+	test('is not the one that answered for another incarnation', () => {
+		const {edge, leaving} = startLeaving({status: 421, hasNotRun: true, isOtherIncarnation: true});
+		edge.advance(5000);
+		expect(listTargets(edge, 10)).toContain(leaving);
+	});
+});
+
 describe('an interrupted stream', () => {
 	test('is resumed at another endpoint after its last complete event', () => {
 		const edge = new EdgeHarness().start().sendRequest(1, 'stream').respond(1, 1, streamHead);
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -8,8 +8,9 @@
 import {
 	updateEntry, removeMissing, markUnavailable, markAvailable, replaceEntries,
 } from '../registry/index.js';
-import type {Registry} from '../registry/index.js';
-import {completeSave, recordRetiredVersions} from '../stream-origin/index.js';
+import {completeSave} from '../stream-origin/index.js';
+import {createLogEffect} from './common.js';
+import {setRegistry} from './endpoints.js';
 import {receiveRequest} from './receive.js';
 import {
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
@@ -17,17 +18,13 @@
 import {expireTokenWait, applyTokenEvent} from './reserve.js';
 import {expireLocating, receiveOrigin, saveOrigins} from './resume.js';
 import {receivePeerLimits, updateShares} from './limits.js';
-import type {EdgeEffect, EdgeEvent} from './messages.js';
+import type {EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
 import {failOverUnresponsive} from './unresponsive.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 type Handler<Kind extends EdgeEvent['kind']> = (state: EdgeState, event: EdgeEvent & {kind: Kind}, now: number) => EdgeStep;
 
-const createLogEffect = (event: string, fields: Readonly<Record<string, string | number>>, level: 'routine' | 'failure' = 'routine'): EdgeEffect => ({
-	kind: 'log', level, event, fields,
-});
-
 const receiveConfig: Handler<'catalog-read'> = (state, event) => {
 	const config = selectNewerConfig(state.config, event.config);
 	return {
@@ -38,25 +35,6 @@
 	};
 };
 
-/** Logs each endpoint that was added or removed; also closes idle connections to removed ones. */
-const logEndpoints = (before: Registry, after: Registry): readonly EdgeEffect[] => {
-	const added = after.endpoints.valueSeq().toArray().filter(endpoint => before.endpoints.get(endpoint.id)?.startedAt !== endpoint.startedAt);
-	const removed = before.endpoints.keySeq().toArray().filter(id => !after.endpoints.has(id));
-	return [
-		...added.map(({id, service, address, dataCentre, softwareVersion}) => createLogEffect('endpoint-came', {
-			endpoint: id, service, address, dataCentre, softwareVersion,
-		})),
-		...removed.flatMap(id => [createLogEffect('endpoint-went', {endpoint: id}), {kind: 'forget', address: before.endpoints.get(id)!.address} as const]),
-	];
-};
-
-const setRegistry = (state: EdgeState, registry: Registry, now: number): EdgeStep => registry === state.registry
-	? keepState(state)
-	: {
-		state: {...state, registry, retiredVersions: recordRetiredVersions(state.retiredVersions, state.registry, registry, now)},
-		effects: logEndpoints(state.registry, registry),
-	};
-
 /** Longest wait of a request for the store, which usually responds within a few ms, and when it is slow within 250 ms. */
 const maxStoreWaitMs = 300;
 
--- a/src/edge/limits.ts
+++ b/src/edge/limits.ts
@@ -5,7 +5,7 @@
 import type {PeerMessage} from '../gossip/index.js';
 import type {InFlightRequest, ResponseHead} from '../in-flight/index.js';
 import {chainAll, keepState} from '../loop/step.js';
-import {updateKnownEndpoint} from './common.js';
+import {createLogEffect, updateKnownEndpoint} from './common.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 const updateShare = (state: EdgeState, endpoint: Endpoint, now: number): Endpoint => ({
@@ -30,17 +30,15 @@
 	const updated = updateShare(state, {...endpoint, rateLimit}, now);
 	return {
 		state: updateKnownEndpoint(state, id, () => updated),
-		effects: [{
-			kind: 'log', level: 'routine', event: 'rate-limit-changed', fields: {
-				endpoint: id,
-				limit: describeLimit(rateLimit.requestsPerSecond),
-				before: describeLimit(before.requestsPerSecond),
-				source,
-				age: Math.round(now - statement.statedAt),
-				share: updated.rateLimit.share,
-				routers: state.liveRouters.length,
-			},
-		}],
+		effects: [createLogEffect('rate-limit-changed', {
+			endpoint: id,
+			limit: describeLimit(rateLimit.requestsPerSecond),
+			before: describeLimit(before.requestsPerSecond),
+			source,
+			age: Math.round(now - statement.statedAt),
+			share: updated.rateLimit.share,
+			routers: state.liveRouters.length,
+		})],
 	};
 };
 
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -44,6 +44,8 @@
 	load: Readonly<{running: number; waiting: number; slots: number}> | undefined;
 	/** Requests per second that the endpoint takes from all routers together; undefined if it states no limit, a fault if its statement cannot be read. */
 	rateLimit: Result<number | undefined>;
+	/** True if the endpoint states that it is leaving. */
+	isLeaving: boolean;
 	isStream: boolean;
 	/** Raw headers that are forwarded to the client. */
 	forwardedHeaders: readonly string[];
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -149,6 +149,10 @@
 		expect(decodeResponse({statusCode: 200, headers: fields, rawHeaders: []}).rateLimit.unwrap()).toBe(rateLimit);
 	});
 
+	test.each([[{}, false], [{'server-leaving': '1'}, true], [{'server-leaving': '0'}, false]])('with headers %j states that the endpoint leaves: %s', (fields, isLeaving) => {
+		expect(decodeResponse({statusCode: 200, headers: fields, rawHeaders: []}).isLeaving).toBe(isLeaving);
+	});
+
 	test.each(['', '-1', '2,7', '1e3', 'none'])('with the rate limit %j names the header that cannot be read', text => {
 		expect(decodeResponse({statusCode: 200, headers: {'server-limit': text}, rawHeaders: []}).rateLimit.val).toMatchObject({detail: expect.stringContaining('server-limit') as string});
 	});
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -33,6 +33,8 @@
 	notExecuted: 'not-executed',
 	/** Running requests, waiting requests and slots. */
 	load: 'replica-load',
+	/** 1 in all responses of an endpoint that is leaving. */
+	leaving: 'server-leaving',
 	/** Requests per second that the endpoint takes from all routers together. Present only while the limit applies. */
 	rateLimit: 'server-limit',
 } as const;
@@ -219,6 +221,7 @@
 		isSigned: headers[headerNames.signature] !== undefined,
 		load: decodeLoad(headers),
 		rateLimit: decodeRateLimit(headers),
+		isLeaving: readHeader(headers, headerNames.leaving)?.trim() === '1',
 		isStream: (headers['content-type'] ?? '').startsWith('text/event-stream'),
 		forwardedHeaders: omitHeaders(incoming.rawHeaders, strippedFromResponses),
 	};
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,4 +1,4 @@
-import {Map} from 'immutable';
+import {Map, OrderedMap} from 'immutable';
 import {hashText} from '../random/index.js';
 import {unlimited} from '../rate-limit/index.js';
 import type {RateLimit} from '../rate-limit/index.js';
@@ -53,13 +53,19 @@
 	slownessUpdatedAt: number;
 }>;
 
+/** Fields that tell the incarnations of an endpoint apart. */
+type Incarnation = Pick<RegistryEntry, 'startedAt' | 'address' | 'service'>;
+
 /**
 The endpoints that may receive new requests.
 
-Invariant: an endpoint whose entry is draining or has been removed is not among them.
+Invariant: an endpoint whose entry is draining or has been removed, or that has stated
+that it is leaving, is not among them.
 */
 export type Registry = Readonly<{
 	endpoints: Map<string, Endpoint>;
+	/** Incarnations that have stated in a response that they are leaving, by id, the latest ones last. Their entries may still say otherwise. */
+	leaving: OrderedMap<string, Incarnation>;
 	/** True while the registry cannot be read. */
 	isUnavailable: boolean;
 	/** Until when an entry may be missing only because of a registry outage, in ms. */
@@ -70,7 +76,9 @@
 export const recoveryWindowMs = 2000;
 
 /** The registry of a process that has read no entries. */
-export const emptyRegistry: Registry = {endpoints: Map(), isUnavailable: false, uncertainUntil: 0};
+export const emptyRegistry: Registry = {
+	endpoints: Map(), leaving: OrderedMap(), isUnavailable: false, uncertainUntil: 0,
+};
 
 const createEndpoint = (entry: RegistryEntry): Endpoint => ({
 	...entry,
@@ -106,8 +114,14 @@
 export const decaySlowness = (endpoint: Endpoint, now: number): number =>
 	1 + ((endpoint.slowness - 1) * Math.exp(Math.min(0, endpoint.slownessUpdatedAt - now) / slownessDecayMs));
 
-const isSameIncarnation = (endpoint: Endpoint, entry: RegistryEntry): boolean =>
-	endpoint.startedAt === entry.startedAt && endpoint.address === entry.address && endpoint.service === entry.service;
+const isSameIncarnation = (a: Incarnation, b: Incarnation): boolean =>
+	a.startedAt === b.startedAt && a.address === b.address && a.service === b.service;
+
+/** Checks whether an entry is that of an incarnation which has stated that it is leaving. */
+const hasStatedLeaving = (registry: Registry, entry: RegistryEntry): boolean => {
+	const leaving = registry.leaving.get(entry.id);
+	return leaving !== undefined && isSameIncarnation(leaving, entry);
+};
 
 const mergeEntry = (endpoint: Endpoint | undefined, entry: RegistryEntry): Endpoint =>
 	endpoint !== undefined && isSameIncarnation(endpoint, entry) ? {...endpoint, ...entry, missingSince: undefined} : createEndpoint(entry);
@@ -138,7 +152,7 @@
 		return markMissing(registry, id, now);
 	}
 
-	if (entry.isLeaving || registry.endpoints.some(endpoint => isSuperseded(entry, endpoint))) {
+	if (entry.isLeaving || hasStatedLeaving(registry, entry) || registry.endpoints.some(endpoint => isSuperseded(entry, endpoint))) {
 		return {...registry, endpoints: registry.endpoints.delete(id)};
 	}
 
@@ -149,6 +163,27 @@
 	return {...registry, endpoints: others.set(id, mergeEntry(others.get(id), entry))};
 };
 
+/** Limit of incarnations that are remembered as leaving: more than leave within the time in which an entry may still say otherwise. */
+const maxRememberedLeaving = 4096;
+
+/**
+Removes an endpoint that has stated that it is leaving. Its entry does not bring it back.
+
+@param registry - The registry.
+@param id - The endpoint's id.
+@returns The registry.
+*/
+export const removeLeaving = (registry: Registry, id: string): Registry => {
+	const endpoint = registry.endpoints.get(id);
+	if (endpoint === undefined) {
+		return registry;
+	}
+
+	const {startedAt, address, service} = endpoint;
+	const leaving = registry.leaving.delete(id).set(id, {startedAt, address, service}).takeLast(maxRememberedLeaving);
+	return {...registry, leaving, endpoints: registry.endpoints.delete(id)};
+};
+
 /**
 Applies a complete list of entries; endpoints that are not in it are missing.
 
