Stop the endless writers of the tests at a failed write

Trace: after a write that fails with EPIPE, Node.js calls the callback before it destroys the socket, and goes on with what the callback writes; so the test's writer wrote its whole 64 MiB into a stream that had failed, none of it to the proxy, whose attempt had failed at 8 MiB. The writer stops at an error now; the bound is the same.

--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -51,7 +51,11 @@
 		const write = () => {
 			written += filler.length;
 			if (!socket.destroyed && written < 64 * 1024 * 1024) {
-				socket.write(filler, write);
+				socket.write(filler, error => {
+					if (!error) {
+						write();
+					}
+				});
 			}
 		};
 
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -265,7 +265,11 @@
 			}
 
 			written.total += bytes.length;
-			socket.write(bytes, write);
+			socket.write(bytes, error => {
+				if (!error) {
+					write();
+				}
+			});
 		};
 
 		write();
