Leave an endpoint alone for as long as it asks when it turns a request away

An endpoint that answers 503 with Retry-After wants nothing from that router for so long. Placement now leaves the endpoint out until then; a later, shorter statement does not end it earlier, and it is at most 60 s. Where all endpoints of a service push back, a request waits if it can still be sent in time, and is otherwise rejected at once with the time that is left. A value that cannot be read counts as 1 s, and the log names the header.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -11,7 +11,7 @@
 	abortResponse, canHaveRun, closeAttempt, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
 import {recordLeaving} from './endpoints.js';
-import {recordRateLimit} from './limits.js';
+import {recordPushback, recordRateLimit} from './limits.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -151,7 +151,8 @@
 	}
 
 	const limited = recordRateLimit(recordLoad(state, request, event.head, now), request, event.head, now);
-	const left = chain(limited, recorded => recordLeaving(recorded, request, event.head, now));
+	const pushedBack = chain(limited, recorded => recordPushback(recorded, request, event.head, now));
+	const left = chain(pushedBack, recorded => recordLeaving(recorded, request, event.head, now));
 	const step = chain(left, recorded => event.head.hasNotRun
 		? receiveRefusal(recorded, request, event, now)
 		: (event.head.isStream && event.head.status === 200
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -67,7 +67,7 @@
 		return this.post({
 			kind: 'endpoint-answered', call: id, attempt, random: 0.5, head: {
 				status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined,
-				rateLimit: succeed(undefined), isLeaving: false, isStream: false, forwardedHeaders: [], ...fields,
+				rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
 			},
 		});
 	}
@@ -172,6 +172,36 @@
 	});
 });
 
+describe('an endpoint that turns a request away for some time', () => {
+	const rejection = {status: 503, hasNotRun: true, pushbackMs: succeed(2000)};
+
+	test('gets no further request until then', () => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const busy = edge.getSentTo();
+		const retriedAt = edge.respond(1, 1, rejection).getSentTo();
+		expect(retriedAt).not.toBe(busy);
+		expect(Array.from({length: 10}, (_, index) => edge.sendRequest(10 + index, 'safe').getSentTo())).not.toContain(busy);
+		edge.advance(1990);
+		expect(edge.sendRequest(30, 'safe').getSentTo()).not.toBe(busy);
+		edge.advance(20);
+		expect(Array.from({length: 6}, (_, index) => edge.sendRequest(40 + index, 'safe').getSentTo())).toContain(busy);
+	});
+
+	test('is not asked earlier because a later response states a shorter time', () => {
+		const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'act').sendRequest(2, 'act');
+		edge.respond(1, 1, rejection).respond(2, 1, {...rejection, pushbackMs: succeed(100)}).advance(500);
+		expect(edge.sendRequest(3, 'act').getSentTo()).toBe('');
+	});
+
+	test('and is the only one: requests that cannot wait so long are rejected at once, with that time', () => {
+		const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'act');
+		edge.respond(1, 1, {...rejection, pushbackMs: succeed(2500)});
+		expect(edge.listEffects()).toContain('refuse overloaded');
+		edge.sendRequest(2, 'act');
+		expect(edge.done.find(effect => effect.kind === 'refuse')?.fault).toMatchObject({kind: 'overloaded', retryAfter: 2.5});
+	});
+});
+
 describe('an endpoint whose response says that it is leaving', () => {
 	const startLeaving = (fields: Partial<ResponseHead> = {}) => {
 		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
--- a/src/edge/limits.ts
+++ b/src/edge/limits.ts
@@ -67,6 +67,31 @@
 		};
 };
 
+/** Time for which an endpoint is left alone whose own time cannot be read, in ms. */
+const defaultPushbackMs = 1000;
+
+/**
+Records for how long an endpoint that has rejected a request wants no further one.
+
+@param state - The edge state.
+@param request - The rejected request.
+@param head - The head of the response.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const recordPushback = (state: EdgeState, request: InFlightRequest, {pushbackMs, isOtherIncarnation}: ResponseHead, now: number): EdgeStep => {
+	const id = request.triedEndpoints.at(-1) ?? '';
+	const duration = pushbackMs.ok ? pushbackMs.val : defaultPushbackMs;
+	if (duration === undefined || isOtherIncarnation) {
+		return keepState(state);
+	}
+
+	return {
+		state: updateKnownEndpoint(state, id, endpoint => ({...endpoint, pushedBackUntil: Math.max(endpoint.pushedBackUntil, now + duration)})),
+		effects: [createLogEffect('pushback', {endpoint: id, duration, reason: pushbackMs.ok ? undefined : pushbackMs.val.detail})],
+	};
+};
+
 /**
 Applies the rate limits that endpoints stated to a peer.
 
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -94,10 +94,10 @@
 const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
 	endpoint.service === request.service && (request.streamVersion === undefined || endpoint.softwareVersion === request.streamVersion);
 
-/** Rejects a request that the rate limits of its endpoints keep from being sent in time. */
+/** Rejects a request that its endpoints do not take in time. */
 const rejectLimited = (state: EdgeState, request: InFlightRequest, sendAt: number, random: number, now: number): EdgeStep => {
 	const isKnown = Number.isFinite(sendAt);
-	const detail = `all endpoints of service ${request.service} have reached their rate limits${isKnown ? ` for ${Math.round(sendAt - now)} ms` : ''}`;
+	const detail = `no endpoint of service ${request.service} takes a further request${isKnown ? ` for ${Math.round(sendAt - now)} ms` : ''}`;
 	const retryAfter = Math.max(suggestRetryAfter(request.expiresAt - now, random), isKnown ? Math.round(sendAt - now) / 1000 : 0);
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
--- a/src/edge/rate-limit.test.ts
+++ b/src/edge/rate-limit.test.ts
@@ -89,7 +89,7 @@
 		schedule(now + (load.serviceMs ?? defaultServiceMs), router, {
 			kind: 'endpoint-answered', call, attempt, random: random.draw(), head: {
 				status: isFailed ? 500 : 200, key: undefined, hasNotRun: false, isOtherIncarnation: false, isSigned: true,
-				load: undefined, rateLimit: succeed(rateLimit), isLeaving: false, isStream: false, forwardedHeaders: [],
+				load: undefined, rateLimit: succeed(rateLimit), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [],
 			},
 		});
 	};
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -37,7 +37,7 @@
 	}>
 	/** All slots of every endpoint that may be sent a request are taken, or all connections that this router may open to it. */
 	| Readonly<{kind: 'busy'}>
-	/** The rate limits of all endpoints are used up: one request may be sent at `nextSendAt`, and then `requestsPerSecond`. */
+	/** All endpoints have turned requests away for some time, or their rate limits are used up: one request may be sent at `nextSendAt`, and then `requestsPerSecond`. */
 	| Readonly<{kind: 'limited'; nextSendAt: number; requestsPerSecond: number}>
 	/** The service has no endpoint. */
 	| Readonly<{kind: 'none'}>;
@@ -195,11 +195,11 @@
 
 	const untried = keepMatching(endpoints, endpoint => !query.triedEndpoints.includes(endpoint.id));
 	const healthy = keepMatching(untried, endpoint => endpoint.ejectedUntil <= query.now);
-	const permitted = healthy.filter(endpoint => canSend(endpoint.rateLimit, query.now));
+	const permitted = healthy.filter(endpoint => endpoint.pushedBackUntil <= query.now && canSend(endpoint.rateLimit, query.now));
 	if (permitted.length === 0) {
 		return {
 			kind: 'limited',
-			nextSendAt: Math.min(...healthy.map(endpoint => computeNextSendAt(endpoint.rateLimit, query.now))),
+			nextSendAt: Math.min(...healthy.map(endpoint => Math.max(endpoint.pushedBackUntil, computeNextSendAt(endpoint.rateLimit, query.now)))),
 			requestsPerSecond: healthy.reduce((sum, endpoint) => sum + computeRate(endpoint.rateLimit, query.now), 0),
 		};
 	}
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -153,6 +153,20 @@
 		expect(decodeResponse({statusCode: 200, headers: fields, rawHeaders: []}).isLeaving).toBe(isLeaving);
 	});
 
+	test.each<[number, string | undefined, number | undefined]>([
+		[503, '1.5', 1500],
+		[503, '0', 0],
+		[503, '99999999', 60_000],
+		[503, undefined, undefined],
+		[429, '1.5', undefined],
+	])('with status %i and Retry-After %j keeps requests away for %j ms', (status, text, expected) => {
+		expect(decodeResponse({statusCode: status, headers: {...(text !== undefined && {'retry-after': text})}, rawHeaders: []}).pushbackMs.unwrap()).toBe(expected);
+	});
+
+	test.each(['-1', 'soon', 'Wed, 21 Oct 2026 07:28:00 GMT'])('with Retry-After %j names the header that cannot be read', text => {
+		expect(decodeResponse({statusCode: 503, headers: {'retry-after': text}, rawHeaders: []}).pushbackMs.val).toMatchObject({detail: expect.stringContaining('retry-after') as string});
+	});
+
 	test.each(['', '-1', '2,7', '1e3', 'none'])('with the rate limit %j names the header that cannot be read', text => {
 		expect(decodeResponse({statusCode: 200, headers: {'server-limit': text}, rawHeaders: []}).rateLimit.val).toMatchObject({detail: expect.stringContaining('server-limit') as string});
 	});
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -33,6 +33,8 @@
 	notExecuted: 'not-executed',
 	/** Running requests, waiting requests and slots. */
 	load: 'replica-load',
+	/** Seconds for which an endpoint that turned a request away wants none from this router. */
+	pushback: 'retry-after',
 	/** 1 in all responses of an endpoint that is leaving. */
 	leaving: 'server-leaving',
 	/** Requests per second that the endpoint takes from all routers together. Present only while the limit applies. */
@@ -190,17 +192,28 @@
 
 const decimalPattern = /^\d{1,9}(?:\.\d{1,9})?$/v;
 
-const decodeRateLimit = (headers: IncomingHttpHeaders): Result<number | undefined> => {
-	const text = readHeader(headers, headerNames.rateLimit)?.trim();
+const decodeDecimal = (headers: IncomingHttpHeaders, name: string): Result<number | undefined> => {
+	const text = readHeader(headers, name)?.trim();
 	if (text === undefined) {
 		return succeed(undefined);
 	}
 
-	return decimalPattern.test(text) ? succeed(Number(text)) : fail(createFault('bad-request', `${headerNames.rateLimit}: "${text}" is not a decimal number`));
+	return decimalPattern.test(text) ? succeed(Number(text)) : fail(createFault('bad-request', `${name}: "${text}" is not a decimal number`));
 };
 
 type IncomingResponse = Readonly<{statusCode?: number; headers: IncomingHttpHeaders; rawHeaders: readonly string[]}>;
 
+/** Longest time for which an endpoint can keep requests away, in ms. */
+const maxPushbackMs = 60_000;
+
+const decodePushback = (headers: IncomingHttpHeaders): Result<number | undefined> => {
+	const seconds = decodeDecimal(headers, headerNames.pushback);
+	return seconds.ok ? succeed(seconds.val === undefined ? undefined : Math.min(maxPushbackMs, seconds.val * 1000)) : seconds;
+};
+
+/** Status of an endpoint that turns a request away. */
+const unavailableStatus = 503;
+
 /** Status of an endpoint whose incarnation is not the intended one. It does not run the request. */
 const incarnationMismatchStatus = 421;
 
@@ -220,7 +233,8 @@
 		isOtherIncarnation: status === incarnationMismatchStatus,
 		isSigned: headers[headerNames.signature] !== undefined,
 		load: decodeLoad(headers),
-		rateLimit: decodeRateLimit(headers),
+		rateLimit: decodeDecimal(headers, headerNames.rateLimit),
+		pushbackMs: status === unavailableStatus ? decodePushback(headers) : succeed(undefined),
 		isLeaving: readHeader(headers, headerNames.leaving)?.trim() === '1',
 		isStream: (headers['content-type'] ?? '').startsWith('text/event-stream'),
 		forwardedHeaders: omitHeaders(incoming.rawHeaders, strippedFromResponses),
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -96,7 +96,7 @@
 	return (isNewArrival && query.waiting >= maxLateQueuedPerEndpoint * query.endpointCount) || hasWaitedTooLong(request, now) ? 'refuse' : 'wait';
 };
 
-/** Input of a decision on a request while the rate limits of all its endpoints are used up. */
+/** Input of a decision on a request while all its endpoints have turned requests away for some time, or their rate limits are used up. */
 export type LimitedQuery = Readonly<{
 	request: InFlightRequest;
 	/** When one request may be sent, in ms; infinite if none may be. */
@@ -108,7 +108,7 @@
 }>;
 
 /**
-Predicts when a request can be sent that waits for the rate limits of its endpoints.
+Predicts when a request can be sent that its endpoints do not take yet.
 
 @param query - The request and the limits.
 @returns The time in ms, infinite if it cannot be sent. A request that is queued already is counted as the next one.
@@ -117,10 +117,10 @@
 	nextSendAt + (request.phase === 'queued' || waiting === 0 ? 0 : waiting * 1000 / requestsPerSecond);
 
 /**
-Decides whether a request waits for the rate limits of its endpoints.
+Decides whether a request waits until its endpoints take requests again.
 
-Load pattern: all endpoints of a service state limits, and clients send more. What
-cannot be sent in time is rejected at once, so that the queue stays short.
+Load pattern: all endpoints of a service state limits or turn requests away, and clients
+send more. What cannot be sent in time is rejected at once, so that the queue stays short.
 
 @param query - The request and the limits.
 @returns The decision.
--- a/src/rate-limit/rate-limit.ts
+++ b/src/rate-limit/rate-limit.ts
@@ -70,12 +70,17 @@
 /**
 Computes the rate at which this router may send requests.
 
-@param limit - The limit, which must be in force.
+@param limit - The endpoint's limit.
 @param now - The current time in ms.
-@returns Requests per second.
+@returns Requests per second; infinite without a limit.
 */
-export const computeRate = (limit: RateLimit, now: number): number =>
-	now - limit.statedAt > statementTtlMs ? Math.max(limit.share, limit.probeRate) : limit.share;
+export const computeRate = (limit: RateLimit, now: number): number => {
+	if (limit.requestsPerSecond === undefined) {
+		return Number.POSITIVE_INFINITY;
+	}
+
+	return now - limit.statedAt > statementTtlMs ? Math.max(limit.share, limit.probeRate) : limit.share;
+};
 
 const computeCredits = (limit: RateLimit, now: number): number => {
 	const capacity = Math.max(1, limit.share * burstSeconds);
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -35,6 +35,8 @@
 	load: Readonly<{running: number; waiting: number; slots: number; at: number}> | undefined;
 	/** Its rate limit, and this router's share. */
 	rateLimit: RateLimit;
+	/** Until when it wants no requests of this router, as it stated with a rejection, in ms. */
+	pushedBackUntil: number;
 	/** Requests sent since that report. */
 	sentSinceReport: number;
 	/** When this router last sent it each prompt part, in ms. */
@@ -88,6 +90,7 @@
 	pending: 0,
 	load: undefined,
 	rateLimit: unlimited,
+	pushedBackUntil: 0,
 	sentSinceReport: 0,
 	promptPartsSentAt: Map(),
 	lastResponseAt: 0,
