Answer requests whose bodies still arrive when galena-router drains

The fault of the edge's graceful shutdown, in the product's own router: it closed all connections as soon as no request was in flight, so a request whose body was still arriving was cut off, and so was a response that its client had not received whole. The tracking of open responses is shared by both; galena-router waits for them up to 5 s.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -7,7 +7,9 @@
 import {createCredit} from '../flow-control/index.js';
 import type {Credit} from '../flow-control/index.js';
 import type {Log} from '../log/index.js';
-import {runInBackground, sleep, startLoop} from '../loop/index.js';
+import {
+	runInBackground, sleep, startLoop, waitUntil,
+} from '../loop/index.js';
 import {startRpcServer} from '../server/index.js';
 import type {SocketAddress} from '../server/index.js';
 import {openEndpoint} from './endpoint.js';
@@ -354,14 +356,3 @@
 		},
 	};
 };
-
-const pollIntervalMs = 50;
-
-const waitUntil = async (isMet: () => boolean, timeoutMs: number): Promise<void> => {
-	if (isMet() || timeoutMs <= 0) {
-		return;
-	}
-
-	await sleep(pollIntervalMs);
-	await waitUntil(isMet, timeoutMs - pollIntervalMs);
-};
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -19,6 +19,7 @@
 } from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {listen} from '../server/http.js';
+import {trackResponses} from '../server/open-responses.js';
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
 import type {StoredRow} from '../store/index.js';
@@ -262,14 +263,7 @@
 	/** Connections on which a request has been received. */
 	const seenConnections = new WeakSet<object>();
 
-	/** Responses that are not yet written to their connections, also of requests whose bodies have not been read. */
-	const openResponses = new Set<ServerResponse>();
-
 	const receiveRequest = (incoming: IncomingMessage, response: ServerResponse) => {
-		openResponses.add(response);
-		response.on('close', () => {
-			openResponses.delete(response);
-		});
 		const isFirstRequest = !seenConnections.has(incoming.socket);
 		seenConnections.add(incoming.socket);
 		response.on('error', () => undefined);
@@ -325,14 +319,7 @@
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000, noDelay: true,
 	}, receiveRequest);
-	const closeIdleConnections = server.closeIdleConnections.bind(server);
-	// Node.js takes a connection for idle once its response has ended, even if the client has not received all of it. Closing the server calls this as well.
-	server.closeIdleConnections = () => {
-		if (![...openResponses].some(response => response.writableEnded)) {
-			closeIdleConnections();
-		}
-	};
-
+	const responses = trackResponses(server);
 	const readyServer = createServer((incoming, response) => {
 		incoming.resume();
 		response.writeHead(isReady(loop.state()) ? 200 : 503, {'content-length': 0}).end();
@@ -383,7 +370,7 @@
 	}));
 
 	const awaitDrained = async (deadline: number): Promise<void> => {
-		if (clock() >= deadline || (loop.state().requests.isEmpty() && openResponses.size === 0)) {
+		if (clock() >= deadline || (loop.state().requests.isEmpty() && responses.count() === 0)) {
 			return;
 		}
 
@@ -427,7 +414,7 @@
 			await awaitBudgetRelease(Math.min(deadline, clock() + budgetReleaseTimeoutMs));
 			// Connections that were still open may have brought further requests.
 			await awaitDrained(deadline);
-			log.write('routine', 'stopped', {incarnation, calls: loop.state().requests.size, responses: openResponses.size});
+			log.write('routine', 'stopped', {incarnation, calls: loop.state().requests.size, responses: responses.count()});
 			client.close();
 			peerSocket.close();
 			proxy.close();
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -11,11 +11,11 @@
 } from '../errors/index.js';
 import type {ErrorKind, Fault, Result} from '../errors/index.js';
 import type {Log} from '../log/index.js';
-import {runInBackground, startLoop} from '../loop/index.js';
+import {runInBackground, startLoop, waitUntil} from '../loop/index.js';
 import type {Loop} from '../loop/index.js';
 import type {OperatorChange} from '../operation/index.js';
 import {
-	listen, readBody, sendJson, startRpcServer,
+	listen, readBody, sendJson, startRpcServer, trackResponses,
 } from '../server/index.js';
 import type {SocketAddress} from '../server/index.js';
 import type {JsonValue, TableClient} from '../table/index.js';
@@ -37,6 +37,9 @@
 import {createRouterState} from './state.js';
 import type {RouterState} from './state.js';
 
+/** Time that a draining router waits for slow clients, after all requests have ended, in ms. */
+const responseTimeoutMs = 5000;
+
 /** Options of a router. */
 export type RouterOptions = Readonly<{
 	/** Listen address for clients and operators. */
@@ -552,6 +555,7 @@
 	}));
 	const control = peerServer.address;
 	loop = startEventLoop();
+	const responses = trackResponses(server);
 	const http = await listen(server, options.listen);
 	let peerAddresses: readonly string[] = [];
 	let nextRegistryReadAt = 0;
@@ -641,7 +645,8 @@
 			post({kind: 'drain-asked'});
 			post({kind: 'tick'});
 			await closed;
-			log.event('router-closed', {router: loop.state().incarnation});
+			await waitUntil(() => responses.count() === 0, responseTimeoutMs);
+			log.event('router-closed', {router: loop.state().incarnation, responses: responses.count()});
 			await kill();
 		},
 	};
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -6,3 +6,4 @@
 	createHttpServer, listen, readBody, sendJson,
 } from './http.js';
 export type {ListeningServer} from './http.js';
+export {trackResponses} from './open-responses.js';
