Settle budgets less often where many routers share the store

The store applies 200 transactions a second to one part, of all routers together, and each router settled every 150 ms: with 30 routers the settlements alone used that up, and draws were turned away. The interval grows with the live routers, to 140 settlements a second of all; up to 21 routers nothing changes. Spending meanwhile stays within the bounds that a router's row allows.

--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -30,7 +30,10 @@
 const minimumDrawTokens = 4000;
 
 /** Interval between settlements. A longer one increases what a successor process writes off, a shorter one the number of store calls. */
-const settleIntervalMs = 150;
+const minSettleIntervalMs = 150;
+
+/** Settlements of all routers together, per second: less than the store applies to one part, which also takes the draws. */
+const maxSettlementsPerSecond = 140;
 
 /** Interval at which a router with nothing to settle still writes its row, as a heartbeat for its peers. */
 const heartbeatIntervalMs = 4000;
@@ -316,8 +319,10 @@
 	return countFreeTokens(hold) >= neededTokens && countSpendableTokens(quota, organisation, now) < neededTokens;
 };
 
+const computeSettleIntervalMs = (quota: LocalQuota): number => Math.max(minSettleIntervalMs, listLiveRouters(quota).length * 1000 / maxSettlementsPerSecond);
+
 const isSettlementDue = (quota: LocalQuota, now: number): boolean =>
-	(now - quota.settledAtMs >= settleIntervalMs && quota.holds.some(hold => hold.charged > 0))
+	(now - quota.settledAtMs >= computeSettleIntervalMs(quota) && quota.holds.some(hold => hold.charged > 0))
 	|| (now - quota.settledAtMs >= heartbeatIntervalMs && !quota.isLeaving)
 	|| quota.holds.keySeq().some(organisation => isWindowLimiting(quota, organisation, now));
 
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -20,8 +20,10 @@
 const createStore = () => {
 	let rows = Map<string, StoredRow>();
 	let version = 0;
+	let transactionCount = 0;
 	const formatRowName = ({table, key}: Readonly<{table: string; key: string}>) => `${table}/${key}`;
 	const transact = (writes: readonly StoreWrite[], now: number): StoreReply => {
+		transactionCount += 1;
 		if (writes.some(write => (rows.get(formatRowName(write))?.version ?? 0) !== write.version)) {
 			return {kind: 'conflict', rows: writes.flatMap(write => rows.get(formatRowName(write)) ?? []), now};
 		}
@@ -41,6 +43,7 @@
 			: {
 				kind: 'done', rows: rows.valueSeq().toArray().filter(row => row.table === call.table), version, now,
 			},
+		countTransactions: () => transactionCount,
 		taken: () => (JSON.parse(rows.get(`budgets/${organisation}`)?.value ?? '{"taken":0}') as {taken: number}).taken,
 	};
 };
@@ -347,3 +350,24 @@
 		expect(explainShortage(fenced.state, organisation, 1, limit)).toBe('unavailable');
 	});
 });
+
+test('many routers together stay within the rate of transactions that the store applies to one part', () => {
+	const transactionsPerSecond = 200;
+	const seconds = 5;
+	const many = Array.from({length: 60}, (_, index) => `router-${index}`);
+	const random = createRandom(1);
+	const fleet = createRouterFleet(many, random, replyAlways);
+	const run = () => {
+		Array.from({length: seconds * 1000 / tickIntervalMs}).forEach(() => {
+			fleet.step();
+			Array.from({length: 6}).forEach(() => {
+				fleet.sendRequest(many[random.pick(many.length)]!, 50);
+			});
+		});
+	};
+
+	run();
+	const before = fleet.store.countTransactions();
+	run();
+	expect(fleet.store.countTransactions() - before).toBeLessThanOrEqual(transactionsPerSecond * seconds);
+});
