Use a connection to an agent's endpoint for one request only

An endpoint may send a second copy of a response, late, when its connection is in use again; the agent then gave it to the next caller, as shown by the test. Plain endpoints do not say which request a response belongs to, so a connection that was used before cannot be trusted; its reuse is off. galena-edge checks the id in each response, and fails the attempt; a test shows that now. What the further connections cost was not measured. Tests: agent/endpoint.test.ts (failed before), http-proxy.test.ts (passed before).

--- a/src/agent/connection-pool.ts
+++ b/src/agent/connection-pool.ts
@@ -44,7 +44,7 @@
 };
 
 /**
-Opens a pool of connections to one endpoint, in which a response that was cut by a reset never ends as complete.
+Opens a pool of connections to one endpoint, each for one request, in which a response that was cut by a reset never ends as complete.
 
 @param origin - For example `http://127.0.0.1:9000`.
 @param maxConnections - Maximum number of open connections.
@@ -55,7 +55,8 @@
 	const connect = buildConnector({timeout: connectTimeoutMs});
 	return new Pool(origin, {
 		connections: maxConnections,
-		pipelining: 1,
+		// Closes each connection after its response: a second copy of a response that arrives late cannot be told from the next one.
+		pipelining: 0,
 		factory(clientOrigin, options) {
 			// A client has one connection at a time.
 			let current: Socket | undefined;
--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -64,3 +64,33 @@
 	}, request);
 	expect(result).toMatchObject({outcome: 'failed'});
 }, 5000);
+
+test('a second copy of a response that arrives late is not taken for the next response', async () => {
+	const server = createServer(socket => {
+		let earlier = '';
+		socket.on('error', () => undefined);
+		socket.on('data', bytes => {
+			const path = /^POST (?<path>\S+)/v.exec(String(bytes))?.groups?.path ?? '';
+			const response = `HTTP/1.1 200 OK\r\nContent-Length: ${path.length}\r\n\r\n${path}`;
+			socket.write(earlier + response);
+			earlier = response;
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const client = openEndpoint(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 1);
+	const run = async (path: string) => {
+		let body = '';
+		await client.run({...plainRequest, path}, {
+			push(bytes) {
+				body += String(bytes);
+			}, credit: createCredit(), signal: new AbortController().signal,
+		});
+		return body;
+	};
+
+	expect([await run('/first'), await run('/second'), await run('/third')]).toEqual(['/first', '/second', '/third']);
+	await client.close();
+	server.close();
+});
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -255,6 +255,45 @@
 	expect(result.isComplete).toBe(false);
 });
 
+test('a second copy of a response that arrives late is not taken for the next response', async () => {
+	const createResponse = (id: string) => `HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: ${id}\r\nContent-Length: ${id.length}\r\n\r\n${id}`;
+	const endpoint = await listen(createServer(socket => {
+		let earlier = '';
+		socket.on('error', () => undefined);
+		socket.on('data', bytes => {
+			const response = createResponse(/attempt-id: (?<id>\S+)/iv.exec(String(bytes))?.groups?.id ?? '');
+			socket.write(earlier + response);
+			earlier = response;
+		});
+	}));
+	const finalEvents: EdgeEvent[] = [];
+	const proxy = openHttpProxy({
+		post(event) {
+			finalEvents.push(event);
+			deliverOrClose(event, proxy);
+		},
+		isClosing: () => false,
+		random: () => 0,
+	});
+	const port = await listen(createFrontServer(proxy, endpoint));
+	const fetchBody = async (id: string): Promise<string> => new Promise(resolve => {
+		let body = '';
+		request({port, host: '127.0.0.1', headers: {'attempt-id': id}}, incoming => {
+			incoming.on('data', chunk => {
+				body += String(chunk);
+			});
+			incoming.on('end', () => {
+				resolve(body);
+			});
+		}).on('error', () => {
+			resolve('failed');
+		}).end();
+	});
+	expect([await fetchBody('call-1'), await fetchBody('call-2'), await fetchBody('call-3')]).toEqual(['call-1', 'failed', 'call-3']);
+	expect(finalEvents.map(({kind}) => kind)).toEqual(['endpoint-answered', 'endpoint-failed', 'endpoint-answered']);
+	proxy.close();
+});
+
 describe('bytes without end from an endpoint', () => {
 	/** Writes the same bytes again and again until the connection is closed, but no more than the proxy must have refused by then. */
 	const writeOn = (socket: Socket, bytes: Buffer, written: {total: number}): void => {
