--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -4,14 +4,14 @@
 import {expect, test} from 'vitest';
 import {createCredit} from '../flow-control/index.js';
 import {openEndpoint} from './endpoint.js';
-import type {EndpointRequest, EndpointResult} from './endpoint.js';
+import type {EndpointClient, EndpointRequest, EndpointResult} from './endpoint.js';
 
 const plainRequest: EndpointRequest = {
 	path: '/lodge', method: 'POST', contentType: 'text/plain', body: Buffer.from('x'), isChat: false, isStream: false, isAct: false, outputCap: 0, priority: 5, cap: 0, remainingMs: 1000,
 };
 
-/** Sends a request to an endpoint that writes raw bytes. */
-const runAgainst = async (respond: (socket: Socket) => void, request = plainRequest): Promise<EndpointResult> => {
+/** Calls an endpoint that writes raw bytes. */
+const callAgainst = async <Result>(respond: (socket: Socket) => void, call: (client: EndpointClient) => Promise<Result>): Promise<Result> => {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
@@ -22,10 +22,35 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const client = openEndpoint(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 2);
-	const result = await client.run(request, {push: () => undefined, credit: createCredit(), signal: new AbortController().signal});
-	await client.close();
-	server.close();
-	return result;
+	try {
+		return await call(client);
+	} finally {
+		await client.close();
+		server.close();
+	}
+};
+
+/** Sends a request to an endpoint that writes raw bytes. */
+const runAgainst = async (respond: (socket: Socket) => void, request = plainRequest): Promise<EndpointResult> =>
+	callAgainst(respond, async client => client.run(request, {push: () => undefined, credit: createCredit(), signal: new AbortController().signal}));
+
+/** Writes filler without end after the given head, until the connection is closed. */
+const writeWithoutEnd = (socket: Socket, head: string): void => {
+	const filler = Buffer.alloc(60_000, 'x');
+	let written = 0;
+	const write = () => {
+		written += filler.length;
+		if (!socket.destroyed && written < 64 * 1024 * 1024) {
+			socket.write(filler, error => {
+				if (!error) {
+					write();
+				}
+			});
+		}
+	};
+
+	socket.write(head);
+	write();
 };
 
 test.each<[string, (socket: Socket) => void, string]>([
@@ -45,22 +70,8 @@
 	['in a body', plainRequest, 'HTTP/1.1 200 OK\r\n\r\n'],
 	['in an event', {...plainRequest, isStream: true, remainingMs: 20_000}, 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: '],
 ])('bytes without end %s fail the attempt', async (_, request, head) => {
-	const filler = Buffer.alloc(60_000, 'x');
 	const result = await runAgainst(socket => {
-		let written = 0;
-		const write = () => {
-			written += filler.length;
-			if (!socket.destroyed && written < 64 * 1024 * 1024) {
-				socket.write(filler, error => {
-					if (!error) {
-						write();
-					}
-				});
-			}
-		};
-
-		socket.write(head);
-		write();
+		writeWithoutEnd(socket, head);
 	}, request);
 	expect(result).toMatchObject({outcome: 'failed'});
 }, 5000);
@@ -94,3 +105,9 @@
 	await client.close();
 	server.close();
 });
+
+test('a list of models without end is refused', async () => {
+	await expect(callAgainst(socket => {
+		writeWithoutEnd(socket, 'HTTP/1.1 200 OK\r\n\r\n{"data":"');
+	}, async client => client.listModels())).rejects.toThrow('exceeds');
+}, 5000);
--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -256,7 +256,8 @@
 		},
 		async listModels() {
 			const response = await httpRequest(`${endpointAddress}/v1/models`, {dispatcher, headersTimeout: connectTimeoutMs});
-			const body = await response.body.json() as {data?: ReadonlyArray<Readonly<{id: string}>>};
+			const bytes = await readBody(response.body);
+			const body = JSON.parse(bytes.toString('utf8')) as {data?: ReadonlyArray<Readonly<{id: string}>>};
 			return (body.data ?? []).map(model => model.id);
 		},
 		async close() {
