End an agent's attempt at its deadline although its endpoint still sends a byte now and then

The timeouts of the HTTP client start anew with each byte, so a response that stalls but for a byte now and then never ended at the agent, unless its router cancelled it; a router that had died could not. The attempt kept its place at the endpoint. Test: agent/endpoint.test.ts, 'that stalls but for a byte now and then ends at the deadline' (both timed out before).

--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -111,3 +111,19 @@
 		writeWithoutEnd(socket, 'HTTP/1.1 200 OK\r\n\r\n{"data":"');
 	}, async client => client.listModels())).rejects.toThrow('exceeds');
 }, 5000);
+
+test.each([
+	['a body', {...plainRequest, remainingMs: 300}, 'HTTP/1.1 200 OK\r\n\r\n'],
+	['a stream', {...plainRequest, isStream: true, remainingMs: 300}, 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: '],
+])('%s that stalls but for a byte now and then ends at the deadline', async (_, request, head) => {
+	const result = await runAgainst(socket => {
+		socket.write(head);
+		const timer = setInterval(() => {
+			socket.write('x');
+		}, 50);
+		socket.on('close', () => {
+			clearInterval(timer);
+		});
+	}, request);
+	expect(result).toMatchObject({outcome: 'failed'});
+}, 3000);
--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -236,7 +236,8 @@
 			...(request.method !== 'GET' && {body: chat?.body ?? Buffer.from(request.body)}),
 			headersTimeout: timeoutMs,
 			bodyTimeout: timeoutMs,
-			signal: sink.signal,
+			// The timeouts above start anew with each byte.
+			signal: AbortSignal.any([sink.signal, AbortSignal.timeout(timeoutMs)]),
 			// Keeps the HTTP client from sending a request twice, as it may have side effects.
 			idempotent: false,
 		});
