--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -242,12 +242,12 @@
 	};
 
 	const readBody = (incoming: IncomingMessage, maxBytes: number, onComplete: (body: Buffer) => void, onTooLarge: () => void) => {
-		let chunks: readonly Buffer[] = [];
+		const chunks: Buffer[] = [];
 		let receivedBytes = 0;
 		incoming.on('data', (chunk: Buffer) => {
 			receivedBytes += chunk.length;
 			if (receivedBytes <= maxBytes) {
-				chunks = [...chunks, chunk];
+				chunks.push(chunk);
 			}
 		});
 		incoming.on('end', () => {
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -44,7 +44,7 @@
 	/** Bytes received on the connection before the request was sent. */
 	initialBytesRead: number;
 	response: Readonly<{head: ResponseHead; incoming: IncomingMessage}> | undefined;
-	chunks: readonly Buffer[];
+	chunks: Buffer[];
 	/** Bytes of the chunks. */
 	chunkBytes: number;
 	/** True if the request asks for the rest of a stream, which may be empty. */
@@ -207,7 +207,8 @@
 				return;
 			}
 
-			upstream.chunks = [...upstream.chunks, chunk];
+			// Copying the list for each chunk would take quadratic time.
+			upstream.chunks.push(chunk);
 			upstream.chunkBytes += chunk.length;
 			const excess = findBufferExcess(upstream.chunkBytes, countBufferedBytes);
 			if (excess !== undefined) {
