Split event streams in linear time

What a caller would see: a router that answers nobody while one endpoint sends a large event in very small chunks.

Change: the bytes of an unfinished event grow in a buffer of their own (src/byte-buffer), and only a chunk with a line feed is searched, with the three bytes before it. Whole events are searched once.

--- a/src/edge/event-stream.ts
+++ b/src/edge/event-stream.ts
@@ -1,15 +1,24 @@
 import {Buffer} from 'node:buffer';
+import {createByteBuffer} from '../byte-buffer/index.js';
 
-/** Bytes of an event stream, split after the last complete event. */
-export type SplitEvents = Readonly<{
-	/** Bytes of the complete events, unchanged. */
-	completeEvents: Buffer;
-	/** Number of complete events. */
+/** Complete events of a stream. */
+export type CompleteEvents = Readonly<{
+	/** Their bytes, unchanged. */
+	bytes: Buffer;
+	/** Number of events. */
 	count: number;
-	/** Id of the last complete event that has one. */
+	/** Id of the last event that has one. */
 	lastEventId: string | undefined;
-	/** Bytes of an event that is not complete yet. */
-	partialEvent: Buffer;
+}>;
+
+/** Splits the bytes of an event stream into complete events and the beginning of another one. */
+export type EventSplitter = Readonly<{
+	/** Adds bytes. Returns the events that they complete, if any. */
+	add: (chunk: Buffer) => CompleteEvents | undefined;
+	/** Returns the bytes of the event that is not complete yet. */
+	getPartialEvent: () => Buffer;
+	/** Counts the bytes of memory that the partial event takes up. */
+	countMemory: () => number;
 }>;
 
 /**
@@ -23,24 +32,47 @@
 const eventTerminator = /\r?\n\r?\n/gv;
 const idLine = /(?:^|\n)id: ?(?<id>[^\r\n]*)/gv;
 
-/**
-Splits the bytes of an event stream after its last complete event.
+/** Bytes before a chunk that may belong to a terminator that ends in the chunk. */
+const maxTerminatorOverlap = 3;
 
-@param partialEvent - Bytes of an incomplete event from the previous split.
-@param chunk - Bytes received since.
-@returns The complete events and the remaining bytes.
-*/
-export const splitEvents = (partialEvent: Buffer, chunk: Buffer): SplitEvents => {
-	const bytes = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
+/** Splits bytes after their last complete event. */
+const splitEvents = (bytes: Buffer): Readonly<{events: CompleteEvents; partialEvent: Buffer}> => {
 	// Latin-1 maps each byte to one character, so that text offsets are byte offsets.
 	const text = bytes.toString('latin1');
 	const terminators = [...text.matchAll(eventTerminator)];
 	const last = terminators.at(-1);
 	const length = last === undefined ? 0 : last.index + last[0].length;
 	return {
-		completeEvents: bytes.subarray(0, length),
-		count: terminators.length,
-		lastEventId: [...text.slice(0, length).matchAll(idLine)].at(-1)?.groups?.id,
+		events: {
+			bytes: bytes.subarray(0, length),
+			count: terminators.length,
+			lastEventId: [...text.slice(0, length).matchAll(idLine)].at(-1)?.groups?.id,
+		},
 		partialEvent: bytes.subarray(length),
 	};
 };
+
+/**
+Creates a splitter. Splitting takes linear time in total, however small the chunks are.
+
+@returns The splitter.
+*/
+export const createEventSplitter = (): EventSplitter => {
+	let buffer = createByteBuffer();
+	return {
+		add(chunk) {
+			const overlap = buffer.getBytes().subarray(-maxTerminatorOverlap);
+			buffer.add(chunk);
+			if (!chunk.includes('\n') || Buffer.concat([overlap, chunk]).toString('latin1').search(eventTerminator) === -1) {
+				return undefined;
+			}
+
+			const {events, partialEvent} = splitEvents(buffer.getBytes());
+			buffer = createByteBuffer();
+			buffer.add(partialEvent);
+			return events;
+		},
+		getPartialEvent: () => buffer.getBytes(),
+		countMemory: () => buffer.countMemory(),
+	};
+};
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -8,7 +8,7 @@
 import {runInBackground} from '../loop/background.js';
 import {decodeRequest} from '../platform/index.js';
 import {openHttpProxy} from './http-proxy.js';
-import {splitEvents} from './event-stream.js';
+import {createEventSplitter} from './event-stream.js';
 import type {EdgeEvent} from './messages.js';
 
 const servers: Server[] = [];
@@ -336,6 +336,8 @@
 });
 
 describe('splitting an event stream', () => {
+	const noEvents = {bytes: Buffer.alloc(0), count: 0, lastEventId: undefined};
+
 	test.each([
 		['a partial event', {
 			completeEvents: '', count: 0, lastEventId: undefined, partialEvent: 'id: 1\ndata',
@@ -353,19 +355,38 @@
 			completeEvents: 'id: 7\r\ndata: x\r\n\r\n', count: 1, lastEventId: '7', partialEvent: '',
 		}],
 	])('%s', (_, expected) => {
-		const split = splitEvents(Buffer.alloc(0), Buffer.from(expected.completeEvents + expected.partialEvent));
-		expect({...split, completeEvents: split.completeEvents.toString(), partialEvent: split.partialEvent.toString()}).toEqual(expected);
+		const splitter = createEventSplitter();
+		const {bytes, count, lastEventId} = splitter.add(Buffer.from(expected.completeEvents + expected.partialEvent)) ?? noEvents;
+		expect({
+			completeEvents: bytes.toString(), count, lastEventId, partialEvent: splitter.getPartialEvent().toString(),
+		}).toEqual(expected);
 	});
 
 	test('gives the same events wherever the bytes are split', () => {
 		const text = Buffer.from('id: 1\ndata: é\n\nid: 2\ndata: 世界\n\nid: 3\ndata: z');
-		const parts = Array.from(text, byte => Buffer.from([byte]));
-		const end = parts.reduce<{completeEvents: readonly Buffer[]; partialEvent: Buffer}>((state, part) => {
-			const split = splitEvents(state.partialEvent, part);
-			return {completeEvents: [...state.completeEvents, split.completeEvents], partialEvent: split.partialEvent};
-		}, {completeEvents: [], partialEvent: Buffer.alloc(0)});
-		expect(Buffer.concat(end.completeEvents).toString()).toBe('id: 1\ndata: é\n\nid: 2\ndata: 世界\n\n');
+		const splitter = createEventSplitter();
+		const completeEvents = Array.from(text, byte => splitter.add(Buffer.from([byte]))?.bytes ?? Buffer.alloc(0));
+		expect(Buffer.concat(completeEvents).toString()).toBe('id: 1\ndata: é\n\nid: 2\ndata: 世界\n\n');
+	});
+
+	test.each(['\n\n', '\r\n\r\n', '\n\r\n', '\r\n\n'])('finds a terminator wherever it is split: %j', terminator => {
+		const text = `data: x${terminator}`;
+		const counts = Array.from(text, (_, at) => {
+			const splitter = createEventSplitter();
+			return [text.slice(0, at), text.slice(at)].map(part => splitter.add(Buffer.from(part))?.count ?? 0).join(' ');
+		});
+		expect(new Set(counts)).toEqual(new Set(['0 1']));
 	});
+
+	// Searching the whole event again for each chunk would exceed the time limit of the test.
+	test('takes an event of a quarter of a mebibyte in chunks of a byte', () => {
+		const splitter = createEventSplitter();
+		const chunk = Buffer.from('x');
+		const length = 256 * 1024;
+		const counts = Array.from({length}, () => splitter.add(chunk)?.count ?? 0);
+		expect(counts.every(count => count === 0)).toBe(true);
+		expect(splitter.add(Buffer.from('\n\n'))).toMatchObject({count: 1, bytes: {length: length + 2}});
+	}, 5000);
 });
 
 describe('a cancelled request', () => {
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -10,7 +10,8 @@
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {findBufferExcess, findEventExcess} from './buffer-limits.js';
-import {canEndAfter, splitEvents} from './event-stream.js';
+import {canEndAfter, createEventSplitter} from './event-stream.js';
+import type {EventSplitter} from './event-stream.js';
 import type {
 	EdgeEffect, EdgeEvent, FailureStage, Framing,
 } from './messages.js';
@@ -49,7 +50,7 @@
 	chunkBytes: number;
 	/** True if the request asks for the rest of a stream, which may be empty. */
 	readonly isResumed: boolean;
-	partialEvent: Buffer;
+	readonly splitter: EventSplitter;
 	eventCount: number;
 	lastEventId: string | undefined;
 	/** For a response without a length: resolves to true if the connection was closed normally, and to false if it was reset. */
@@ -107,7 +108,7 @@
 
 /** Returns how a stream shows that it was broken off although its body has ended normally; undefined if it does not. */
 const findBreak = (upstream: Upstream, framing: Framing): string | undefined => {
-	if (!canEndAfter(upstream.partialEvent)) {
+	if (!canEndAfter(upstream.splitter.getPartialEvent())) {
 		return `stream with ${framing} framing ended inside an event`;
 	}
 
@@ -308,7 +309,7 @@
 			chunks: [],
 			chunkBytes: 0,
 			isResumed: effect.metadata.resumeAfter !== undefined,
-			partialEvent: Buffer.alloc(0),
+			splitter: createEventSplitter(),
 			eventCount: 0,
 			lastEventId: undefined,
 			completion: undefined,
@@ -396,17 +397,16 @@
 	};
 
 	const forwardEvents = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, chunk: Buffer): void => {
-		const split = splitEvents(upstream.partialEvent, chunk);
-		upstream.partialEvent = split.partialEvent;
-		if (split.count === 0) {
+		const events = upstream.splitter.add(chunk);
+		if (events === undefined) {
 			return;
 		}
 
 		const isFirst = upstream.eventCount === 0;
 		sendStreamHead(activeRequest, upstream);
-		upstream.eventCount += split.count;
-		upstream.lastEventId = split.lastEventId ?? upstream.lastEventId;
-		if (!activeRequest.response.write(split.completeEvents)) {
+		upstream.eventCount += events.count;
+		upstream.lastEventId = events.lastEventId ?? upstream.lastEventId;
+		if (!activeRequest.response.write(events.bytes)) {
 			upstream.response?.incoming.pause();
 		}
 
@@ -426,7 +426,7 @@
 		upstream.isFinished = true;
 		removeRequest(requestId);
 		sendStreamHead(activeRequest, upstream);
-		activeRequest.response.end(upstream.partialEvent);
+		activeRequest.response.end(upstream.splitter.getPartialEvent());
 		post({
 			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing,
 		});
@@ -444,7 +444,7 @@
 		incoming.on('data', (chunk: Buffer) => {
 			if (!upstream.isFinished) {
 				forwardEvents(requestId, activeRequest, upstream, chunk);
-				const excess = findEventExcess(upstream.partialEvent.length);
+				const excess = findEventExcess(upstream.splitter.getPartialEvent().length);
 				if (excess !== undefined) {
 					failAttempt(requestId, upstream, 'streaming', excess);
 				}
