Count the memory of small chunks against the limits of a body

What a caller would see: a router or agent that runs out of memory while an endpoint sends a body in very small chunks, far below the limits on the size of a response.

Cause: bodies were kept as lists of chunks, and only the bytes in them were counted.

Change: bodies grow in one block of memory (src/byte-buffer) at most twice their size, in galena-edge, the agent and the server's reader of requests; the limit on all responses together counts that memory.

--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -2,6 +2,7 @@
 import {createParser} from 'eventsource-parser';
 import {request as httpRequest} from 'undici';
 import type {AttemptOutcome} from '../attempt/index.js';
+import {createByteBuffer} from '../byte-buffer/index.js';
 import type {Credit} from '../flow-control/index.js';
 import {
 	boundPromptTokens, hasChoices, prepareChat, readUsage,
@@ -172,18 +173,16 @@
 };
 
 const readBody = async (body: Body): Promise<Buffer> => {
-	const chunks: Buffer[] = [];
-	let byteCount = 0;
+	const buffer = createByteBuffer();
 	for await (const chunk of body) {
-		byteCount += chunk.byteLength;
-		if (byteCount > maxResponseBytes) {
+		if (buffer.countBytes() + chunk.byteLength > maxResponseBytes) {
 			throw new Error(`response body exceeds ${maxResponseBytes} bytes`);
 		}
 
-		chunks.push(chunk);
+		buffer.add(chunk);
 	}
 
-	return Buffer.concat(chunks);
+	return buffer.getBytes();
 };
 
 const splitChunks = (body: Buffer): readonly Buffer[] =>
--- a/src/byte-buffer/byte-buffer.test.ts
+++ b/src/byte-buffer/byte-buffer.test.ts
@@ -28,10 +28,10 @@
 	const mebibyte = 1024 * 1024;
 	const buffer = createByteBuffer();
 	const chunk = Buffer.from('x');
-	for (let count = 0; count < mebibyte; count++) {
-		buffer.add(chunk);
-	}
-
+	const growths = Array.from({length: mebibyte}, () => buffer.add(chunk)).filter(Boolean);
 	expect(buffer.countBytes()).toBe(mebibyte);
 	expect(buffer.countMemory()).toBeLessThanOrEqual(2 * mebibyte);
+	expect(growths.length).toBeLessThanOrEqual(21);
+	buffer.clear();
+	expect(buffer.countMemory()).toBe(0);
 });
--- a/src/byte-buffer/index.ts
+++ b/src/byte-buffer/index.ts
@@ -2,12 +2,15 @@
 
 /** Bytes that arrive in chunks, kept in one block of memory. */
 export type ByteBuffer = Readonly<{
-	add: (chunk: Buffer) => void;
+	/** Adds a chunk. Returns true if the buffer takes up more memory than before. */
+	add: (chunk: Buffer) => boolean;
 	countBytes: () => number;
 	/** Counts the bytes of memory that the buffer takes up, at most twice those added, however small the chunks are. */
 	countMemory: () => number;
 	/** Returns all bytes, without copying them. */
 	getBytes: () => Buffer;
+	/** Removes all bytes and frees their memory. */
+	clear: () => void;
 }>;
 
 /**
@@ -20,6 +23,7 @@
 	let length = 0;
 	return {
 		add(chunk) {
+			const memory = block.length;
 			if (length === 0) {
 				block = chunk;
 			} else {
@@ -33,9 +37,14 @@
 			}
 
 			length += chunk.length;
+			return block.length > memory;
 		},
 		countBytes: () => length,
 		countMemory: () => block.length,
 		getBytes: () => block.subarray(0, length),
+		clear() {
+			block = Buffer.alloc(0);
+			length = 0;
+		},
 	};
 };
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import {createSocket} from 'node:dgram';
 import {createServer} from 'node:http';
@@ -7,6 +7,7 @@
 import process from 'node:process';
 import {periodic} from 'most';
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
+import {createByteBuffer} from '../byte-buffer/index.js';
 import {createFault} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {parseLoads} from '../gossip/index.js';
@@ -242,19 +243,19 @@
 	};
 
 	const readBody = (incoming: IncomingMessage, maxBytes: number, onComplete: (body: Buffer) => void, onTooLarge: () => void) => {
-		const chunks: Buffer[] = [];
+		const buffer = createByteBuffer();
 		let receivedBytes = 0;
 		incoming.on('data', (chunk: Buffer) => {
 			receivedBytes += chunk.length;
 			if (receivedBytes <= maxBytes) {
-				chunks.push(chunk);
+				buffer.add(chunk);
 			}
 		});
 		incoming.on('end', () => {
 			if (receivedBytes > maxBytes) {
 				onTooLarge();
 			} else {
-				onComplete(Buffer.concat(chunks));
+				onComplete(buffer.getBytes());
 			}
 		});
 		incoming.on('error', () => undefined);
--- a/src/edge/event-stream.ts
+++ b/src/edge/event-stream.ts
@@ -58,7 +58,7 @@
 @returns The splitter.
 */
 export const createEventSplitter = (): EventSplitter => {
-	let buffer = createByteBuffer();
+	const buffer = createByteBuffer();
 	return {
 		add(chunk) {
 			const overlap = buffer.getBytes().subarray(-maxTerminatorOverlap);
@@ -68,7 +68,7 @@
 			}
 
 			const {events, partialEvent} = splitEvents(buffer.getBytes());
-			buffer = createByteBuffer();
+			buffer.clear();
 			buffer.add(partialEvent);
 			return events;
 		},
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -3,6 +3,8 @@
 import type {
 	ClientRequest, IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
 } from 'node:http';
+import {createByteBuffer} from '../byte-buffer/index.js';
+import type {ByteBuffer} from '../byte-buffer/index.js';
 import {createErrorResponse} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
@@ -45,9 +47,8 @@
 	/** Bytes received on the connection before the request was sent. */
 	initialBytesRead: number;
 	response: Readonly<{head: ResponseHead; incoming: IncomingMessage}> | undefined;
-	chunks: Buffer[];
-	/** Bytes of the chunks. */
-	chunkBytes: number;
+	/** Body of a response that is not a stream. */
+	readonly body: ByteBuffer;
 	/** True if the request asks for the rest of a stream, which may be empty. */
 	readonly isResumed: boolean;
 	readonly splitter: EventSplitter;
@@ -140,12 +141,11 @@
 		return agent;
 	};
 
-	const countBufferedBytes = (): number => [...activeRequests.values()].reduce((sum, {upstream}) => sum + (upstream?.chunkBytes ?? 0), 0);
+	const countBufferedBytes = (): number => [...activeRequests.values()].reduce((sum, {upstream}) => sum + (upstream?.body.countMemory() ?? 0), 0);
 
 	const destroyUpstream = (upstream: Upstream): void => {
 		upstream.isFinished = true;
-		upstream.chunks = [];
-		upstream.chunkBytes = 0;
+		upstream.body.clear();
 		upstream.outgoing.destroy();
 	};
 
@@ -208,10 +208,9 @@
 				return;
 			}
 
-			// Copying the list for each chunk would take quadratic time.
-			upstream.chunks.push(chunk);
-			upstream.chunkBytes += chunk.length;
-			const excess = findBufferExcess(upstream.chunkBytes, countBufferedBytes);
+			const hasGrown = upstream.body.add(chunk);
+			// Counting all responses again for each chunk would take long if the chunks are small.
+			const excess = findBufferExcess(upstream.body.countBytes(), hasGrown ? countBufferedBytes : () => 0);
 			if (excess !== undefined) {
 				failAttempt(requestId, upstream, 'sent', excess);
 			}
@@ -306,8 +305,7 @@
 			isConnected: false,
 			initialBytesRead: 0,
 			response: undefined,
-			chunks: [],
-			chunkBytes: 0,
+			body: createByteBuffer(),
 			isResumed: effect.metadata.resumeAfter !== undefined,
 			splitter: createEventSplitter(),
 			eventCount: 0,
@@ -494,7 +492,7 @@
 				return;
 			}
 
-			const body = Buffer.concat(upstream.chunks);
+			const body = upstream.body.getBytes();
 			activeRequest.response.writeHead(upstream.response.head.status, [...formatHeaders(upstream.response.head, options.isClosing()), 'Content-Length', String(body.length)]);
 			activeRequest.response.end(body);
 		},
--- a/src/server/http.ts
+++ b/src/server/http.ts
@@ -1,7 +1,8 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server as HttpServer, ServerResponse} from 'node:http';
 import type {AddressInfo, Server} from 'node:net';
+import {createByteBuffer} from '../byte-buffer/index.js';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import type {SocketAddress} from './address.js';
@@ -50,18 +51,16 @@
 @returns The body, or a `too-large` fault.
 */
 export const readBody = async (request: IncomingMessage, maxBytes: number): Promise<Result<Buffer>> => {
-	const chunks: Buffer[] = [];
-	let receivedBytes = 0;
+	const buffer = createByteBuffer();
 	for await (const chunk of request as AsyncIterable<Buffer>) {
-		receivedBytes += chunk.byteLength;
-		if (receivedBytes > maxBytes) {
+		if (buffer.countBytes() + chunk.byteLength > maxBytes) {
 			return fail(createFault('too-large', `body: exceeds ${maxBytes} bytes`));
 		}
 
-		chunks.push(chunk);
+		buffer.add(chunk);
 	}
 
-	return succeed(Buffer.concat(chunks));
+	return succeed(buffer.getBytes());
 };
 
 /**
