Count the events of streams against the memory of all responses

What a caller would see: a router that runs out of memory while many streams at once bring events without end.

Cause: an event may have a mebibyte, but the limit on all responses in memory together counted only those that are not streams.

Change: one function decides for responses and events alike, by a table of their limits; the proxy counts the memory of both, and only when it grows.

Measured: of 64 streams with an unfinished event of 900 KiB each, all but what fits into the 32 MiB are failed with that reason; the test fails when the events are not counted.

--- a/src/edge/event-stream.ts
+++ b/src/edge/event-stream.ts
@@ -13,12 +13,14 @@
 
 /** Splits the bytes of an event stream into complete events and the beginning of another one. */
 export type EventSplitter = Readonly<{
-	/** Adds bytes. Returns the events that they complete, if any. */
-	add: (chunk: Buffer) => CompleteEvents | undefined;
+	/** Adds bytes. Returns the events that they complete, if any, and whether the partial event takes up more memory than before. */
+	add: (chunk: Buffer) => Readonly<{events: CompleteEvents | undefined; hasGrown: boolean}>;
 	/** Returns the bytes of the event that is not complete yet. */
 	getPartialEvent: () => Buffer;
 	/** Counts the bytes of memory that the partial event takes up. */
 	countMemory: () => number;
+	/** Removes the partial event and frees its memory. */
+	clear: () => void;
 }>;
 
 /**
@@ -62,17 +64,19 @@
 	return {
 		add(chunk) {
 			const overlap = buffer.getBytes().subarray(-maxTerminatorOverlap);
-			buffer.add(chunk);
+			const hasGrown = buffer.add(chunk);
 			if (!chunk.includes('\n') || Buffer.concat([overlap, chunk]).toString('latin1').search(eventTerminator) === -1) {
-				return undefined;
+				return {events: undefined, hasGrown};
 			}
 
 			const {events, partialEvent} = splitEvents(buffer.getBytes());
 			buffer.clear();
-			buffer.add(partialEvent);
-			return events;
+			return {events, hasGrown: buffer.add(partialEvent)};
 		},
 		getPartialEvent: () => buffer.getBytes(),
 		countMemory: () => buffer.countMemory(),
+		clear() {
+			buffer.clear();
+		},
 	};
 };
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -37,20 +37,24 @@
 const signedHead = 'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\n';
 
 /** Creates a client-facing server that forwards one request through the proxy to an endpoint at the given port. */
-const createFrontServer = (proxy: ReturnType<typeof openHttpProxy>, endpoint: number) => createHttpServer((incoming, response) => {
-	incoming.resume();
-	incoming.on('end', () => {
-		const head = decodeRequest({
-			method: 'GET', url: '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
-		}).unwrap();
-		proxy.accept(1, head, 'h', Buffer.alloc(0), response);
-		proxy.send({
-			kind: 'send', call: 1, attempt: 1, address: `127.0.0.1:${endpoint}`, maxConnections: 10, metadata: {
-				endpoint: 'i-1', remainingMs: 1000, organisation: undefined, urgency: undefined, resumeAfter: undefined,
-			},
+const createFrontServer = (proxy: ReturnType<typeof openHttpProxy>, endpoint: number) => {
+	let call = 0;
+	return createHttpServer((incoming, response) => {
+		incoming.resume();
+		incoming.on('end', () => {
+			call += 1;
+			const head = decodeRequest({
+				method: 'GET', url: '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
+			}).unwrap();
+			proxy.accept(call, head, 'h', Buffer.alloc(0), response);
+			proxy.send({
+				kind: 'send', call, attempt: 1, address: `127.0.0.1:${endpoint}`, maxConnections: 100, metadata: {
+					endpoint: 'i-1', remainingMs: 1000, organisation: undefined, urgency: undefined, resumeAfter: undefined,
+				},
+			});
 		});
 	});
-});
+};
 
 type ProxiedResponse = Readonly<{event: EdgeEvent; status: number | undefined; body: string; isComplete: boolean}>;
 
@@ -103,9 +107,9 @@
 /** Delivers a complete response, and closes the client's connection if the attempt failed. */
 const deliverOrClose = (event: EdgeEvent, proxy: ReturnType<typeof openHttpProxy>): boolean => {
 	if (event.kind === 'endpoint-answered') {
-		proxy.deliver(1);
-	} else {
-		proxy.closeClient(1);
+		proxy.deliver(event.call);
+	} else if ('call' in event) {
+		proxy.closeClient(event.call);
 	}
 
 	return true;
@@ -335,6 +339,35 @@
 	}, 5000);
 });
 
+test('events without end of many streams together are bounded', async () => {
+	const eventBytes = 900 * 1024;
+	const endpoint = await startEndpoint(socket => {
+		socket.write(`${stream}\r\ndata: ${'x'.repeat(eventBytes)}`);
+	});
+	const streamCount = 64;
+	const maxKept = Math.floor(32 * 1024 * 1024 / eventBytes);
+	const failures: EdgeEvent[] = [];
+	const proxy = openHttpProxy({
+		post(event) {
+			if (event.kind === 'endpoint-answered') {
+				proxy.streamResponse(event.call);
+			} else {
+				failures.push(event);
+			}
+		},
+		isClosing: () => false,
+		random: () => 0,
+	});
+	const port = await listen(createFrontServer(proxy, endpoint));
+	const clients = Array.from({length: streamCount}, () => request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end());
+	await expect.poll(() => failures.length).toBeGreaterThanOrEqual(streamCount - maxKept);
+	expect(failures.every(event => event.kind === 'endpoint-failed' && event.reason.includes('in memory'))).toBe(true);
+	proxy.close();
+	clients.forEach(client => {
+		client.destroy();
+	});
+});
+
 describe('splitting an event stream', () => {
 	const noEvents = {bytes: Buffer.alloc(0), count: 0, lastEventId: undefined};
 
@@ -356,7 +389,7 @@
 		}],
 	])('%s', (_, expected) => {
 		const splitter = createEventSplitter();
-		const {bytes, count, lastEventId} = splitter.add(Buffer.from(expected.completeEvents + expected.partialEvent)) ?? noEvents;
+		const {bytes, count, lastEventId} = splitter.add(Buffer.from(expected.completeEvents + expected.partialEvent)).events ?? noEvents;
 		expect({
 			completeEvents: bytes.toString(), count, lastEventId, partialEvent: splitter.getPartialEvent().toString(),
 		}).toEqual(expected);
@@ -365,7 +398,7 @@
 	test('gives the same events wherever the bytes are split', () => {
 		const text = Buffer.from('id: 1\ndata: é\n\nid: 2\ndata: 世界\n\nid: 3\ndata: z');
 		const splitter = createEventSplitter();
-		const completeEvents = Array.from(text, byte => splitter.add(Buffer.from([byte]))?.bytes ?? Buffer.alloc(0));
+		const completeEvents = Array.from(text, byte => splitter.add(Buffer.from([byte])).events?.bytes ?? Buffer.alloc(0));
 		expect(Buffer.concat(completeEvents).toString()).toBe('id: 1\ndata: é\n\nid: 2\ndata: 世界\n\n');
 	});
 
@@ -373,7 +406,7 @@
 		const text = `data: x${terminator}`;
 		const counts = Array.from(text, (_, at) => {
 			const splitter = createEventSplitter();
-			return [text.slice(0, at), text.slice(at)].map(part => splitter.add(Buffer.from(part))?.count ?? 0).join(' ');
+			return [text.slice(0, at), text.slice(at)].map(part => splitter.add(Buffer.from(part)).events?.count ?? 0).join(' ');
 		});
 		expect(new Set(counts)).toEqual(new Set(['0 1']));
 	});
@@ -383,9 +416,9 @@
 		const splitter = createEventSplitter();
 		const chunk = Buffer.from('x');
 		const length = 256 * 1024;
-		const counts = Array.from({length}, () => splitter.add(chunk)?.count ?? 0);
+		const counts = Array.from({length}, () => splitter.add(chunk).events?.count ?? 0);
 		expect(counts.every(count => count === 0)).toBe(true);
-		expect(splitter.add(Buffer.from('\n\n'))).toMatchObject({count: 1, bytes: {length: length + 2}});
+		expect(splitter.add(Buffer.from('\n\n')).events).toMatchObject({count: 1, bytes: {length: length + 2}});
 	}, 5000);
 });
 
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -11,9 +11,9 @@
 import {runInBackground} from '../loop/background.js';
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
-import {findBufferExcess, findEventExcess} from './buffer-limits.js';
+import {findBufferExcess} from './buffer-limits.js';
 import {canEndAfter, createEventSplitter} from './event-stream.js';
-import type {EventSplitter} from './event-stream.js';
+import type {CompleteEvents, EventSplitter} from './event-stream.js';
 import type {
 	EdgeEffect, EdgeEvent, FailureStage, Framing,
 } from './messages.js';
@@ -141,11 +141,14 @@
 		return agent;
 	};
 
-	const countBufferedBytes = (): number => [...activeRequests.values()].reduce((sum, {upstream}) => sum + (upstream?.body.countMemory() ?? 0), 0);
+	/** Called only when memory has grown: counting for each chunk would take long if the chunks are small. */
+	const countBufferedBytes = (): number => [...activeRequests.values()].flatMap(({upstream}) => upstream ?? [])
+		.reduce((sum, {body, splitter}) => sum + body.countMemory() + splitter.countMemory(), 0);
 
 	const destroyUpstream = (upstream: Upstream): void => {
 		upstream.isFinished = true;
 		upstream.body.clear();
+		upstream.splitter.clear();
 		upstream.outgoing.destroy();
 	};
 
@@ -209,8 +212,7 @@
 			}
 
 			const hasGrown = upstream.body.add(chunk);
-			// Counting all responses again for each chunk would take long if the chunks are small.
-			const excess = findBufferExcess(upstream.body.countBytes(), hasGrown ? countBufferedBytes : () => 0);
+			const excess = findBufferExcess('response', upstream.body.countBytes(), hasGrown ? countBufferedBytes : () => 0);
 			if (excess !== undefined) {
 				failAttempt(requestId, upstream, 'sent', excess);
 			}
@@ -394,12 +396,7 @@
 		});
 	};
 
-	const forwardEvents = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, chunk: Buffer): void => {
-		const events = upstream.splitter.add(chunk);
-		if (events === undefined) {
-			return;
-		}
-
+	const forwardEvents = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, events: CompleteEvents): void => {
 		const isFirst = upstream.eventCount === 0;
 		sendStreamHead(activeRequest, upstream);
 		upstream.eventCount += events.count;
@@ -413,6 +410,18 @@
 		}
 	};
 
+	const receiveChunk = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, chunk: Buffer): void => {
+		const {events, hasGrown} = upstream.splitter.add(chunk);
+		const excess = findBufferExcess('event', upstream.splitter.getPartialEvent().length, hasGrown ? countBufferedBytes : () => 0);
+		if (events !== undefined) {
+			forwardEvents(requestId, activeRequest, upstream, events);
+		}
+
+		if (excess !== undefined) {
+			failAttempt(requestId, upstream, 'streaming', excess);
+		}
+	};
+
 	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, incoming: IncomingMessage): void => {
 		const framing = getFraming(incoming.headers);
 		const reason = findBreak(upstream, framing);
@@ -441,11 +450,7 @@
 		const {incoming} = response;
 		incoming.on('data', (chunk: Buffer) => {
 			if (!upstream.isFinished) {
-				forwardEvents(requestId, activeRequest, upstream, chunk);
-				const excess = findEventExcess(upstream.splitter.getPartialEvent().length);
-				if (excess !== undefined) {
-					failAttempt(requestId, upstream, 'streaming', excess);
-				}
+				receiveChunk(requestId, activeRequest, upstream, chunk);
 			}
 		});
 		incoming.on('end', () => {
