Bound the size of a reply from the store

What operators would see: a router whose memory grows as fast as the network allows, for up to a second a call, while what answers at the store's address sends bytes without end.

Cause: replies had a time limit, but none on their size.

Change: a reply of more than 16 MiB is lost, like one that comes too late. The tests share one writer without end (test/endless.ts).

--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {expect, test} from 'vitest';
+import {writeWithoutEnd} from '../../test/endless.js';
 import {createCredit} from '../flow-control/index.js';
 import {openEndpoint} from './endpoint.js';
 import type {EndpointClient, EndpointRequest, EndpointResult} from './endpoint.js';
@@ -34,24 +35,7 @@
 const runAgainst = async (respond: (socket: Socket) => void, request = plainRequest): Promise<EndpointResult> =>
 	callAgainst(respond, async client => client.run(request, {push: () => undefined, credit: createCredit(), signal: new AbortController().signal}));
 
-/** Writes filler without end after the given head, until the connection is closed. */
-const writeWithoutEnd = (socket: Socket, head: string): void => {
-	const filler = Buffer.alloc(60_000, 'x');
-	let written = 0;
-	const write = () => {
-		written += filler.length;
-		if (!socket.destroyed && written < 64 * 1024 * 1024) {
-			socket.write(filler, error => {
-				if (!error) {
-					write();
-				}
-			});
-		}
-	};
-
-	socket.write(head);
-	write();
-};
+const filler = Buffer.alloc(60_000, 'x');
 
 test.each<[string, (socket: Socket) => void, string]>([
 	['is complete if its connection is closed', socket => {
@@ -71,7 +55,8 @@
 	['in an event', {...plainRequest, isStream: true, remainingMs: 20_000}, 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: '],
 ])('bytes without end %s fail the attempt', async (_, request, head) => {
 	const result = await runAgainst(socket => {
-		writeWithoutEnd(socket, head);
+		socket.write(head);
+		writeWithoutEnd(socket, filler);
 	}, request);
 	expect(result).toMatchObject({outcome: 'failed'});
 }, 5000);
@@ -108,7 +93,8 @@
 
 test('a list of models without end is refused', async () => {
 	await expect(callAgainst(socket => {
-		writeWithoutEnd(socket, 'HTTP/1.1 200 OK\r\n\r\n{"data":"');
+		socket.write('HTTP/1.1 200 OK\r\n\r\n{"data":"');
+		writeWithoutEnd(socket, filler);
 	}, async client => client.listModels())).rejects.toThrow('exceeds');
 }, 5000);
 
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -5,6 +5,7 @@
 import {
 	afterEach, describe, expect, test,
 } from 'vitest';
+import {writeWithoutEnd} from '../../test/endless.js';
 import {runInBackground} from '../loop/background.js';
 import {decodeRequest} from '../platform/index.js';
 import {openHttpProxy} from './http-proxy.js';
@@ -299,25 +300,6 @@
 });
 
 describe('bytes without end from an endpoint', () => {
-	/** Writes the same bytes again and again until the connection is closed, but no more than the proxy must have refused by then. */
-	const writeOn = (socket: Socket, bytes: Buffer, written: {total: number}): void => {
-		const maxWritten = 64 * 1024 * 1024;
-		const write = () => {
-			if (socket.destroyed || written.total > maxWritten) {
-				return;
-			}
-
-			written.total += bytes.length;
-			socket.write(bytes, error => {
-				if (!error) {
-					write();
-				}
-			});
-		};
-
-		write();
-	};
-
 	const chunk = (bytes: Buffer): Buffer => Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]);
 	const filler = Buffer.alloc(60_000, 'x');
 
@@ -329,13 +311,13 @@
 		['in an event', `${stream}\r\nid: 1\ndata: a\n\nid: 2\ndata: `, filler, streamOrClose],
 		['in an event with chunks', `${stream}Transfer-Encoding: chunked\r\n\r\n`, chunk(filler), streamOrClose],
 	])('%s fail the attempt', async (_, head, bytes, react) => {
-		const written = {total: 0};
+		let countWritten = () => 0;
 		const result = await proxyRequest(socket => {
 			socket.write(head);
-			writeOn(socket, bytes, written);
+			countWritten = writeWithoutEnd(socket, bytes);
 		}, react);
 		expect(result).toMatchObject({event: {kind: 'endpoint-failed'}, isComplete: false});
-		expect(written.total).toBeLessThan(32 * 1024 * 1024);
+		expect(countWritten()).toBeLessThan(32 * 1024 * 1024);
 	}, 5000);
 });
 
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -1,8 +1,11 @@
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
+import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
 	afterEach, describe, expect, test,
 } from 'vitest';
+import {writeWithoutEnd} from '../../test/endless.js';
 import {decodeResponse, decodeRequest, encodeRequestHeaders} from './wire.js';
 import {decodeRoutingConfig, decodeEntry, openStoreClient} from './index.js';
 
@@ -188,6 +191,15 @@
 	});
 });
 
+/** Starts a server, and returns the operations on it as a store. */
+const startServer = async (server: Server) => {
+	servers.push(server);
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return openStoreClient().forAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+};
+
 /** Starts a store whose replies are given by a function, and returns the operations on it. */
 const startStore = async (respond: (url: string, body: string) => Readonly<{status: number; body: string}>) => {
 	const server = createServer((incoming, response) => {
@@ -200,11 +212,7 @@
 			response.writeHead(reply.status).end(reply.body);
 		});
 	});
-	servers.push(server);
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	return openStoreClient().forAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	return startServer(server);
 };
 
 describe('the store client', () => {
@@ -225,6 +233,18 @@
 		}])).toEqual(reply);
 	});
 
+	test('takes a reply without end for lost, long before the time limit is needed', async () => {
+		let countWritten = () => 0;
+		const server = createServer((incoming, response) => {
+			incoming.resume();
+			response.writeHead(200);
+			countWritten = writeWithoutEnd(response, Buffer.alloc(60_000, ' '));
+		});
+		const store = await startServer(server);
+		expect(await store.read('t')).toEqual({kind: 'lost', reason: 'reply is larger than 16777216 bytes'});
+		expect(countWritten()).toBeLessThan(64 * 1024 * 1024);
+	});
+
 	test('reads one row, whatever its key contains', async () => {
 		let requestPath = '';
 		const store = await startStore(url => {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
+import {createByteBuffer} from '../byte-buffer/index.js';
 import {parseAddress} from '../server/address.js';
 import type {SocketAddress} from '../server/address.js';
 import type {
@@ -37,6 +38,9 @@
 /** Maximum number of rows in a page. */
 const maxPageRows = 500;
 
+/** Maximum size of a reply, in bytes. */
+const maxReplyBytes = 16 * 1024 * 1024;
+
 type WireRow = Readonly<{
 	table: string; part: string; key: string;
 	/** Base64. */
@@ -112,9 +116,12 @@
 			resolveLost(error.message);
 		});
 		outgoing.on('response', incoming => {
-			const chunks: Buffer[] = [];
+			const buffer = createByteBuffer();
 			incoming.on('data', (chunk: Buffer) => {
-				chunks.push(chunk);
+				buffer.add(chunk);
+				if (buffer.countBytes() > maxReplyBytes) {
+					resolveLost(`reply is larger than ${maxReplyBytes} bytes`);
+				}
 			});
 			incoming.on('error', error => {
 				resolveLost(error.message);
@@ -123,7 +130,7 @@
 				clearTimeout(timer);
 				const status = incoming.statusCode ?? 0;
 				try {
-					const text = Buffer.concat(chunks).toString('utf8');
+					const text = buffer.getBytes().toString('utf8');
 					const wire = status === 200 || status === 412 ? JSON.parse(text) as WireReply : {};
 					resolve({reply: decodeReply({status, body: wire}), hasMore: wire.morePages === true});
 				} catch {
