Keep an endpoint out whose entry said that it is leaving

What callers would see: after a restart of the store from an older copy, requests go to an endpoint that had announced that it leaves.

Cause: only what an endpoint states in its responses was remembered. An entry that said so removed the endpoint, but an older entry of the same incarnation, read later, brought it back.

Change: both remove the incarnation for good. The log says which of the two it was.

Measured: the test failed before (e1 got every second request) and passes now; 67 tests of the edge's handlers pass.

--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -7,8 +7,11 @@
 import type {EdgeEffect} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
+/** What stated that an endpoint came or went. */
+type RegistrySource = 'registry' | 'endpoint';
+
 /** Logs each endpoint that was added or removed; also closes idle connections to removed ones. */
-const logEndpoints = (before: Registry, after: Registry): readonly EdgeEffect[] => {
+const logEndpoints = (before: Registry, after: Registry, source: RegistrySource): readonly EdgeEffect[] => {
 	const added = after.endpoints.valueSeq().toArray().filter(endpoint => before.endpoints.get(endpoint.id)?.startedAt !== endpoint.startedAt);
 	const removed = before.endpoints.keySeq().toArray().filter(id => !after.endpoints.has(id));
 	return [
@@ -16,7 +19,7 @@
 			endpoint: id, service, address, dataCentre, softwareVersion,
 		})),
 		...removed.flatMap(id => [
-			createLogEffect('endpoint-went', {endpoint: id, source: after.leaving.has(id) ? 'endpoint' : 'registry'}),
+			createLogEffect('endpoint-went', {endpoint: id, source}),
 			{kind: 'forget', address: before.endpoints.get(id)!.address} as const,
 		]),
 	];
@@ -28,13 +31,14 @@
 @param state - The edge state.
 @param registry - The new registry.
 @param now - The current time in ms.
+@param source - What stated the change.
 @returns The new state and the effects.
 */
-export const setRegistry = (state: EdgeState, registry: Registry, now: number): EdgeStep => registry === state.registry
+export const setRegistry = (state: EdgeState, registry: Registry, now: number, source: RegistrySource = 'registry'): EdgeStep => registry === state.registry
 	? keepState(state)
 	: {
 		state: {...state, registry, retiredVersions: recordRetiredVersions(state.retiredVersions, state.registry, registry, now)},
-		effects: logEndpoints(state.registry, registry),
+		effects: logEndpoints(state.registry, registry, source),
 	};
 
 /**
@@ -48,4 +52,4 @@
 @returns The new state and the effects.
 */
 export const recordLeaving = (state: EdgeState, request: InFlightRequest, {isLeaving, isOtherIncarnation}: ResponseHead, now: number): EdgeStep =>
-	isLeaving && !isOtherIncarnation ? setRegistry(state, removeLeaving(state.registry, request.triedEndpoints.at(-1) ?? ''), now) : keepState(state);
+	isLeaving && !isOtherIncarnation ? setRegistry(state, removeLeaving(state.registry, request.triedEndpoints.at(-1) ?? ''), now, 'endpoint') : keepState(state);
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -202,7 +202,7 @@
 	});
 });
 
-describe('an endpoint whose response says that it is leaving', () => {
+describe('an endpoint that has said that it is leaving', () => {
 	const startLeaving = (fields: Partial<ResponseHead> = {}) => {
 		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
 		const leaving = edge.getSentTo();
@@ -231,6 +231,12 @@
 		expect(listTargets(change(edge, leaving), 10)).not.toContain(leaving);
 	});
 
+	test('is not used again when the store comes back from a copy in which it was ready', () => {
+		const edge = new EdgeHarness().start().post({kind: 'endpoint-changed', id: 'e1', listing: createEntry('e1', {isLeaving: true})});
+		edge.post({kind: 'endpoints-listed', entries: [createEntry('e1'), createEntry('e2')]});
+		expect(listTargets(edge, 10)).not.toContain('e1');
+	});
+
 	test('is used again once it has started anew under its id', () => {
 		const {edge, leaving} = startLeaving();
 		edge.post({kind: 'endpoint-changed', id: leaving, listing: createEntry(leaving, {startedAt: 2})});
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -66,7 +66,7 @@
 */
 export type Registry = Readonly<{
 	endpoints: Map<string, Endpoint>;
-	/** Incarnations that have stated in a response that they are leaving, by id, the latest ones last. Their entries may still say otherwise. */
+	/** Incarnations that have stated in a response or in their entries that they are leaving, by id, the latest ones last. Entries that are read later may still say otherwise. */
 	leaving: OrderedMap<string, Incarnation>;
 	/** True while the registry cannot be read. */
 	isUnavailable: boolean;
@@ -141,8 +141,19 @@
 		: {...registry, endpoints: registry.endpoints.delete(id)};
 };
 
+/** Limit of incarnations that are remembered as leaving: more than leave within the time in which an entry may still say otherwise. */
+const maxRememberedLeaving = 4096;
+
+/** Removes an incarnation for good. */
+const removeIncarnation = (registry: Registry, id: string, {startedAt, address, service}: Incarnation): Registry => ({
+	...registry,
+	leaving: registry.leaving.delete(id).set(id, {startedAt, address, service}).takeLast(maxRememberedLeaving),
+	endpoints: registry.endpoints.delete(id),
+});
+
 /**
-Applies a changed entry.
+Applies a changed entry. An incarnation whose entry said that it is leaving does not come back, even if the store
+does with an older entry.
 
 @param registry - The registry.
 @param id - The endpoint's id.
@@ -155,7 +166,11 @@
 		return markMissing(registry, id, now);
 	}
 
-	if (entry.isLeaving || hasStatedLeaving(registry, entry) || registry.endpoints.some(endpoint => isSuperseded(entry, endpoint))) {
+	if (entry.isLeaving) {
+		return removeIncarnation(registry, id, entry);
+	}
+
+	if (hasStatedLeaving(registry, entry) || registry.endpoints.some(endpoint => isSuperseded(entry, endpoint))) {
 		return {...registry, endpoints: registry.endpoints.delete(id)};
 	}
 
@@ -166,9 +181,6 @@
 	return {...registry, endpoints: others.set(id, mergeEntry(others.get(id), entry))};
 };
 
-/** Limit of incarnations that are remembered as leaving: more than leave within the time in which an entry may still say otherwise. */
-const maxRememberedLeaving = 4096;
-
 /**
 Removes an endpoint that has stated that it is leaving. Its entry does not bring it back.
 
@@ -178,13 +190,7 @@
 */
 export const removeLeaving = (registry: Registry, id: string): Registry => {
 	const endpoint = registry.endpoints.get(id);
-	if (endpoint === undefined) {
-		return registry;
-	}
-
-	const {startedAt, address, service} = endpoint;
-	const leaving = registry.leaving.delete(id).set(id, {startedAt, address, service}).takeLast(maxRememberedLeaving);
-	return {...registry, leaving, endpoints: registry.endpoints.delete(id)};
+	return endpoint === undefined ? registry : removeIncarnation(registry, id, endpoint);
 };
 
 /**
