Answer requests whose bodies do not end

What callers would see: a client that stops in the middle of its body gets no answer and keeps a connection for good; one that sends without end is read without end, and gets its 413 only if it stops.

Cause: the router answered only at the end of the body, and had no time limit on it.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -7,7 +7,6 @@
 import process from 'node:process';
 import {periodic} from 'most';
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
-import {createByteBuffer} from '../byte-buffer/index.js';
 import {createFault} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {parseLoads} from '../gossip/index.js';
@@ -21,6 +20,7 @@
 import {parseAddress} from '../server/address.js';
 import {listen} from '../server/http.js';
 import {trackResponses} from '../server/open-responses.js';
+import {findRoute} from '../routing-config/index.js';
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
 import type {StoredRow} from '../store/index.js';
@@ -31,6 +31,7 @@
 import {handleEdge} from './handle.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {openMetrics} from './metrics.js';
+import {readRequestBody, rejectUnread} from './request-body.js';
 import type {EdgeSettings} from './settings.js';
 import {createEdge, hasReleasedTokens, isReady} from './state.js';
 import {openFailoverStore} from './store-failover.js';
@@ -47,6 +48,9 @@
 /** Maximum size of a request body until a configuration has been read. */
 const defaultMaxBodyBytes = 4_194_304;
 
+/** Time limit for the body of a request until a configuration has been read, in ms. */
+const defaultBodyTimeoutMs = 10_000;
+
 /** Time after the stop signal during which new connections are still accepted, in ms. The load balancer needs two health checks, a second apart, to notice. */
 const listenGraceMs = 3000;
 
@@ -242,25 +246,6 @@
 		},
 	};
 
-	const readBody = (incoming: IncomingMessage, maxBytes: number, onComplete: (body: Buffer) => void, onTooLarge: () => void) => {
-		const buffer = createByteBuffer();
-		let receivedBytes = 0;
-		incoming.on('data', (chunk: Buffer) => {
-			receivedBytes += chunk.length;
-			if (receivedBytes <= maxBytes) {
-				buffer.add(chunk);
-			}
-		});
-		incoming.on('end', () => {
-			if (receivedBytes > maxBytes) {
-				onTooLarge();
-			} else {
-				onComplete(buffer.getBytes());
-			}
-		});
-		incoming.on('error', () => undefined);
-	};
-
 	/** Connections on which a request has been received. */
 	const seenConnections = new WeakSet<object>();
 
@@ -278,10 +263,17 @@
 			return;
 		}
 
-		const maxBytes = loop.state().config?.limits.maxBodyBytes ?? defaultMaxBodyBytes;
+		const receivedAt = clock();
+		const {config} = loop.state();
+		const hostHeader = incoming.headers.host ?? '';
+		const route = config === undefined ? undefined : findRoute(config, head.val.host, head.val.url);
+		const limits = {
+			maxBytes: config?.limits.maxBodyBytes ?? defaultMaxBodyBytes,
+			timeoutMs: Math.min(head.val.clientTimeoutMs ?? Number.POSITIVE_INFINITY, route?.timeout ?? config?.limits.idleTimeoutMs ?? defaultBodyTimeoutMs),
+		};
 		const acceptRequest = (body: Buffer) => {
 			requestCount += 1;
-			proxy.accept(requestCount, head.val, incoming.headers.host ?? '', body, response);
+			proxy.accept(requestCount, head.val, hostHeader, body, response);
 			loop.post({
 				kind: 'call-arrived', call: requestCount, head: head.val, random: random(),
 			});
@@ -309,11 +301,11 @@
 				sendErrorResponse(response, createFault('overloaded', 'the router is overloaded', retryAfter), isStopping);
 			},
 		};
-		readBody(incoming, maxBytes, body => {
+		readRequestBody(incoming, limits, body => {
 			intakeHandlers[decideAdmission(Math.max(lagMs, loop.delay()), isFirstRequest)](body);
-		}, () => {
-			log.write('failure', 'call-malformed', {call: head.val.key, reason: `body: larger than the limit of ${maxBytes} bytes`});
-			sendErrorResponse(response, createFault('too-large', `body: larger than the limit of ${maxBytes} bytes`), isStopping);
+		}, fault => {
+			log.write('failure', 'call-malformed', {call: head.val.key, reason: fault.detail});
+			rejectUnread(incoming, response, fault);
 		});
 	};
 
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -82,17 +82,29 @@
 }>;
 
 /**
-Sends an error response to a client.
+Writes an error response to a client, and leaves it open.
 
 @param response - The response to the client.
 @param fault - The error.
 @param shouldClose - True to ask the client to close its connection.
 */
-export const sendErrorResponse = (response: ServerResponse, fault: Fault, shouldClose: boolean): void => {
+export const writeErrorResponse = (response: ServerResponse, fault: Fault, shouldClose: boolean): void => {
 	const {status, headers, problem} = createErrorResponse(fault);
 	const body = JSON.stringify(problem);
 	response.writeHead(status, {...headers, 'content-length': Buffer.byteLength(body), ...(shouldClose && {connection: 'close'})});
-	response.end(body);
+	response.write(body);
+};
+
+/**
+Sends an error response to a client.
+
+@param response - The response to the client.
+@param fault - The error.
+@param shouldClose - True to ask the client to close its connection.
+*/
+export const sendErrorResponse = (response: ServerResponse, fault: Fault, shouldClose: boolean): void => {
+	writeErrorResponse(response, fault, shouldClose);
+	response.end();
 };
 
 /** Returns how far a request has progressed at an endpoint. */
--- a/src/errors/kinds.ts
+++ b/src/errors/kinds.ts
@@ -25,6 +25,9 @@
 	'not-found': {status: 404, title: 'There is nothing at this path', outcome: 'not-run'},
 	'method-not-allowed': {status: 405, title: 'The path does not take this method', outcome: 'not-run'},
 	'key-required': {status: 400, title: 'Work that may not be repeated needs an Idempotency-Key', outcome: 'not-run'},
+	'body-late': {
+		status: 408, title: 'The request did not arrive whole in time', outcome: 'not-run', retryAfter: 1,
+	},
 	'outcome-unknown': {status: 409, title: 'The work may have run; it will not be run again', outcome: 'unknown'},
 	'in-progress': {
 		status: 409, title: 'The work under this key is still running', outcome: 'unknown', retryAfter: 2,
