Count a request's time from its head

What callers would see: a request whose body arrives slowly gets its final answer later than its route's time-out by as long as the body took.

Cause: the time-out, the target and the client's deadline were counted from the moment at which the whole body had been read.

Change: the arrival carries the time at which the head was read, and all three count from there; the wait for the store still counts from the arrival.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -275,7 +275,7 @@
 			requestCount += 1;
 			proxy.accept(requestCount, head.val, hostHeader, body, response);
 			loop.post({
-				kind: 'call-arrived', call: requestCount, head: head.val, random: random(),
+				kind: 'call-arrived', call: requestCount, head: head.val, receivedAt, random: random(),
 			});
 		};
 
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -54,9 +54,9 @@
 		return this.post({kind: 'catalog-read', config}).post({kind: 'endpoints-listed', entries: endpoints});
 	}
 
-	sendRequest(id: number, route: string, fields: Partial<RequestHead> = {}): this {
+	sendRequest(id: number, route: string, fields: Partial<RequestHead> = {}, receivedAt = this.now): this {
 		return this.post({
-			kind: 'call-arrived', call: id, random: 0.5, head: {
+			kind: 'call-arrived', call: id, receivedAt, random: 0.5, head: {
 				key: `c${id}`, method: 'GET', url: `/${route}/x`, host: 'h', apiKey: 'k', clientTimeoutMs: 3000, modelRequest: undefined,
 				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [], ...fields,
 			},
@@ -398,6 +398,12 @@
 });
 
 describe('deadlines and time-outs', () => {
+	test('the timeout of its route counts from the head of a request, however slowly its body arrived', () => {
+		const edge = new EdgeHarness().start().advance(5000).sendRequest(1, 'act', {}, 3000);
+		expect(edge.advance(999).listEffects()).toEqual([]);
+		expect(edge.advance(1).listEffects()).toEqual(['abort', 'refuse deadline']);
+	});
+
 	test('a request gets its final response at the timeout of its route', () => {
 		expect(new EdgeHarness().start().sendRequest(1, 'act').advance(2999).listEffects()).toEqual([]);
 		expect(new EdgeHarness().start().sendRequest(1, 'act').advance(3000).listEffects()).toEqual(['abort', 'refuse deadline']);
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -50,8 +50,9 @@
 		budget: maxCostTokens > 0 ? organisation?.name : undefined,
 		priority: organisation?.priority ?? route.priority,
 		maxCostTokens,
-		arrivedAt: now,
-		expiresAt: now + Math.min(route.timeout, event.head.clientTimeoutMs ?? route.timeout),
+		arrivedAt: event.receivedAt,
+		expiresAt: event.receivedAt + Math.min(route.timeout, event.head.clientTimeoutMs ?? route.timeout),
+		phaseAt: now,
 	});
 };
 
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -96,6 +96,7 @@
 	maxCostTokens: number;
 	/** Tokens reserved for it; 0 until they are granted. */
 	reserved: number;
+	/** When its head was read. */
 	arrivedAt: number;
 	/** Deadline of the final response. */
 	expiresAt: number;
@@ -137,12 +138,11 @@
 @returns The request, without reserved tokens or attempts.
 */
 export const createInFlightRequest = (fields: Pick<
-	InFlightRequest, 'id' | 'head' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'expiresAt'
+	InFlightRequest, 'id' | 'head' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
 	reserved: 0,
 	phase: 'granting',
-	phaseAt: fields.arrivedAt,
 	attempt: 0,
 	unsent: 0,
 	triedEndpoints: [],
--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -27,6 +27,7 @@
 	priority: 1,
 	maxCostTokens: 0,
 	arrivedAt,
+	phaseAt: arrivedAt,
 	expiresAt: arrivedAt + 5000,
 });
 
