Read all rows again when the store comes back from an older copy

What operators would see: after the store came back from a copy some seconds old, a change of the configuration or of the registry that got a reused version is never in force at routers that knew that version.

Cause: a feed went on from the highest version that it had seen, whatever the store's era.

Change: the client decodes Store-Era; a feed whose store is in a later era reads all rows again, one of an earlier era is not believed, and a read whose pages are of two eras is lost. Endpoints that the copy lacks are kept until live ones have restored their entries. What a feed does is a pure step (advanceFeed). A bad era is logged with its field; the last good one stays.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -211,12 +211,25 @@
 		return entry.val;
 	};
 
-	const logFeed = (table: string, event: FeedEvent) => {
-		if (event.kind === 'lost') {
-			log.write('failure', 'feed-lost', {table, reason: event.reason});
-		} else if (event.kind === 'regained') {
+	const feedLoggers: Readonly<{[Kind in FeedEvent['kind']]: (table: string, event: FeedEvent & {kind: Kind}) => void}> = {
+		all: () => undefined,
+		changes: () => undefined,
+		lost(table, {reason}) {
+			log.write('failure', 'feed-lost', {table, reason});
+		},
+		regained(table) {
 			log.write('routine', 'feed-regained', {table});
-		}
+		},
+		restored(table, {from, to}) {
+			log.write('failure', 'feed-restored', {table, from, to});
+		},
+		'era-unreadable'(table, {reason}) {
+			log.write('failure', 'era-unreadable', {table, reason});
+		},
+	};
+
+	const logFeed = (table: string, event: FeedEvent) => {
+		(feedLoggers[event.kind] as (table: string, event: FeedEvent) => void)(table, event);
 	};
 
 	const configurationHandlers: Readonly<{[Kind in FeedEvent['kind']]: (event: FeedEvent & {kind: Kind}) => void}> = {
@@ -228,6 +241,8 @@
 		},
 		lost: () => undefined,
 		regained: () => undefined,
+		restored: () => undefined,
+		'era-unreadable': () => undefined,
 	};
 	const registryHandlers: Readonly<{[Kind in FeedEvent['kind']]: (event: FeedEvent & {kind: Kind}) => void}> = {
 		all(event) {
@@ -244,6 +259,10 @@
 		regained() {
 			loop.post({kind: 'registry-regained'});
 		},
+		restored() {
+			loop.post({kind: 'registry-restored'});
+		},
+		'era-unreadable': () => undefined,
 	};
 
 	/** Connections on which a request has been received. */
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -441,6 +441,12 @@
 		expect(edge.advance(2001).sendRequest(2, 'safe').listEffects()).toContain('refuse not-ready');
 	});
 
+	test('an entry that is missing in an older copy stays valid until live endpoints have restored theirs', () => {
+		const edge = new EdgeHarness().start([createEntry('e1')]).post({kind: 'registry-restored'}).post({kind: 'endpoints-listed', entries: []});
+		expect(edge.sendRequest(1, 'safe').getSentTo()).toBe('e1');
+		expect(edge.advance(2001).sendRequest(2, 'safe').listEffects()).toContain('refuse not-ready');
+	});
+
 	test('an entry that is removed while the registry is available is dropped at once', () => {
 		const edge = new EdgeHarness().start([createEntry('e1')]).post({kind: 'endpoint-changed', id: 'e1', listing: undefined});
 		expect(edge.sendRequest(1, 'safe').listEffects()).toContain('refuse not-ready');
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -6,7 +6,7 @@
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {hashText} from '../random/index.js';
 import {
-	updateEntry, removeMissing, markUnavailable, markAvailable, replaceEntries,
+	updateEntry, removeMissing, markUnavailable, markAvailable, markRestored, replaceEntries,
 } from '../registry/index.js';
 import {completeSave} from '../stream-origin/index.js';
 import {createLogEffect} from './common.js';
@@ -116,6 +116,7 @@
 	'endpoints-listed': (state, event, now) => setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, event.entries, now), now),
 	'endpoint-changed': (state, event, now) => setRegistry(state, updateEntry(state.registry, event.id, event.listing, now), now),
 	'registry-lost': state => keepState({...state, registry: markUnavailable(state.registry)}),
+	'registry-restored': (state, _event, now) => keepState({...state, registry: markRestored(state.registry, now)}),
 	'registry-regained': (state, _event, now) => keepState({...state, registry: markAvailable(state.registry, now)}),
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	'origin-read': receiveOrigin,
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -41,6 +41,8 @@
 	| Readonly<{kind: 'endpoint-changed'; id: string; listing: RegistryEntry | undefined}>
 	| Readonly<{kind: 'registry-lost'}>
 	| Readonly<{kind: 'registry-regained'}>
+	/** The registry came back from an older copy. */
+	| Readonly<{kind: 'registry-restored'}>
 	| Readonly<{kind: 'store-replied'; reply: StoreReply; random: number}>
 	/** The store was asked where a stream began. */
 	| Readonly<{kind: 'origin-read'; call: number; reply: StoreReply; random: number}>
--- /dev/null
+++ b/src/edge/table-feed.test.ts
@@ -0,0 +1,40 @@
+import {describe, expect, test} from 'vitest';
+import {createFault, fail, succeed} from '../errors/index.js';
+import type {StoreReply} from '../store/index.js';
+import {advanceFeed, feedStart} from './table-feed.js';
+import type {FeedPosition} from './table-feed.js';
+
+const reply = (version: number, era?: number): StoreReply => ({
+	kind: 'done', rows: [], version, now: 0, era: succeed(era),
+});
+
+/** Kinds of the events that replies cause, reply by reply, and the version after which the feed goes on. */
+const followReplies = (replies: readonly StoreReply[], start = feedStart) => replies.reduce<Readonly<{position: FeedPosition; kinds: readonly string[]}>>((before, each) => {
+	const {position, events} = advanceFeed(before.position, each);
+	return {position, kinds: [...before.kinds, events.map(({kind}) => kind).join(' ')]};
+}, {position: start, kinds: []});
+
+describe('a feed whose store', () => {
+	test.each<[string, readonly StoreReply[], readonly string[], number | undefined]>([
+		['names no era goes on as before', [reply(5), reply(7)], ['all', 'changes'], 7],
+		['stays in its era goes on as before', [reply(5, 1), reply(7, 1)], ['all', 'changes'], 7],
+		['came back from an older copy reads all rows again', [reply(9, 1), reply(6, 2), reply(6, 2), reply(8, 2)], ['all', 'restored', 'all', 'changes'], 8],
+		['came back and has reused the version reads all rows again', [reply(9, 1), reply(12, 2), reply(12, 2)], ['all', 'restored', 'all'], 12],
+		['came back and no longer has the version reads all rows once', [reply(9, 1), {kind: 'forgotten'}, reply(6, 2), reply(7, 2)], ['all', 'lost', 'regained restored all', 'changes'], 7],
+		['came back while it was away is regained first', [reply(9, 1), {kind: 'lost', reason: 'r'}, reply(6, 3), reply(6, 3)], ['all', 'lost', 'regained restored', 'all'], 6],
+		['answers late from an earlier era is not believed', [reply(9, 2), reply(15, 1), reply(10, 2)], ['all', 'lost', 'regained changes'], 10],
+	])('%s', (_, replies, kinds, version) => {
+		const end = followReplies(replies);
+		expect(end.kinds).toEqual(kinds);
+		expect(end.position.version).toBe(version);
+	});
+
+	test('names an era that cannot be read keeps the one known before', () => {
+		const unreadable: StoreReply = {
+			kind: 'done', rows: [], version: 10, now: 0, era: fail(createFault('bad-request', 'Store-Era: "x" is not a whole number')),
+		};
+		expect(followReplies([reply(9, 2), unreadable, reply(11, 2)])).toEqual({
+			position: {version: 11, era: 2, hasFailed: false}, kinds: ['all', 'era-unreadable changes', 'changes'],
+		});
+	});
+});
--- a/src/edge/table-feed.ts
+++ b/src/edge/table-feed.ts
@@ -1,6 +1,6 @@
 import {sleep} from '../loop/sleep.js';
 import type {StoreOperations} from '../platform/index.js';
-import type {StoredRow} from '../store/index.js';
+import type {StoredRow, StoreReply} from '../store/index.js';
 
 /** An event of a table's change feed. */
 export type FeedEvent =
@@ -11,14 +11,77 @@
 	/** The first failed request after a successful one. */
 	| Readonly<{kind: 'lost'; reason: string}>
 	/** The first successful request after a failed one. */
-	| Readonly<{kind: 'regained'}>;
+	| Readonly<{kind: 'regained'}>
+	/** The store came back from an older copy. All rows follow; what was written last may be missing there for a while. */
+	| Readonly<{kind: 'restored'; from: number; to: number}>
+	/** The store's era cannot be read; the one known before is kept. */
+	| Readonly<{kind: 'era-unreadable'; reason: string}>;
+
+/** Position in a table's change feed. */
+export type FeedPosition = Readonly<{
+	/** Version after which changes are read next; undefined if all rows are. */
+	version: number | undefined;
+	/** Latest era of the store; undefined if it has named none. */
+	era: number | undefined;
+	hasFailed: boolean;
+}>;
+
+type FeedStep = Readonly<{position: FeedPosition; events: readonly FeedEvent[]}>;
+
+/** The position before the first read. */
+export const feedStart: FeedPosition = {version: undefined, era: undefined, hasFailed: false};
+
+const failFeed = (position: FeedPosition, reason: string): FeedStep => ({
+	position: {...position, hasFailed: true},
+	events: position.hasFailed ? [] : [{kind: 'lost', reason}],
+});
+
+const receiveRows = (position: FeedPosition, reply: StoreReply & {kind: 'done'}): FeedStep => {
+	const era = reply.era?.unwrapOr(undefined) ?? position.era;
+	if (era !== undefined && position.era !== undefined && era < position.era) {
+		return failFeed(position, `Store-Era: ${era} after ${position.era}`);
+	}
+
+	const isRestored = era !== position.era && position.era !== undefined;
+	const notices: readonly FeedEvent[] = [
+		...(position.hasFailed ? [{kind: 'regained'} as const] : []),
+		...(reply.era?.err ? [{kind: 'era-unreadable', reason: reply.era.val.detail} as const] : []),
+		...(isRestored ? [{kind: 'restored', from: position.era, to: era!} as const] : []),
+	];
+	// Versions of the former era are used again: changes up to the known version may have been missed.
+	if (isRestored && position.version !== undefined) {
+		return {position: {version: undefined, era, hasFailed: false}, events: notices};
+	}
+
+	return {
+		position: {version: Math.max(reply.version, position.version ?? 0), era, hasFailed: false},
+		events: [...notices, {kind: position.version === undefined ? 'all' : 'changes', rows: reply.rows}],
+	};
+};
+
+/**
+Advances a change feed by a reply of the store.
+
+@param position - The position at which the store was asked.
+@param reply - Its reply.
+@returns The next position, and the events in order.
+*/
+export const advanceFeed = (position: FeedPosition, reply: StoreReply): FeedStep => {
+	if (reply.kind === 'done') {
+		return receiveRows(position, reply);
+	}
+
+	const failed = failFeed(position, 'reason' in reply ? reply.reason : reply.kind);
+	return reply.kind === 'forgotten' ? {...failed, position: {...failed.position, version: undefined}} : failed;
+};
 
 /** Delay before a retry, in ms, so that a failing store is not overloaded by retries. */
 const retryDelayMs = 150;
 
 /**
 Follows a table of the store until the process ends: reads all rows, then their
-changes. When the store no longer has the change history, all rows are read again.
+changes. When the store no longer has the change history, or has come back from an
+older copy, all rows are read again.
 
 @param store - The store.
 @param table - Name of the table.
@@ -26,26 +89,15 @@
 @returns A promise that never resolves.
 */
 export const followTable = async (store: StoreOperations, table: string, onEvent: (event: FeedEvent) => void): Promise<never> => {
-	let sinceVersion: number | undefined;
-	let hasFailed = false;
+	let position = feedStart;
 	for (;;) {
-		const isFullRead = sinceVersion === undefined;
-		const reply = sinceVersion === undefined ? await store.read(table) : await store.follow(table, sinceVersion);
-		if (reply.kind === 'done') {
-			if (hasFailed) {
-				onEvent({kind: 'regained'});
-			}
-
-			hasFailed = false;
-			sinceVersion = Math.max(reply.version, sinceVersion ?? 0);
-			onEvent({kind: isFullRead ? 'all' : 'changes', rows: reply.rows});
-		} else {
-			if (!hasFailed) {
-				onEvent({kind: 'lost', reason: 'reason' in reply ? reply.reason : reply.kind});
-			}
-
-			hasFailed = true;
-			sinceVersion = reply.kind === 'forgotten' ? undefined : sinceVersion;
+		const reply = position.version === undefined ? await store.read(table) : await store.follow(table, position.version);
+		const next = advanceFeed(position, reply);
+		position = next.position;
+		next.events.forEach(event => {
+			onEvent(event);
+		});
+		if (position.hasFailed) {
 			await sleep(retryDelayMs);
 		}
 	}
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -6,6 +6,7 @@
 	afterEach, describe, expect, test,
 } from 'vitest';
 import {writeWithoutEnd} from '../../test/endless.js';
+import {succeed} from '../errors/index.js';
 import {decodeResponse, decodeRequest, encodeRequestHeaders} from './wire.js';
 import {decodeRoutingConfig, decodeEntry, openStoreClient} from './index.js';
 
@@ -218,7 +219,7 @@
 describe('the store client', () => {
 	test.each([
 		[200, '{"ver":9,"nowMs":5}', {
-			kind: 'done', rows: [], version: 9, now: 5,
+			kind: 'done', rows: [], version: 9, now: 5, era: succeed(undefined),
 		}],
 		[412, '{"rows":[],"nowMs":5}', {kind: 'conflict', rows: [], now: 5}],
 		[503, '', {kind: 'refused', reason: 'status 503'}],
@@ -233,6 +234,29 @@
 		}])).toEqual(reply);
 	});
 
+	test.each([
+		['3', {val: 3}],
+		[undefined, {val: undefined}],
+		['-1', {err: true, val: {detail: 'Store-Era: "-1" is not a whole number'}}],
+		['soon', {err: true, val: {detail: 'Store-Era: "soon" is not a whole number'}}],
+	])('reads the era %j', async (value, era) => {
+		const store = await startServer(createServer((incoming, response) => {
+			incoming.resume();
+			response.writeHead(200, value === undefined ? {} : {'Store-Era': value}).end('{}');
+		}));
+		expect(await store.follow('t', 1)).toMatchObject({kind: 'done', era});
+	});
+
+	test('takes pages of different eras for lost', async () => {
+		let era = 1;
+		const store = await startServer(createServer((incoming, response) => {
+			incoming.resume();
+			response.writeHead(200, {'Store-Era': String(era)}).end('{"rows":[{"table":"t","part":"","key":"k","ver":1}],"morePages":true,"ver":1}');
+			era += 1;
+		}));
+		expect(await store.read('t')).toEqual({kind: 'lost', reason: 'the store came back from an older copy between two pages'});
+	});
+
 	test('takes a reply without end for lost, long before the time limit is needed', async () => {
 		let countWritten = () => 0;
 		const server = createServer((incoming, response) => {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import {createByteBuffer} from '../byte-buffer/index.js';
+import {createFault, fail, succeed} from '../errors/index.js';
+import type {Result} from '../errors/index.js';
 import {parseAddress} from '../server/address.js';
 import type {SocketAddress} from '../server/address.js';
 import type {
@@ -69,7 +71,7 @@
 
 const encodeKey = ({table, part = '', key}: RowKey) => ({table, part, key});
 
-type HttpReply = Readonly<{status: number; body: WireReply}>;
+type HttpReply = Readonly<{status: number; body: WireReply; era: Result<number | undefined>}>;
 
 /** An HTTP request to the store. */
 type StoreRequest = Readonly<{method: string; path: string; timeoutMs: number; body?: string}>;
@@ -78,18 +80,28 @@
 type DecodedReply = Readonly<{reply: StoreReply; hasMore: boolean}>;
 
 /** Reply decoders by HTTP status. With any other status, it is unknown whether the request was applied. */
-const replyDecoders: Readonly<Record<number, (body: WireReply) => StoreReply>> = {
-	200: body => ({
-		kind: 'done', rows: (body.rows ?? []).map(row => decodeRow(row)), version: body.ver ?? 0, now: body.nowMs ?? 0,
+const replyDecoders: Readonly<Record<number, (reply: HttpReply) => StoreReply>> = {
+	200: ({body, era}) => ({
+		kind: 'done', rows: (body.rows ?? []).map(row => decodeRow(row)), version: body.ver ?? 0, now: body.nowMs ?? 0, era,
 	}),
 	410: () => ({kind: 'forgotten'}),
-	412: body => ({kind: 'conflict', rows: (body.rows ?? []).map(row => decodeRow(row)), now: body.nowMs ?? 0}),
+	412: ({body}) => ({kind: 'conflict', rows: (body.rows ?? []).map(row => decodeRow(row)), now: body.nowMs ?? 0}),
 	429: () => ({kind: 'refused', reason: 'status 429'}),
 	503: () => ({kind: 'refused', reason: 'status 503'}),
 };
 
-const decodeReply = ({status, body}: HttpReply): StoreReply =>
-	replyDecoders[status]?.(body) ?? {kind: 'lost', reason: `status ${status}`};
+const decodeReply = (reply: HttpReply): StoreReply =>
+	replyDecoders[reply.status]?.(reply) ?? {kind: 'lost', reason: `status ${reply.status}`};
+
+const decodeEra = (value: string | undefined): Result<number | undefined> => {
+	if (value === undefined) {
+		return succeed(undefined);
+	}
+
+	return /^\d{1,15}$/v.test(value) ? succeed(Number(value)) : fail(createFault('bad-request', `Store-Era: ${JSON.stringify(value)} is not a whole number`));
+};
+
+const readEra = ({era}: StoreReply & {kind: 'done'}): number | undefined => era?.unwrapOr(undefined);
 
 /**
 Opens a client of the platform's store.
@@ -132,7 +144,8 @@
 				try {
 					const text = buffer.getBytes().toString('utf8');
 					const wire = status === 200 || status === 412 ? JSON.parse(text) as WireReply : {};
-					resolve({reply: decodeReply({status, body: wire}), hasMore: wire.morePages === true});
+					const era = decodeEra(incoming.headers['store-era'] as string | undefined);
+					resolve({reply: decodeReply({status, body: wire, era}), hasMore: wire.morePages === true});
 				} catch {
 					resolve({reply: {kind: 'lost', reason: `status ${status} with a body that is not JSON`}, hasMore: false});
 				}
@@ -146,7 +159,7 @@
 		return send(endpoint, {method: 'GET', path: `/v1/rows-get?table=${encodeURIComponent(table)}&part=&limit=${maxPageRows}${startParameter}`, timeoutMs: requestTimeoutMs});
 	};
 
-	const readAll = async (endpoint: SocketAddress, table: string, previousRows: readonly StoredRow[], version: number): Promise<StoreReply> => {
+	const readAll = async (endpoint: SocketAddress, table: string, previousRows: readonly StoredRow[], first: StoreReply | undefined): Promise<StoreReply> => {
 		const last = previousRows.at(-1);
 		// The smallest key above the last one that was read.
 		const {reply, hasMore} = await readPage(endpoint, table, last === undefined ? undefined : `${last.key}\0`);
@@ -154,10 +167,14 @@
 			return reply;
 		}
 
+		const firstReply = first?.kind === 'done' ? first : reply;
+		if (readEra(firstReply) !== readEra(reply)) {
+			return {kind: 'lost', reason: 'the store came back from an older copy between two pages'};
+		}
+
 		const rows = [...previousRows, ...reply.rows];
 		// A change feed that starts at the first page's version includes the changes made between the pages.
-		const firstVersion = previousRows.length === 0 ? reply.version : version;
-		return hasMore && reply.rows.length > 0 ? readAll(endpoint, table, rows, firstVersion) : {...reply, rows, version: firstVersion};
+		return hasMore && reply.rows.length > 0 ? readAll(endpoint, table, rows, firstReply) : {...reply, rows, version: firstReply.version};
 	};
 
 	const createOperations = (endpoint: SocketAddress): StoreOperations => ({
@@ -173,7 +190,7 @@
 			});
 			return reply;
 		},
-		read: async table => readAll(endpoint, table, [], 0),
+		read: async table => readAll(endpoint, table, [], undefined),
 		async readRow(rowKey) {
 			const {table, part, key} = encodeKey(rowKey);
 			const parameters = new URLSearchParams({
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,4 +1,4 @@
 export {
-	updateEntry, removeLeaving, removeMissing, emptyRegistry, markUnavailable, markAvailable, decaySlowness, replaceEntries, updateEndpoint,
+	updateEntry, removeLeaving, removeMissing, emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, replaceEntries, updateEndpoint,
 } from './registry.js';
 export type {Endpoint, RegistryEntry, Registry} from './registry.js';
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -226,6 +226,15 @@
 export const markAvailable = (registry: Registry, now: number): Registry =>
 	registry.isUnavailable ? {...registry, isUnavailable: false, uncertainUntil: now + recoveryWindowMs} : registry;
 
+/**
+Marks the registry as come back from an older copy, in which entries may be missing.
+
+@param registry - The registry.
+@param now - The current time in ms.
+@returns The registry, which keeps endpoints with missing entries until live endpoints must have restored theirs.
+*/
+export const markRestored = (registry: Registry, now: number): Registry => ({...registry, uncertainUntil: now + recoveryWindowMs});
+
 /**
 Removes endpoints whose entries were not restored after a registry outage.
 
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -4,6 +4,8 @@
 concurrency control).
 */
 
+import type {Result} from '../errors/index.js';
+
 /** Table and key of a row, and the part of the table that it belongs to. Transactions on one part are applied one after another. */
 export type RowKey = Readonly<{table: string; key: string; part?: string}>;
 
@@ -15,7 +17,8 @@
 
 /** Reply of the store. Times are of the store's monotonic clock, in ms. */
 export type StoreReply =
-	| Readonly<{kind: 'done'; rows: readonly StoredRow[]; version: number; now: number}>
+	/** `era` rises each time that the store comes back from an older copy; versions then go back and are used again. */
+	| Readonly<{kind: 'done'; rows: readonly StoredRow[]; version: number; now: number; era?: Result<number | undefined>}>
 	/** A row had another version, and nothing was applied. `rows` are the current rows named in the transaction. */
 	| Readonly<{kind: 'conflict'; rows: readonly StoredRow[]; now: number}>
 	/** The requested change history is no longer available. */
