Answer a malformed escape in an operator's path as a bad request

What operators saw: status 500 for a claim's key with a malformed escape.

Cause: decodeURIComponent threw, which counts as a failure of the router.

Change: the segment is decoded to a result that names the field. The soak says that it needs a build instead of failing each seed without a reason.

--- a/src/router/operator.ts
+++ b/src/router/operator.ts
@@ -179,8 +179,22 @@
 		: fail(createFault('store-unavailable', 'the audit trail cannot be read at present'));
 };
 
+/** Decodes the escapes of a segment of a path. */
+const decodeSegment = (name: string, segment: string): Result<string> => {
+	try {
+		return succeed(decodeURIComponent(segment));
+	} catch {
+		return fail(createFault('bad-request', `${name}: "${segment}" has a malformed escape`));
+	}
+};
+
 const resolveClaim: Handler = async (request, ports) => {
-	const [, organisation = '', key = ''] = request.pathMatch;
+	const [, organisation = '', escapedKey = ''] = request.pathMatch;
+	const key = decodeSegment('key', escapedKey);
+	if (key.err) {
+		return fail(key.val);
+	}
+
 	const checked = validateBody(resolutionSchema, request.body);
 	if (checked.err) {
 		return fail(checked.val);
@@ -188,7 +202,7 @@
 
 	const {outcome, why} = checked.val;
 	const result = await ports.applyChange(createChange(request, ports, {
-		kind: 'resolve-claim', subject: `${organisation}/${decodeURIComponent(key)}`, fields: {outcome}, why,
+		kind: 'resolve-claim', subject: `${organisation}/${key.val}`, fields: {outcome}, why,
 	}));
 	return result.map(body => ({body}));
 };
--- a/test/router-shutdown.test.ts
+++ b/test/router-shutdown.test.ts
@@ -2,11 +2,7 @@
 import {expect, test} from 'vitest';
 import {studio} from '../src/local/deployments.js';
 import {startFleet} from '../src/local/fleet.js';
-import type {Log} from '../src/log/index.js';
-
-const silentLog: Log = {
-	event: () => undefined, warn: () => undefined, time: () => undefined, gauge: () => undefined, close: () => undefined,
-};
+import {silentLog} from './silent-log.js';
 
 test('a draining router answers a request whose body is still arriving', async () => {
 	const fleet = await startFleet({deployment: studio, log: silentLog});
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,6 +1,8 @@
-import {mkdirSync, writeFileSync} from 'node:fs';
+import {existsSync, mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {describe, expect, test} from 'vitest';
+import {
+	beforeAll, describe, expect, test,
+} from 'vitest';
 import {runSoak} from './soak.js';
 
 /** Seeds that have failed before, each with its cause. Never removed. */
@@ -22,6 +24,12 @@
 	expect(result.violations).toEqual([]);
 };
 
+beforeAll(() => {
+	if (!existsSync('dist/bin/galena-edge.js')) {
+		throw new Error('the soak runs built programs: run `npm run build` first');
+	}
+});
+
 describe('routers and a relay as processes, under injected faults', () => {
 	test.concurrent.each(seeds)('seed %i', runSeed);
 	test.each(regressions)('regression seed $seed: $cause', async ({seed}) => runSeed(seed));
