Take a response without a body for complete with its head

What callers would see: a request that an endpoint answers with 204 gets no answer before its time-out, and then 504 or 502.

Cause: a response with neither a length nor chunks was taken to end with its connection, which the endpoint keeps open.

Change: responses to HEAD, and those with status 204 or 304, have no body whatever their headers say.

--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -45,7 +45,7 @@
 		incoming.on('end', () => {
 			call += 1;
 			const head = decodeRequest({
-				method: 'GET', url: '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
+				method: incoming.method ?? 'GET', url: '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
 			}).unwrap();
 			proxy.accept(call, head, 'h', Buffer.alloc(0), response);
 			proxy.send({
@@ -60,7 +60,7 @@
 type ProxiedResponse = Readonly<{event: EdgeEvent; status: number | undefined; body: string; isComplete: boolean}>;
 
 /** Sends one request through a proxy. Returns the event that `react` accepted, and what the client received. */
-const proxyRequest = async (respond: (socket: Socket) => void, react: (event: EdgeEvent, proxy: ReturnType<typeof openHttpProxy>) => boolean): Promise<ProxiedResponse> => {
+const proxyRequest = async (respond: (socket: Socket) => void, react: (event: EdgeEvent, proxy: ReturnType<typeof openHttpProxy>) => boolean, method = 'GET'): Promise<ProxiedResponse> => {
 	const endpoint = await startEndpoint(respond);
 	return new Promise(resolve => {
 		let finalEvent: EdgeEvent | undefined;
@@ -76,7 +76,9 @@
 		const front = createFrontServer(proxy, endpoint);
 		const sendRequest = async () => {
 			const port = await listen(front);
-			const outgoing = request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}});
+			const outgoing = request({
+				port, host: '127.0.0.1', method, headers: {'attempt-id': 'call-1'},
+			});
 			const finish = (status: number | undefined, body: string, isComplete: boolean) => {
 				front.closeAllConnections();
 				proxy.close();
@@ -158,6 +160,23 @@
 	});
 });
 
+describe('a response without a body is complete with its head', () => {
+	test.each<[string, string, number, string]>([
+		['to HEAD, whatever length it states', 'HEAD', 200, 'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\nContent-Length: 5\r\n\r\n'],
+		['to HEAD, with chunks', 'HEAD', 200, 'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\nTransfer-Encoding: chunked\r\n\r\n'],
+		['with status 204', 'GET', 204, 'HTTP/1.1 204 No Content\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\n\r\n'],
+		['with status 304 and a length', 'GET', 304, 'HTTP/1.1 304 Not Modified\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\nContent-Length: 5\r\n\r\n'],
+		['after an interim response', 'GET', 204, 'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\n\r\n'],
+	])('%s', async (_, method, status, head) => {
+		const result = await proxyRequest(socket => {
+			socket.write(head);
+		}, deliverOrClose, method);
+		expect(result).toMatchObject({
+			event: {kind: 'endpoint-answered'}, status, body: '', isComplete: true,
+		});
+	});
+});
+
 const stream = `${signedHead}Content-Type: text/event-stream\r\n`;
 
 /** Streams the response to the client, and closes the client's connection if the stream failed. */
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import type {
-	ClientRequest, IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
+	ClientRequest, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
 } from 'node:http';
 import {createByteBuffer} from '../byte-buffer/index.js';
 import type {ByteBuffer} from '../byte-buffer/index.js';
@@ -116,8 +116,16 @@
 	return upstream.response?.head.isStream === true && upstream.response.head.status === 200 ? 'streaming' : 'sent';
 };
 
-const getFraming = (headers: IncomingHttpHeaders): Framing =>
-	headers['transfer-encoding'] === undefined ? (headers['content-length'] === undefined ? 'close' : 'length') : 'chunked';
+/** A response without a body ends with its head, whatever its headers say. */
+const hasNoBody = (method: string, status: number | undefined): boolean => method === 'HEAD' || status === 204 || status === 304;
+
+const getFraming = (method: string, {headers, statusCode}: IncomingMessage): Framing => {
+	if (hasNoBody(method, statusCode)) {
+		return 'length';
+	}
+
+	return headers['transfer-encoding'] === undefined ? (headers['content-length'] === undefined ? 'close' : 'length') : 'chunked';
+};
 
 /** Returns how a stream shows that it was broken off although its body has ended normally; undefined if it does not. */
 const findBreak = (upstream: Upstream, framing: Framing): string | undefined => {
@@ -187,9 +195,9 @@
 	reset that arrives right after data as a normal close. An empty write fails on a
 	connection that was reset, and sends nothing on any other connection.
 	*/
-	const detectReset = (upstream: Upstream, incoming: IncomingMessage): void => {
-		const {headers, socket} = incoming;
-		if (getFraming(headers) !== 'close') {
+	const detectReset = (upstream: Upstream, method: string, incoming: IncomingMessage): void => {
+		const {socket} = incoming;
+		if (getFraming(method, incoming) !== 'close') {
 			return;
 		}
 
@@ -260,7 +268,7 @@
 		}
 
 		upstream.response = {head, incoming};
-		detectReset(upstream, incoming);
+		detectReset(upstream, activeRequest.head.method, incoming);
 		if (head.key !== undefined && head.key !== activeRequest.head.key) {
 			failAttempt(requestId, upstream, 'sent', `response is for request ${head.key}`);
 		} else if (head.status < 300 && !head.isSigned) {
@@ -435,7 +443,7 @@
 	};
 
 	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, incoming: IncomingMessage): void => {
-		const framing = getFraming(incoming.headers);
+		const framing = getFraming(activeRequest.head.method, incoming);
 		const reason = findBreak(upstream, framing);
 		if (reason !== undefined) {
 			failAttempt(requestId, upstream, 'streaming', reason);
