End the soak's streams at their last event when resumed after it

Its client had left after event 12, the last, and resumed after it; the soak's endpoint then sent an event 13, which no stream has. The router's log shows resumeAfter=12 and one event.

Change: the soak's endpoint ends such a stream without an event. The check stays as it is.

--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -117,7 +117,11 @@
 				response.writeHead(200, {...createHeaders(incoming), 'content-type': 'text/event-stream'});
 			}
 
-			response.write(`id: ${index}\ndata: ${id}:${index}\n: ${softwareVersion}\n\n`);
+			// A stream that is resumed after its last event has nothing more.
+			if (index <= eventCount) {
+				response.write(`id: ${index}\ndata: ${id}:${index}\n: ${softwareVersion}\n\n`);
+			}
+
 			if (index >= eventCount) {
 				response.end();
 			} else {
