Do not count a soak seed that did not run as passed

The test for the known seed 1 stood beside the list of seeds, and passed without running anything when the soak began at another seed.

--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -14,6 +14,9 @@
 const from = Number(process.env.SOAK_FROM ?? 1);
 const seeds = Array.from({length: Number(process.env.SOAK_SEEDS ?? 2)}, (_, index) => from + index);
 
+/** Seeds of KNOWN-RED.txt that CI passes over; runs by hand do not. */
+const knownFailures: readonly number[] = process.env.CI === 'true' ? [1] : [];
+
 const runSeed = async (seed: number) => {
 	const result = await runSoak(seed);
 	mkdirSync('dist/soak', {recursive: true});
@@ -31,8 +34,7 @@
 });
 
 describe('routers and a relay as processes, under injected faults', () => {
-	// KNOWN-RED.txt, 6: CI passes over this seed, runs by hand do not.
-	test.skipIf(process.env.CI === 'true' && from === 1).concurrent('seed 1', async () => from === 1 ? runSeed(1) : undefined);
-	test.concurrent.each(seeds.filter(seed => seed !== 1))('seed %i', runSeed);
+	test.concurrent.each(seeds.filter(seed => !knownFailures.includes(seed)))('seed %i', runSeed);
+	test.skip.each(seeds.filter(seed => knownFailures.includes(seed)))('seed %i', runSeed);
 	test.each(regressions)('regression seed $seed: $cause', async ({seed}) => runSeed(seed));
 });
