Apply what a response states to the incarnation that its request was sent to

Cause: a response was applied to whatever the registry held under the endpoint's id when it was read. If its entry was missing at that moment, the statement was dropped and a later entry brought the endpoint back; if another incarnation had taken the id, that one was shut out for good; only one incarnation an id was remembered; and the response to a request that had ended was not read at all. Load, rate limits (of peers too), pushback and failures had the same fault.

Change: a request knows the incarnation that it was sent to. What the head of a response states is an event of its own, posted when the head is read, for that incarnation and whatever has become of the request. All incarnations that have said that they leave are remembered, listed or not. Connections to an incarnation that was replaced under its id are closed.

Evidence: 8 of the new tests of handle.test.ts fail on (3 of 'an endpoint that has said that it is leaving', 5 of 'a response of an incarnation whose id another one has taken'); all pass now.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -10,8 +10,6 @@
 import {
 	abortResponse, canHaveRun, closeAttempt, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
-import {recordLeaving} from './endpoints.js';
-import {recordPushback, recordRateLimit} from './limits.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -57,14 +55,7 @@
 };
 
 const recordResult = (state: EdgeState, request: InFlightRequest, attemptResult: AttemptResult, now: number): EdgeState =>
-	updateKnownEndpoint(state, request.triedEndpoints.at(-1), endpoint => resultRecorders[attemptResult](endpoint, now));
-
-const recordLoad = (state: EdgeState, request: InFlightRequest, head: ResponseHead, now: number): EdgeState =>
-	updateKnownEndpoint(state, request.triedEndpoints.at(-1), endpoint => head.load === undefined
-		? {...endpoint, lastResponseAt: now}
-		: {
-			...endpoint, lastResponseAt: now, load: {...head.load, at: now}, sentSinceReport: 0,
-		});
+	updateKnownEndpoint(state, request.sentTo, endpoint => resultRecorders[attemptResult](endpoint, now));
 
 /** Counts the attempts that may have reached an endpoint; those without a connection do not count towards the route's limit. */
 const countReachedAttempts = (request: InFlightRequest, unsent: number): number => request.attempt - unsent;
@@ -150,14 +141,11 @@
 		return keepState(state);
 	}
 
-	const limited = recordRateLimit(recordLoad(state, request, event.head, now), request, event.head, now);
-	const pushedBack = chain(limited, recorded => recordPushback(recorded, request, event.head, now));
-	const left = chain(pushedBack, recorded => recordLeaving(recorded, request, event.head, now));
-	const step = chain(left, recorded => event.head.hasNotRun
-		? receiveRefusal(recorded, request, event, now)
+	const step = event.head.hasNotRun
+		? receiveRefusal(state, request, event, now)
 		: (event.head.isStream && event.head.status === 200
-			? beginStream(recorded, request, now)
-			: receiveResponse(recorded, request, event, now)));
+			? beginStream(state, request, now)
+			: receiveResponse(state, request, event, now));
 	return chain(step, current => placeNext(current, request.service, event.random, now));
 });
 
@@ -242,7 +230,7 @@
 	? {
 		state: updateKnownEndpoint(
 			putRequest(recordStream(state, request, now), {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
-			request.triedEndpoints.at(-1),
+			request.sentTo,
 			endpoint => recordFirstOutput(endpoint, request, now),
 		),
 		effects: [{
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -1,6 +1,6 @@
 import {chargeTokens} from '../quota/index.js';
 import {updateEndpoint} from '../registry/index.js';
-import type {Endpoint} from '../registry/index.js';
+import type {Endpoint, Incarnation} from '../registry/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import type {Route} from '../routing-config/index.js';
 import {errorResponses} from '../errors/index.js';
@@ -55,16 +55,16 @@
 Updates the statistics of an endpoint, if it is known.
 
 @param state - The edge state.
-@param id - The endpoint's id; undefined changes nothing.
+@param incarnation - The endpoint; undefined changes nothing.
 @param update - Returns the updated endpoint.
 @returns The new state.
 */
-export const updateKnownEndpoint = (state: EdgeState, id: string | undefined, update: (endpoint: Endpoint) => Endpoint): EdgeState =>
-	id === undefined ? state : {...state, registry: updateEndpoint(state.registry, id, update)};
+export const updateKnownEndpoint = (state: EdgeState, incarnation: Incarnation | undefined, update: (endpoint: Endpoint) => Endpoint): EdgeState =>
+	incarnation === undefined ? state : {...state, registry: updateEndpoint(state.registry, incarnation, update)};
 
 /** Returns the endpoint of the attempt in progress. */
-const getActiveEndpoint = (request: InFlightRequest): string | undefined =>
-	request.phase === 'sent' || request.phase === 'streaming' || request.phase === 'leaving' ? request.triedEndpoints.at(-1) : undefined;
+const getActiveEndpoint = (request: InFlightRequest): Incarnation | undefined =>
+	request.phase === 'sent' || request.phase === 'streaming' || request.phase === 'leaving' ? request.sentTo : undefined;
 
 /**
 Removes the attempt in progress from the load of its endpoint.
--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -1,26 +1,27 @@
-import type {InFlightRequest, ResponseHead} from '../in-flight/index.js';
-import {keepState} from '../loop/step.js';
-import {removeLeaving} from '../registry/index.js';
-import type {Registry} from '../registry/index.js';
+import type {ResponseHead} from '../in-flight/index.js';
+import {chain, keepState} from '../loop/step.js';
+import {findIncarnation, removeLeaving} from '../registry/index.js';
+import type {Incarnation, Registry} from '../registry/index.js';
 import {recordRetiredVersions} from '../stream-origin/index.js';
-import {createLogEffect} from './common.js';
-import type {EdgeEffect} from './messages.js';
+import {createLogEffect, updateKnownEndpoint} from './common.js';
+import {recordPushback, recordRateLimit} from './limits.js';
+import type {EdgeEffect, EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** What stated that an endpoint came or went. */
 type RegistrySource = 'registry' | 'endpoint';
 
-/** Logs each endpoint that was added or removed; also closes idle connections to removed ones. */
+/** Logs each incarnation that was added or removed; also closes idle connections to removed ones. */
 const logEndpoints = (before: Registry, after: Registry, source: RegistrySource): readonly EdgeEffect[] => {
-	const added = after.endpoints.valueSeq().toArray().filter(endpoint => before.endpoints.get(endpoint.id)?.startedAt !== endpoint.startedAt);
-	const removed = before.endpoints.keySeq().toArray().filter(id => !after.endpoints.has(id));
+	const added = after.endpoints.valueSeq().toArray().filter(endpoint => findIncarnation(before, endpoint) === undefined);
+	const removed = before.endpoints.valueSeq().toArray().filter(endpoint => findIncarnation(after, endpoint) === undefined);
 	return [
 		...added.map(({id, service, address, dataCentre, softwareVersion}) => createLogEffect('endpoint-came', {
 			endpoint: id, service, address, dataCentre, softwareVersion,
 		})),
-		...removed.flatMap(id => [
-			createLogEffect('endpoint-went', {endpoint: id, source}),
-			{kind: 'forget', address: before.endpoints.get(id)!.address} as const,
+		...removed.flatMap(({id, address, startedAt}) => [
+			createLogEffect('endpoint-went', {endpoint: id, startedAt, source}),
+			{kind: 'forget', address} as const,
 		]),
 	];
 };
@@ -41,15 +42,32 @@
 		effects: logEndpoints(state.registry, registry, source),
 	};
 
+const recordLoad = (state: EdgeState, incarnation: Incarnation, {load}: ResponseHead, now: number): EdgeState =>
+	updateKnownEndpoint(state, incarnation, endpoint => load === undefined
+		? {...endpoint, lastResponseAt: now}
+		: {
+			...endpoint, lastResponseAt: now, load: {...load, at: now}, sentSinceReport: 0,
+		});
+
+const recordLeaving = (state: EdgeState, incarnation: Incarnation, {isLeaving}: ResponseHead, now: number): EdgeStep =>
+	isLeaving ? setRegistry(state, removeLeaving(state.registry, incarnation), now, 'endpoint') : keepState(state);
+
 /**
-Removes the endpoint of a response if it states that it is leaving. The response of
-another incarnation says nothing about the endpoint.
+Records what a response states of its endpoint: load, rate limit, pushback, and that it
+is leaving. It speaks for the incarnation that its request was sent to; if it comes from
+another one, it says nothing.
 
 @param state - The edge state.
-@param request - The request that the response belongs to.
-@param head - The head of the response.
+@param event - The endpoint and the head of the response.
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const recordLeaving = (state: EdgeState, request: InFlightRequest, {isLeaving, isOtherIncarnation}: ResponseHead, now: number): EdgeStep =>
-	isLeaving && !isOtherIncarnation ? setRegistry(state, removeLeaving(state.registry, request.triedEndpoints.at(-1) ?? ''), now, 'endpoint') : keepState(state);
+export const receiveStatements = (state: EdgeState, {endpoint, head}: EdgeEvent & {kind: 'response-began'}, now: number): EdgeStep => {
+	if (head.isOtherIncarnation) {
+		return keepState(state);
+	}
+
+	const limited = recordRateLimit(recordLoad(state, endpoint, head, now), endpoint, head, now);
+	const pushedBack = chain(limited, recorded => recordPushback(recorded, endpoint, head, now));
+	return chain(pushedBack, recorded => recordLeaving(recorded, endpoint, head, now));
+};
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -3,7 +3,7 @@
 import {succeed} from '../errors/index.js';
 import type {RoutingConfig, Route} from '../routing-config/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
-import type {RegistryEntry} from '../registry/index.js';
+import type {Incarnation, RegistryEntry} from '../registry/index.js';
 import type {StoreReply} from '../store/index.js';
 import {getBudgetHold} from '../quota/index.js';
 import {handleEdge} from './handle.js';
@@ -41,11 +41,14 @@
 	});
 
 	done: readonly EdgeEffect[] = [];
+	/** The endpoint of each attempt. */
+	sentTo = Map<string, Incarnation>();
 	now = 0;
 
 	post(event: EdgeEvent): this {
 		const step = handleEdge(this.state, event, this.now);
 		this.state = step.state;
+		this.sentTo = this.sentTo.merge(step.effects.flatMap(effect => effect.kind === 'send' ? [[`${effect.call}/${effect.attempt}`, effect.endpoint] as const] : []));
 		this.done = step.effects.filter(effect => !['log', 'count', 'observe', 'store', 'tell-peers'].includes(effect.kind));
 		return this;
 	}
@@ -64,12 +67,16 @@
 	}
 
 	respond(id: number, attempt: number, fields: Partial<ResponseHead> = {}): this {
-		return this.post({
-			kind: 'endpoint-answered', call: id, attempt, random: 0.5, head: {
-				status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined,
-				rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
-			},
+		const head: ResponseHead = {
+			status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined,
+			rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
+		};
+		const {done} = this.post({kind: 'response-began', endpoint: this.sentTo.get(`${id}/${attempt}`)!, head});
+		this.post({
+			kind: 'endpoint-answered', call: id, attempt, random: 0.5, head,
 		});
+		this.done = [...done, ...this.done];
+		return this;
 	}
 
 	failAttempt(id: number, attempt: number, fields: Partial<EdgeEvent & {kind: 'endpoint-failed'}> = {}): this {
@@ -237,6 +244,30 @@
 		expect(listTargets(edge, 10)).not.toContain('e1');
 	});
 
+	test('is not used again when its entry was missing as its response came', () => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const leaving = edge.getSentTo();
+		edge.post({kind: 'endpoint-changed', id: leaving, listing: undefined}).respond(1, 1, {isLeaving: true});
+		edge.post({kind: 'endpoint-changed', id: leaving, listing: createEntry(leaving)});
+		expect(listTargets(edge, 10)).not.toContain(leaving);
+	});
+
+	test('is not used again although it has left once more since, under the same id', () => {
+		const edge = new EdgeHarness().start();
+		const post = (fields: Partial<RegistryEntry>) => edge.post({kind: 'endpoint-changed', id: 'e1', listing: createEntry('e1', fields)});
+		post({isLeaving: true});
+		post({startedAt: 2, isLeaving: true});
+		post({});
+		expect(listTargets(edge, 10)).not.toContain('e1');
+	});
+
+	test('is not used again if its client had left before its response came', () => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const leaving = edge.getSentTo();
+		edge.post({kind: 'caller-left', call: 1, events: 0}).respond(1, 1, {isLeaving: true});
+		expect(listTargets(edge, 10)).not.toContain(leaving);
+	});
+
 	test('is used again once it has started anew under its id', () => {
 		const {edge, leaving} = startLeaving();
 		edge.post({kind: 'endpoint-changed', id: leaving, listing: createEntry(leaving, {startedAt: 2})});
@@ -250,6 +281,29 @@
 	});
 });
 
+describe('a response of an incarnation whose id another one has taken', () => {
+	test.each<[string, Partial<ResponseHead>]>([
+		['that it is leaving', {isLeaving: true}],
+		['pushback', {status: 503, hasNotRun: true, pushbackMs: succeed(2000)}],
+		['a rate limit', {rateLimit: succeed(0)}],
+		['load', {load: {running: 6, waiting: 6, slots: 6}}],
+	])('says nothing about the new one: %s', (_, fields) => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const id = edge.getSentTo();
+		edge.post({kind: 'endpoint-changed', id, listing: createEntry(id, {startedAt: 2})}).respond(1, 1, fields);
+		expect(Array.from({length: 6}, (__, index) => edge.sendRequest(10 + index, 'act').getSentTo())).toContain(id);
+	});
+
+	test('does not count against the new one, nor do its failures', () => {
+		const edge = new EdgeHarness().start([createEntry('e1')]);
+		[1, 2, 3].forEach(id => edge.sendRequest(id, 'act'));
+		edge.post({kind: 'endpoints-listed', entries: [createEntry('e1', {startedAt: 2}), createEntry('e2')]}).sendRequest(4, 'act');
+		const first = edge.getSentTo();
+		[1, 2, 3].forEach(id => edge.failAttempt(id, 1));
+		expect(edge.state.registry.endpoints.get('e1')).toMatchObject({failures: 0, open: first === 'e1' ? 1 : 0});
+	});
+});
+
 describe('an interrupted stream', () => {
 	test('is resumed at another endpoint after its last complete event', () => {
 		const edge = new EdgeHarness().start().sendRequest(1, 'stream').respond(1, 1, streamHead);
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -10,7 +10,7 @@
 } from '../registry/index.js';
 import {completeSave} from '../stream-origin/index.js';
 import {createLogEffect} from './common.js';
-import {setRegistry} from './endpoints.js';
+import {receiveStatements, setRegistry} from './endpoints.js';
 import {receiveRequest} from './receive.js';
 import {
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
@@ -108,6 +108,7 @@
 	'call-arrived': receiveRequest,
 	'caller-left': receiveClientDisconnect,
 	'call-withdrawn': receiveCancellation,
+	'response-began': receiveStatements,
 	'endpoint-answered': receiveEndpointResponse,
 	'endpoint-failed': receiveEndpointFailure,
 	'stream-began': receiveFirstOutput,
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -37,8 +37,12 @@
 
 const signedHead = 'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: call-1\r\n';
 
+const createIncarnation = (port: number) => ({
+	id: 'i-1', startedAt: 1, address: `127.0.0.1:${port}`, service: 's',
+});
+
 /** Creates a client-facing server that forwards one request through the proxy to an endpoint at the given port. */
-const createFrontServer = (proxy: ReturnType<typeof openHttpProxy>, endpoint: number) => {
+const createFrontServer = (proxy: ReturnType<typeof openHttpProxy>, endpoint: number, maxConnections = 100) => {
 	let call = 0;
 	return createHttpServer((incoming, response) => {
 		incoming.resume();
@@ -49,7 +53,7 @@
 			}).unwrap();
 			proxy.accept(call, head, 'h', Buffer.alloc(0), response);
 			proxy.send({
-				kind: 'send', call, attempt: 1, address: `127.0.0.1:${endpoint}`, maxConnections: 100, metadata: {
+				kind: 'send', call, attempt: 1, endpoint: createIncarnation(endpoint), maxConnections, metadata: {
 					endpoint: 'i-1', remainingMs: 1000, organisation: undefined, urgency: undefined, resumeAfter: undefined,
 				},
 			});
@@ -66,7 +70,7 @@
 		let finalEvent: EdgeEvent | undefined;
 		const proxy = openHttpProxy({
 			post(event) {
-				if (finalEvent === undefined && react(event, proxy)) {
+				if (event.kind !== 'response-began' && finalEvent === undefined && react(event, proxy)) {
 					finalEvent = event;
 				}
 			},
@@ -293,8 +297,10 @@
 	const finalEvents: EdgeEvent[] = [];
 	const proxy = openHttpProxy({
 		post(event) {
-			finalEvents.push(event);
-			deliverOrClose(event, proxy);
+			if (event.kind !== 'response-began') {
+				finalEvents.push(event);
+				deliverOrClose(event, proxy);
+			}
 		},
 		isClosing: () => false,
 		random: () => 0,
@@ -318,6 +324,51 @@
 	proxy.close();
 });
 
+describe('what a response states of its endpoint', () => {
+	const leavingHead = `${signedHead}Server-Leaving: 1\r\nContent-Length: 5\r\n`;
+
+	/** Sends one request, which is cancelled after a time if one is given, and returns the endpoints that were stated to be leaving. */
+	const listLeaving = async (respond: (socket: Socket) => void, cancelAfterMs?: number): Promise<readonly string[]> => {
+		const endpoint = await startEndpoint(respond, true);
+		const leaving: string[] = [];
+		const proxy = openHttpProxy({
+			post(event) {
+				if (event.kind === 'response-began' && event.head.isLeaving) {
+					leaving.push(event.endpoint.id);
+				}
+			},
+			isClosing: () => false,
+			random: () => 0,
+		});
+		const port = await listen(createFrontServer(proxy, endpoint));
+		const client = request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end();
+		if (cancelAfterMs !== undefined) {
+			setTimeout(() => {
+				proxy.cancel(1);
+			}, cancelAfterMs);
+		}
+
+		await expect.poll(() => leaving.length).toBeGreaterThan(0);
+		proxy.close();
+		client.destroy();
+		return leaving;
+	};
+
+	test('is known before its body has come', async () => {
+		expect(await listLeaving(socket => {
+			socket.write(`${leavingHead}\r\nwho`);
+		})).toEqual(['i-1']);
+	});
+
+	test('is known although its request was cancelled', async () => {
+		expect(await listLeaving(socket => {
+			socket.once('end', () => {
+				socket.write(`${leavingHead}\r\nwhole`);
+			});
+		}, 50)).toEqual(['i-1']);
+	});
+});
+
 describe('bytes without end from an endpoint', () => {
 	const chunk = (bytes: Buffer): Buffer => Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]);
 	const filler = Buffer.alloc(60_000, 'x');
@@ -352,7 +403,7 @@
 		post(event) {
 			if (event.kind === 'endpoint-answered') {
 				proxy.streamResponse(event.call);
-			} else {
+			} else if (event.kind !== 'response-began') {
 				failures.push(event);
 			}
 		},
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -8,6 +8,7 @@
 import {createErrorResponse} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
+import type {Incarnation} from '../registry/index.js';
 import {runInBackground} from '../loop/background.js';
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
@@ -41,6 +42,9 @@
 
 type Upstream = {
 	readonly attempt: number;
+	readonly endpoint: Incarnation;
+	/** Key of the request. */
+	readonly key: string;
 	readonly outgoing: ClientRequest;
 	isFinished: boolean;
 	isConnected: boolean;
@@ -127,6 +131,15 @@
 	return headers['transfer-encoding'] === undefined ? (headers['content-length'] === undefined ? 'close' : 'length') : 'chunked';
 };
 
+/** Returns why a head is not that of the endpoint's response to a request; undefined if it is. */
+const findInvalidHead = (head: ResponseHead, key: string): string | undefined => {
+	if (head.key !== undefined && head.key !== key) {
+		return `response is for request ${head.key}`;
+	}
+
+	return head.status < 300 && !head.isSigned ? 'response is not signed' : undefined;
+};
+
 /** Returns how a stream shows that it was broken off although its body has ended normally; undefined if it does not. */
 const findBreak = (upstream: Upstream, framing: Framing): string | undefined => {
 	if (!canEndAfter(upstream.splitter.getPartialEvent())) {
@@ -261,6 +274,11 @@
 	const receiveResponseHead = (requestId: number, upstream: Upstream, incoming: IncomingMessage): void => {
 		const activeRequest = activeRequests.get(requestId);
 		const head = decodeResponse(incoming);
+		const reason = findInvalidHead(head, upstream.key);
+		if (reason === undefined) {
+			post({kind: 'response-began', endpoint: upstream.endpoint, head});
+		}
+
 		if (activeRequest === undefined || upstream.isFinished) {
 			incoming.on('error', () => undefined);
 			upstream.outgoing.destroy();
@@ -269,10 +287,8 @@
 
 		upstream.response = {head, incoming};
 		detectReset(upstream, activeRequest.head.method, incoming);
-		if (head.key !== undefined && head.key !== activeRequest.head.key) {
-			failAttempt(requestId, upstream, 'sent', `response is for request ${head.key}`);
-		} else if (head.status < 300 && !head.isSigned) {
-			failAttempt(requestId, upstream, 'sent', 'response is not signed');
+		if (reason !== undefined) {
+			failAttempt(requestId, upstream, 'sent', reason);
 		} else if (head.isStream && head.status === 200) {
 			incoming.on('error', () => undefined);
 			post({
@@ -310,9 +326,9 @@
 			return;
 		}
 
-		const {host, port} = parseAddress(effect.address);
+		const {host, port} = parseAddress(effect.endpoint.address);
 		const outgoing = request({
-			agent: getAgent(effect.address, effect.maxConnections),
+			agent: getAgent(effect.endpoint.address, effect.maxConnections),
 			host,
 			port,
 			method: activeRequest.head.method,
@@ -322,6 +338,8 @@
 		});
 		const upstream: Upstream = {
 			attempt: effect.attempt,
+			endpoint: effect.endpoint,
+			key: activeRequest.head.key,
 			outgoing,
 			isFinished: false,
 			isConnected: false,
--- a/src/edge/limits.ts
+++ b/src/edge/limits.ts
@@ -1,9 +1,10 @@
 import {listLiveRouters} from '../quota/index.js';
 import {adoptStatement, setShare} from '../rate-limit/index.js';
 import type {RateLimitStatement} from '../rate-limit/index.js';
-import type {Endpoint} from '../registry/index.js';
+import {findIncarnation} from '../registry/index.js';
+import type {Endpoint, Incarnation} from '../registry/index.js';
 import type {PeerMessage} from '../gossip/index.js';
-import type {InFlightRequest, ResponseHead} from '../in-flight/index.js';
+import type {ResponseHead} from '../in-flight/index.js';
 import {chainAll, keepState} from '../loop/step.js';
 import {createLogEffect, updateKnownEndpoint} from './common.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -15,8 +16,8 @@
 const describeLimit = (requestsPerSecond: number | undefined): number | 'none' => requestsPerSecond ?? 'none';
 
 /** Applies what an endpoint stated about its rate limit, and logs each change. */
-const applyStatement = (state: EdgeState, id: string, statement: RateLimitStatement, source: string, now: number): EdgeStep => {
-	const endpoint = state.registry.endpoints.get(id);
+const applyStatement = (state: EdgeState, incarnation: Incarnation, statement: RateLimitStatement, source: string, now: number): EdgeStep => {
+	const endpoint = findIncarnation(state.registry, incarnation);
 	if (endpoint === undefined) {
 		return keepState(state);
 	}
@@ -24,14 +25,14 @@
 	const {rateLimit: before} = endpoint;
 	const rateLimit = adoptStatement(before, statement, now);
 	if (rateLimit.requestsPerSecond === before.requestsPerSecond) {
-		return keepState(updateKnownEndpoint(state, id, current => ({...current, rateLimit})));
+		return keepState(updateKnownEndpoint(state, incarnation, current => ({...current, rateLimit})));
 	}
 
 	const updated = updateShare(state, {...endpoint, rateLimit}, now);
 	return {
-		state: updateKnownEndpoint(state, id, () => updated),
+		state: updateKnownEndpoint(state, incarnation, () => updated),
 		effects: [createLogEffect('rate-limit-changed', {
-			endpoint: id,
+			endpoint: incarnation.id,
 			limit: describeLimit(rateLimit.requestsPerSecond),
 			before: describeLimit(before.requestsPerSecond),
 			source,
@@ -43,29 +44,21 @@
 };
 
 /**
-Records the rate limit that an endpoint's response states. The response of another
-incarnation says nothing about the endpoint.
+Records the rate limit that an endpoint's response states.
 
 @param state - The edge state.
-@param request - The request that the response belongs to.
+@param endpoint - The endpoint that the request was sent to.
 @param head - The head of the response.
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const recordRateLimit = (state: EdgeState, request: InFlightRequest, {rateLimit, isOtherIncarnation}: ResponseHead, now: number): EdgeStep => {
-	const id = request.triedEndpoints.at(-1) ?? '';
-	if (isOtherIncarnation) {
-		return keepState(state);
-	}
-
-	return rateLimit.ok
-		? applyStatement(state, id, {requestsPerSecond: rateLimit.val, statedAt: now, isFirstHand: true}, 'endpoint', now)
-		: {
-			state, effects: [{
-				kind: 'log', level: 'failure', event: 'rate-limit-unreadable', fields: {endpoint: id, reason: rateLimit.val.detail},
-			}],
-		};
-};
+export const recordRateLimit = (state: EdgeState, endpoint: Incarnation, {rateLimit}: ResponseHead, now: number): EdgeStep => rateLimit.ok
+	? applyStatement(state, endpoint, {requestsPerSecond: rateLimit.val, statedAt: now, isFirstHand: true}, 'endpoint', now)
+	: {
+		state, effects: [{
+			kind: 'log', level: 'failure', event: 'rate-limit-unreadable', fields: {endpoint: endpoint.id, reason: rateLimit.val.detail},
+		}],
+	};
 
 /** Time for which an endpoint is left alone whose own time cannot be read, in ms. */
 const defaultPushbackMs = 1000;
@@ -74,21 +67,20 @@
 Records for how long an endpoint that has rejected a request wants no further one.
 
 @param state - The edge state.
-@param request - The rejected request.
+@param incarnation - The endpoint that the request was sent to.
 @param head - The head of the response.
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const recordPushback = (state: EdgeState, request: InFlightRequest, {pushbackMs, isOtherIncarnation}: ResponseHead, now: number): EdgeStep => {
-	const id = request.triedEndpoints.at(-1) ?? '';
+export const recordPushback = (state: EdgeState, incarnation: Incarnation, {pushbackMs}: ResponseHead, now: number): EdgeStep => {
 	const duration = pushbackMs.ok ? pushbackMs.val : defaultPushbackMs;
-	if (duration === undefined || isOtherIncarnation) {
+	if (duration === undefined) {
 		return keepState(state);
 	}
 
 	return {
-		state: updateKnownEndpoint(state, id, endpoint => ({...endpoint, pushedBackUntil: Math.max(endpoint.pushedBackUntil, now + duration)})),
-		effects: [createLogEffect('pushback', {endpoint: id, duration, reason: pushbackMs.ok ? undefined : pushbackMs.val.detail})],
+		state: updateKnownEndpoint(state, incarnation, endpoint => ({...endpoint, pushedBackUntil: Math.max(endpoint.pushedBackUntil, now + duration)})),
+		effects: [createLogEffect('pushback', {endpoint: incarnation.id, duration, reason: pushbackMs.ok ? undefined : pushbackMs.val.detail})],
 	};
 };
 
@@ -100,8 +92,12 @@
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const receivePeerLimits = (state: EdgeState, {router, limits}: PeerMessage, now: number): EdgeStep => chainAll(state, limits, (current, {endpoint, requestsPerSecond, ageMs}) =>
-	applyStatement(current, endpoint, {requestsPerSecond, statedAt: now - ageMs, isFirstHand: false}, router, now));
+export const receivePeerLimits = (state: EdgeState, {router, limits}: PeerMessage, now: number): EdgeStep => chainAll(state, limits, (current, {endpoint: id, startedAt, requestsPerSecond, ageMs}) => {
+	const endpoint = current.registry.endpoints.get(id);
+	return endpoint === undefined || (startedAt !== undefined && startedAt !== endpoint.startedAt)
+		? keepState(current)
+		: applyStatement(current, endpoint, {requestsPerSecond, statedAt: now - ageMs, isFirstHand: false}, router, now);
+});
 
 /**
 Divides the rate limits anew if other routers are live than before. A router counts as
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -5,7 +5,7 @@
 import type {PeerMessage} from '../gossip/index.js';
 import type {Fields, Level} from '../log/index.js';
 import type {QuotaStoreCall} from '../quota/index.js';
-import type {RegistryEntry} from '../registry/index.js';
+import type {Incarnation, RegistryEntry} from '../registry/index.js';
 import type {StoreReply, StoreWrite} from '../store/index.js';
 
 /** How far a failed attempt got. */
@@ -28,6 +28,8 @@
 	| Readonly<{kind: 'caller-left'; call: number; events: number}>
 	/** The endpoint ended a cancelled request; `hasNotRun` is true if there was no output before. */
 	| Readonly<{kind: 'call-withdrawn'; call: number; attempt: number; hasNotRun: boolean}>
+	/** The head of a response was read. What it states of its endpoint holds although its request may have ended. */
+	| Readonly<{kind: 'response-began'; endpoint: Incarnation; head: ResponseHead}>
 	/** A complete response was read, or the head of a stream. */
 	| Readonly<{kind: 'endpoint-answered'; call: number; attempt: number; head: ResponseHead; random: number}>
 	/** An attempt failed; `events` counts the events that the client received of it. */
@@ -59,7 +61,7 @@
 /** Effects that the edge router carries out. */
 export type EdgeEffect =
 	/** Sends a request to an endpoint, to which at most `maxConnections` may be open. */
-	| Readonly<{kind: 'send'; call: number; attempt: number; address: string; maxConnections: number; metadata: ForwardingMetadata}>
+	| Readonly<{kind: 'send'; call: number; attempt: number; endpoint: Incarnation; maxConnections: number; metadata: ForwardingMetadata}>
 	/** Aborts the current attempt, whose response is no longer needed. */
 	| Readonly<{kind: 'abort'; call: number}>
 	/** Cancels the current attempt, and reports whether the request has not run. */
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -8,7 +8,7 @@
 } from '../queue/index.js';
 import type {Dispatch, LimitedQuery} from '../queue/index.js';
 import {spendCredit} from '../rate-limit/index.js';
-import {decaySlowness} from '../registry/index.js';
+import {decaySlowness, getIncarnation} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {updateKnownEndpoint, putRequest, rejectRequest} from './common.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -38,9 +38,10 @@
 		predicted,
 		slowness: decaySlowness(endpoint, now),
 		sentAt: now,
+		sentTo: getIncarnation(endpoint),
 		sentVersion: endpoint.softwareVersion,
 	};
-	const updated = updateKnownEndpoint(putRequest(state, sent), endpoint.id, current => ({
+	const updated = updateKnownEndpoint(putRequest(state, sent), endpoint, current => ({
 		...current,
 		open: current.open + 1,
 		pending: current.pending + newTokens,
@@ -55,7 +56,7 @@
 				kind: 'send',
 				call: request.id,
 				attempt: sent.attempt,
-				address: endpoint.address,
+				endpoint: getIncarnation(endpoint),
 				maxConnections: computeConnections(state, request),
 				metadata: {
 					endpoint: endpoint.id,
--- a/src/edge/rate-limit.test.ts
+++ b/src/edge/rate-limit.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, test} from 'vitest';
 import {succeed} from '../errors/index.js';
 import {parseLoads} from '../gossip/index.js';
+import type {ResponseHead} from '../in-flight/index.js';
 import type {PeerRouter} from '../quota/index.js';
 import {createRandom} from '../random/index.js';
 import type {RegistryEntry} from '../registry/index.js';
@@ -84,15 +85,18 @@
 		due[at] = [...due[at] ?? [], {router, event}];
 	};
 
-	const respond = (router: number, {call, attempt, metadata: {endpoint}}: EdgeEffect & {kind: 'send'}, now: number): void => {
-		const rateLimit = load.getLimit(endpoint, now);
-		const isFailed = random.draw() < (load.getFailedFraction?.(endpoint) ?? 0);
-		arrivals.push({endpoint, router, at: now});
-		schedule(now + (load.serviceMs ?? defaultServiceMs), router, {
-			kind: 'endpoint-answered', call, attempt, random: random.draw(), head: {
-				status: isFailed ? 500 : 200, key: undefined, hasNotRun: false, isOtherIncarnation: false, isSigned: true,
-				load: undefined, rateLimit: succeed(rateLimit), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [],
-			},
+	const respond = (router: number, {call, attempt, endpoint}: EdgeEffect & {kind: 'send'}, now: number): void => {
+		const rateLimit = load.getLimit(endpoint.id, now);
+		const isFailed = random.draw() < (load.getFailedFraction?.(endpoint.id) ?? 0);
+		const respondAt = now + (load.serviceMs ?? defaultServiceMs);
+		const head: ResponseHead = {
+			status: isFailed ? 500 : 200, key: undefined, hasNotRun: false, isOtherIncarnation: false, isSigned: true,
+			load: undefined, rateLimit: succeed(rateLimit), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [],
+		};
+		arrivals.push({endpoint: endpoint.id, router, at: now});
+		schedule(respondAt, router, {kind: 'response-began', endpoint, head});
+		schedule(respondAt, router, {
+			kind: 'endpoint-answered', call, attempt, random: random.draw(), head,
 		});
 	};
 
--- a/src/edge/unresponsive.ts
+++ b/src/edge/unresponsive.ts
@@ -1,5 +1,6 @@
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chainAll, keepState} from '../loop/step.js';
+import {findIncarnation} from '../registry/index.js';
 import {receiveEndpointFailure} from './attempt.js';
 import {isRetryable, updateKnownEndpoint} from './common.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -14,7 +15,7 @@
 const unresponsiveEjectionMs = 2000;
 
 const isUnresponsive = (state: EdgeState, request: InFlightRequest, now: number): boolean => {
-	const endpoint = state.registry.endpoints.get(request.triedEndpoints.at(-1) ?? '');
+	const endpoint = request.sentTo === undefined ? undefined : findIncarnation(state.registry, request.sentTo);
 	const elapsedMs = now - request.sentAt;
 	return request.phase === 'sent' && request.firstEventAt === undefined
 		&& elapsedMs >= Math.max(minSilenceMs, silenceFactor * request.predicted)
@@ -22,12 +23,12 @@
 };
 
 /** Ejects the endpoint of a request; a request that is not retryable stays there. */
-const ejectEndpoint = (state: EdgeState, request: InFlightRequest, now: number): EdgeStep => keepState(updateKnownEndpoint(state, request.triedEndpoints.at(-1), endpoint => ({
+const ejectEndpoint = (state: EdgeState, request: InFlightRequest, now: number): EdgeStep => keepState(updateKnownEndpoint(state, request.sentTo, endpoint => ({
 	...endpoint, ejectedUntil: Math.max(endpoint.ejectedUntil, now + unresponsiveEjectionMs),
 })));
 
 const failOver = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
-	const address = state.registry.endpoints.get(request.triedEndpoints.at(-1) ?? '')?.address;
+	const address = request.sentTo?.address;
 	const ejected = ejectEndpoint(state, request, now).state;
 	const failed = receiveEndpointFailure(ejected, {
 		kind: 'endpoint-failed',
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -25,8 +25,8 @@
 const messageSchema = z.object({
 	router: z.string(),
 	loads: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()])),
-	/** Endpoint, rate limit in requests per second or null for none, and age of the endpoint's statement in ms. Older routers do not send them. */
-	limits: z.array(z.tuple([z.string(), z.number().nonnegative().nullable(), z.number().nonnegative()])).default([]),
+	/** Endpoint, rate limit in requests per second or null for none, age of the endpoint's statement in ms, and start time of the endpoint. Older routers send only a part of this. */
+	limits: z.array(z.tuple([z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().optional()])).default([]),
 });
 
 /** What a peer reports of the endpoints. */
@@ -34,7 +34,7 @@
 	router: string;
 	loads: EndpointLoads;
 	/** Rate limits that endpoints stated to the peer. */
-	limits: ReadonlyArray<Readonly<{endpoint: string; requestsPerSecond: number | undefined; ageMs: number}>>;
+	limits: ReadonlyArray<Readonly<{endpoint: string; startedAt: number | undefined; requestsPerSecond: number | undefined; ageMs: number}>>;
 }>;
 
 /**
@@ -48,8 +48,8 @@
 export const encodeLoads = (router: string, endpoints: readonly Endpoint[], now: number): string => JSON.stringify({
 	router,
 	loads: endpoints.filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
-	limits: listStatements(endpoints.map(({id, rateLimit}) => [id, rateLimit]), now)
-		.map(([id, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt)]),
+	limits: listStatements(endpoints.map(endpoint => [endpoint, endpoint.rateLimit]), now)
+		.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt]),
 });
 
 /**
@@ -65,7 +65,9 @@
 			? succeed({
 				router: parsed.data.router,
 				loads: Map(parsed.data.loads.map(([id, pending, open]) => [id, {pending, open}] as const)),
-				limits: parsed.data.limits.map(([endpoint, requestsPerSecond, ageMs]) => ({endpoint, requestsPerSecond: requestsPerSecond ?? undefined, ageMs})),
+				limits: parsed.data.limits.map(([endpoint, requestsPerSecond, ageMs, startedAt]) => ({
+					endpoint, startedAt, requestsPerSecond: requestsPerSecond ?? undefined, ageMs,
+				})),
 			})
 			: fail(createValidationFault(parsed.error, 'message'));
 	} catch (error) {
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -1,4 +1,5 @@
 import type {Result} from '../errors/index.js';
+import type {Incarnation} from '../registry/index.js';
 import type {Route} from '../routing-config/index.js';
 
 /** The model and size of a model request. Sizes in tokens. */
@@ -119,6 +120,8 @@
 	slowness: number;
 	/** When the latest attempt was sent. */
 	sentAt: number;
+	/** Endpoint of the latest attempt; undefined before the first one. */
+	sentTo: Incarnation | undefined;
 	/** Software version of the endpoint of the latest attempt. */
 	sentVersion: string | undefined;
 	/** Software version at which its stream must go on; undefined while any version may begin it. */
@@ -151,6 +154,7 @@
 	predicted: 0,
 	slowness: 1,
 	sentAt: 0,
+	sentTo: undefined,
 	sentVersion: undefined,
 	streamVersion: undefined,
 	firstEventAt: undefined,
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -31,7 +31,7 @@
 	}
 
 	return {
-		registry: updateEndpoint(state.registry, choice.endpoint.id, endpoint => ({...endpoint, open: endpoint.open + 1, pending: endpoint.pending + choice.newTokens})),
+		registry: updateEndpoint(state.registry, choice.endpoint, endpoint => ({...endpoint, open: endpoint.open + 1, pending: endpoint.pending + choice.newTokens})),
 		late: state.late + (choice.predicted > timeToTargetMs ? 1 : 0),
 		used: [...state.used, choice.endpoint.id],
 	};
@@ -52,7 +52,7 @@
 });
 
 test('endpoints that were slow are tried again, though no response has shown that they have recovered', () => {
-	const slow = listEndpoints(registry).reduce((current, {id}) => updateEndpoint(current, id, endpoint => ({...endpoint, slowness: 10, slownessUpdatedAt: 0})), registry);
+	const slow = listEndpoints(registry).reduce((current, each) => updateEndpoint(current, each, endpoint => ({...endpoint, slowness: 10, slownessUpdatedAt: 0})), registry);
 	const predict = (now: number) => {
 		const choice = chooseEndpoint(listEndpoints(slow), {
 			service, modelRequest, dataCentre: 'z', connections: 100, triedEndpoints: [], peers: Map(), timeToTargetMs: 500, now,
--- a/src/rate-limit/rate-limit.ts
+++ b/src/rate-limit/rate-limit.ts
@@ -164,9 +164,9 @@
 what the endpoint stated to this router is passed on, so that an old statement does
 not circulate.
 
-@param limits - The limits by endpoint id.
+@param limits - The limits by endpoint.
 @param now - The current time in ms.
-@returns The statements of the last seconds by endpoint id.
+@returns The statements of the last seconds by endpoint.
 */
-export const listStatements = (limits: ReadonlyArray<readonly [string, RateLimit]>, now: number): ReadonlyArray<readonly [string, RateLimitStatement]> => limits.filter(([, limit]) =>
+export const listStatements = <Endpoint>(limits: ReadonlyArray<readonly [Endpoint, RateLimit]>, now: number): ReadonlyArray<readonly [Endpoint, RateLimitStatement]> => limits.filter(([, limit]) =>
 	limit.isFirstHand && now - limit.statedAt <= statementTtlMs && limit.limitedAt !== undefined && now - limit.limitedAt <= statementTtlMs);
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,4 +1,6 @@
 export {
-	updateEntry, removeLeaving, removeMissing, emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, replaceEntries, updateEndpoint,
+	updateEntry, findIncarnation, getIncarnation, removeLeaving, removeMissing, emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, replaceEntries, updateEndpoint,
+} from './registry.js';
+export type {
+	Endpoint, Incarnation, RegistryEntry, Registry,
 } from './registry.js';
-export type {Endpoint, RegistryEntry, Registry} from './registry.js';
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -55,8 +55,8 @@
 	slownessUpdatedAt: number;
 }>;
 
-/** Fields that tell the incarnations of an endpoint apart. */
-type Incarnation = Pick<RegistryEntry, 'startedAt' | 'address' | 'service'>;
+/** Fields that tell the incarnations of endpoints apart. */
+export type Incarnation = Pick<RegistryEntry, 'id' | 'startedAt' | 'address' | 'service'>;
 
 /**
 The endpoints that may receive new requests.
@@ -66,7 +66,7 @@
 */
 export type Registry = Readonly<{
 	endpoints: Map<string, Endpoint>;
-	/** Incarnations that have stated in a response or in their entries that they are leaving, by id, the latest ones last. Entries that are read later may still say otherwise. */
+	/** Incarnations that have stated in a response or in their entries that they are leaving, the latest ones last. Entries that are read later may still say otherwise. */
 	leaving: OrderedMap<string, Incarnation>;
 	/** True while the registry cannot be read. */
 	isUnavailable: boolean;
@@ -117,14 +117,23 @@
 export const decaySlowness = (endpoint: Endpoint, now: number): number =>
 	1 + ((endpoint.slowness - 1) * Math.exp(Math.min(0, endpoint.slownessUpdatedAt - now) / slownessDecayMs));
 
+/**
+Gets the incarnation of an endpoint.
+
+@param endpoint - The endpoint, or its entry.
+@returns Its incarnation.
+*/
+export const getIncarnation = ({id, startedAt, address, service}: Incarnation): Incarnation => ({
+	id, startedAt, address, service,
+});
+
+const formatIncarnation = ({id, startedAt, address, service}: Incarnation): string => JSON.stringify([id, startedAt, address, service]);
+
 const isSameIncarnation = (a: Incarnation, b: Incarnation): boolean =>
-	a.startedAt === b.startedAt && a.address === b.address && a.service === b.service;
+	a.id === b.id && a.startedAt === b.startedAt && a.address === b.address && a.service === b.service;
 
 /** Checks whether an entry is that of an incarnation which has stated that it is leaving. */
-const hasStatedLeaving = (registry: Registry, entry: RegistryEntry): boolean => {
-	const leaving = registry.leaving.get(entry.id);
-	return leaving !== undefined && isSameIncarnation(leaving, entry);
-};
+const hasStatedLeaving = (registry: Registry, entry: RegistryEntry): boolean => registry.leaving.has(formatIncarnation(entry));
 
 const mergeEntry = (endpoint: Endpoint | undefined, entry: RegistryEntry): Endpoint =>
 	endpoint !== undefined && isSameIncarnation(endpoint, entry) ? {...endpoint, ...entry, missingSince: undefined} : createEndpoint(entry);
@@ -144,12 +153,33 @@
 /** Limit of incarnations that are remembered as leaving: more than leave within the time in which an entry may still say otherwise. */
 const maxRememberedLeaving = 4096;
 
-/** Removes an incarnation for good. */
-const removeIncarnation = (registry: Registry, id: string, {startedAt, address, service}: Incarnation): Registry => ({
-	...registry,
-	leaving: registry.leaving.delete(id).set(id, {startedAt, address, service}).takeLast(maxRememberedLeaving),
-	endpoints: registry.endpoints.delete(id),
-});
+/**
+Finds the endpoint of an incarnation.
+
+@param registry - The registry.
+@param incarnation - The incarnation.
+@returns The endpoint; undefined if the incarnation is not listed, although another one may be listed under its id.
+*/
+export const findIncarnation = (registry: Registry, incarnation: Incarnation): Endpoint | undefined => {
+	const endpoint = registry.endpoints.get(incarnation.id);
+	return endpoint !== undefined && isSameIncarnation(endpoint, incarnation) ? endpoint : undefined;
+};
+
+/**
+Removes an incarnation that has stated that it is leaving. No entry brings it back.
+
+@param registry - The registry.
+@param incarnation - The incarnation, which need not be listed.
+@returns The registry.
+*/
+export const removeLeaving = (registry: Registry, incarnation: Incarnation): Registry => {
+	const key = formatIncarnation(incarnation);
+	return {
+		...registry,
+		leaving: registry.leaving.delete(key).set(key, getIncarnation(incarnation)).takeLast(maxRememberedLeaving),
+		endpoints: findIncarnation(registry, incarnation) === undefined ? registry.endpoints : registry.endpoints.delete(incarnation.id),
+	};
+};
 
 /**
 Applies a changed entry. An incarnation whose entry said that it is leaving does not come back, even if the store
@@ -167,7 +197,8 @@
 	}
 
 	if (entry.isLeaving) {
-		return removeIncarnation(registry, id, entry);
+		const left = removeLeaving(registry, entry);
+		return {...left, endpoints: left.endpoints.delete(id)};
 	}
 
 	if (hasStatedLeaving(registry, entry) || registry.endpoints.some(endpoint => isSuperseded(entry, endpoint))) {
@@ -181,18 +212,6 @@
 	return {...registry, endpoints: others.set(id, mergeEntry(others.get(id), entry))};
 };
 
-/**
-Removes an endpoint that has stated that it is leaving. Its entry does not bring it back.
-
-@param registry - The registry.
-@param id - The endpoint's id.
-@returns The registry.
-*/
-export const removeLeaving = (registry: Registry, id: string): Registry => {
-	const endpoint = registry.endpoints.get(id);
-	return endpoint === undefined ? registry : removeIncarnation(registry, id, endpoint);
-};
-
 /**
 Applies a complete list of entries; endpoints that are not in it are missing.
 
@@ -248,14 +267,14 @@
 		: {...registry, endpoints: registry.endpoints.filter(endpoint => endpoint.missingSince === undefined)};
 
 /**
-Updates an endpoint, if it is still in the registry.
+Updates the endpoint of an incarnation, if it is still in the registry.
 
 @param registry - The registry.
-@param id - The endpoint's id.
+@param incarnation - The incarnation.
 @param update - Returns the updated endpoint.
 @returns The registry.
 */
-export const updateEndpoint = (registry: Registry, id: string, update: (endpoint: Endpoint) => Endpoint): Registry => {
-	const endpoint = registry.endpoints.get(id);
-	return endpoint === undefined ? registry : {...registry, endpoints: registry.endpoints.set(id, update(endpoint))};
+export const updateEndpoint = (registry: Registry, incarnation: Incarnation, update: (endpoint: Endpoint) => Endpoint): Registry => {
+	const endpoint = findIncarnation(registry, incarnation);
+	return endpoint === undefined ? registry : {...registry, endpoints: registry.endpoints.set(incarnation.id, update(endpoint))};
 };
