Limit the time for which a request waits for a connection to its endpoint

Cause: the time limit covered new connections only, not the wait in the agent's queue, whose limit also shrinks when more routers are live.

Change: the limit of 500 ms counts from the decision to send. A request that has no connection by then counts as not sent and goes elsewhere.

Evidence: 'a request that waits for a connection fails as not sent' fails before (no event within 1.5 s) and passes now.

--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -369,6 +369,25 @@
 	});
 });
 
+test('a request that waits for a connection fails as not sent', async () => {
+	const endpoint = await startEndpoint(() => undefined);
+	const failures: EdgeEvent[] = [];
+	const proxy = openHttpProxy({
+		post(event) {
+			failures.push(event);
+		},
+		isClosing: () => false,
+		random: () => 0,
+	});
+	const port = await listen(createFrontServer(proxy, endpoint, 1));
+	const clients = [1, 2].map(() => request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end());
+	await expect.poll(() => failures, {timeout: 1500}).toMatchObject([{kind: 'endpoint-failed', stage: 'unsent'}]);
+	proxy.close();
+	clients.forEach(client => {
+		client.destroy();
+	});
+});
+
 describe('bytes without end from an endpoint', () => {
 	const chunk = (bytes: Buffer): Buffer => Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]);
 	const filler = Buffer.alloc(60_000, 'x');
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -19,7 +19,7 @@
 	EdgeEffect, EdgeEvent, FailureStage, Framing,
 } from './messages.js';
 
-/** Time limit for opening a connection, in ms. Well above a round trip, and below the retransmission of a lost SYN, which takes seconds. */
+/** Time within which a request must have a connection, new or freed by another request, in ms. Well above a round trip, and below the retransmission of a lost SYN, which takes seconds. */
 const connectTimeoutMs = 500;
 
 /** Time that a live endpoint has to end a cancelled request, in ms. The connection is closed afterwards. */
@@ -300,23 +300,24 @@
 	};
 
 	const trackConnection = (requestId: number, upstream: Upstream): void => {
+		const timer = setTimeout(() => {
+			failAttempt(requestId, upstream, 'unsent', `no connection within ${connectTimeoutMs} ms`);
+		}, connectTimeoutMs);
+		upstream.outgoing.on('close', () => {
+			clearTimeout(timer);
+		});
 		upstream.outgoing.on('socket', socket => {
 			if (!socket.connecting) {
 				upstream.isConnected = true;
 				upstream.initialBytesRead = socket.bytesRead;
+				clearTimeout(timer);
 				return;
 			}
 
-			const timer = setTimeout(() => {
-				failAttempt(requestId, upstream, 'unsent', `no connection within ${connectTimeoutMs} ms`);
-			}, connectTimeoutMs);
 			socket.once('connect', () => {
 				upstream.isConnected = true;
 				clearTimeout(timer);
 			});
-			socket.once('close', () => {
-				clearTimeout(timer);
-			});
 		});
 	};
 
