Keep a known incarnation when the store comes back with a former one

What callers would see: after the store has come back from an older copy, requests go to the address of an incarnation that has ended, or to none: an old entry that says that the former incarnation leaves removed the one that has started since under the same id.

Cause: an entry replaced whatever was known of its id, older or not.

Change: within the time in which entries may be old, an entry that started before the known incarnation says only that the known one's entry is missing. That it leaves is remembered of the former incarnation.

Evidence: both cases of 'a store that comes back from an older copy' fail before and pass now.

--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -181,6 +181,10 @@
 	};
 };
 
+/** Tells whether an entry may be older than what is known of its id, as it may be after the store came back from an older copy. */
+const isOutdated = (registry: Registry, entry: RegistryEntry, now: number): boolean =>
+	now < registry.uncertainUntil && (registry.endpoints.get(entry.id)?.startedAt ?? Number.NEGATIVE_INFINITY) > entry.startedAt;
+
 /**
 Applies a changed entry. An incarnation whose entry said that it is leaving does not come back, even if the store
 does with an older entry.
@@ -196,6 +200,10 @@
 		return markMissing(registry, id, now);
 	}
 
+	if (isOutdated(registry, entry, now)) {
+		return markMissing(entry.isLeaving ? removeLeaving(registry, entry) : registry, id, now);
+	}
+
 	if (entry.isLeaving) {
 		const left = removeLeaving(registry, entry);
 		return {...left, endpoints: left.endpoints.delete(id)};
