Leave out endpoints whose entries only an older copy of the store still has

Cause: only stated leaving was remembered, not that an entry was removed.

Change: removed incarnations are remembered. When all entries are read after the store's return, those of removed incarnations do not count; an endpoint that is still there writes its entry again, and that brings it back.

Evidence: 'does not bring an endpoint back whose entry had been removed' fails before and passes now; 'keeps no endpoint out that writes its entry again'.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -284,13 +284,25 @@
 describe('a store that comes back from an older copy', () => {
 	const renewed = createEntry('e1', {startedAt: 2, address: '10.0.1.1:80'});
 	const startRenewed = () => new EdgeHarness().start().post({kind: 'endpoint-changed', id: 'e1', listing: renewed}).post({kind: 'registry-restored'});
-	const listAddresses = (edge: EdgeHarness) => Array.from({length: 6}, (_, index) => edge.sendRequest(10 + index, 'safe').done.flatMap(effect => effect.kind === 'send' ? [effect.endpoint.address] : [])[0]);
+	const listAddresses = (edge: EdgeHarness) => Array.from({length: 6}, (_, index) => edge.sendRequest(10 + index, 'safe').done)
+		.flatMap(effects => effects.flatMap(effect => effect.kind === 'send' ? [effect.endpoint.address] : []));
 
 	test.each([['ready', false], ['leaving', true]])('does not bring a former incarnation back in place of a known one: %s', (_, isLeaving) => {
 		const addresses = listAddresses(startRenewed().post({kind: 'endpoints-listed', entries: [createEntry('e1', {isLeaving}), createEntry('e2')]}));
 		expect(addresses).toContain(renewed.address);
 		expect(addresses).not.toContain(createEntry('e1').address);
 	});
+
+	const startGone = () => new EdgeHarness().start().post({kind: 'endpoint-changed', id: 'e1', listing: undefined})
+		.post({kind: 'registry-restored'}).post({kind: 'endpoints-listed', entries: [createEntry('e1'), createEntry('e2')]});
+
+	test('does not bring an endpoint back whose entry had been removed', () => {
+		expect(listAddresses(startGone())).not.toContain(createEntry('e1').address);
+	});
+
+	test('keeps no endpoint out that writes its entry again', () => {
+		expect(listAddresses(startGone().post({kind: 'endpoint-changed', id: 'e1', listing: createEntry('e1')}))).toContain(createEntry('e1').address);
+	});
 });
 
 describe('a response of an incarnation whose id another one has taken', () => {
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -68,8 +68,12 @@
 	endpoints: Map<string, Endpoint>;
 	/** Incarnations that have stated in a response or in their entries that they are leaving, the latest ones last. Entries that are read later may still say otherwise. */
 	leaving: OrderedMap<string, Incarnation>;
+	/** Incarnations whose entries were removed, the latest ones last. An older copy of the store may still have their entries. */
+	removed: OrderedMap<string, Incarnation>;
 	/** True while the registry cannot be read. */
 	isUnavailable: boolean;
+	/** True from the return of the store from an older copy until its entries have been read. */
+	isRestored: boolean;
 	/** Until when an entry may be missing only because of a registry outage, in ms. */
 	uncertainUntil: number;
 }>;
@@ -79,7 +83,7 @@
 
 /** The registry of a process that has read no entries. */
 export const emptyRegistry: Registry = {
-	endpoints: Map(), leaving: OrderedMap(), isUnavailable: false, uncertainUntil: 0,
+	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), isUnavailable: false, isRestored: false, uncertainUntil: 0,
 };
 
 const createEndpoint = (entry: RegistryEntry): Endpoint => ({
@@ -142,17 +146,29 @@
 const isSuperseded = (older: RegistryEntry, newer: RegistryEntry): boolean =>
 	older.address === newer.address && older.id !== newer.id && older.startedAt < newer.startedAt;
 
+/** Limits of incarnations that are remembered as leaving or removed: more than leave within the time in which an entry may still say otherwise. */
+const maxRememberedLeaving = 4096;
+const maxRememberedRemoved = 4096;
+
+/** Removes endpoints without entries. */
+const removeEndpoints = (registry: Registry, endpoints: readonly Endpoint[]): Registry => ({
+	...registry,
+	removed: registry.removed.merge(endpoints.map(endpoint => [formatIncarnation(endpoint), getIncarnation(endpoint)] as const)).takeLast(maxRememberedRemoved),
+	endpoints: registry.endpoints.deleteAll(endpoints.map(({id}) => id)),
+});
+
 /** Handles a missing entry: during or shortly after a registry outage the endpoint is kept and marked as missing, otherwise it is removed. */
 const markMissing = (registry: Registry, id: string, now: number): Registry => {
 	const endpoint = registry.endpoints.get(id);
-	return endpoint !== undefined && (registry.isUnavailable || now < registry.uncertainUntil)
+	if (endpoint === undefined) {
+		return registry;
+	}
+
+	return registry.isUnavailable || now < registry.uncertainUntil
 		? {...registry, endpoints: registry.endpoints.set(id, {...endpoint, missingSince: endpoint.missingSince ?? now})}
-		: {...registry, endpoints: registry.endpoints.delete(id)};
+		: removeEndpoints(registry, [endpoint]);
 };
 
-/** Limit of incarnations that are remembered as leaving: more than leave within the time in which an entry may still say otherwise. */
-const maxRememberedLeaving = 4096;
-
 /**
 Finds the endpoint of an incarnation.
 
@@ -217,11 +233,13 @@
 	const others = registry.endpoints.some(endpoint => isSuperseded(endpoint, entry))
 		? registry.endpoints.filter(endpoint => !isSuperseded(endpoint, entry))
 		: registry.endpoints;
-	return {...registry, endpoints: others.set(id, mergeEntry(others.get(id), entry))};
+	return {...registry, removed: registry.removed.delete(formatIncarnation(entry)), endpoints: others.set(id, mergeEntry(others.get(id), entry))};
 };
 
 /**
-Applies a complete list of entries; endpoints that are not in it are missing.
+Applies a complete list of entries; endpoints that are not in it are missing. In an older
+copy, the entries of endpoints that were removed say nothing: an endpoint that is still
+there writes its entry again.
 
 @param registry - The registry.
 @param entries - The entries that could be decoded.
@@ -229,10 +247,11 @@
 @returns The registry.
 */
 export const replaceEntries = (registry: Registry, entries: readonly RegistryEntry[], now: number): Registry => {
-	const listed = new Set(entries.map(entry => entry.id));
+	const current = registry.isRestored ? entries.filter(entry => !registry.removed.has(formatIncarnation(entry))) : entries;
+	const listed = new Set(current.map(entry => entry.id));
 	const missing = registry.endpoints.keySeq().toArray().filter(id => !listed.has(id));
-	const kept = missing.reduce((current, id) => markMissing(current, id, now), registry);
-	return entries.reduce((current, entry) => updateEntry(current, entry.id, entry, now), kept);
+	const kept = missing.reduce((updated, id) => markMissing(updated, id, now), {...registry, isRestored: false});
+	return current.reduce((updated, entry) => updateEntry(updated, entry.id, entry, now), kept);
 };
 
 /**
@@ -260,7 +279,7 @@
 @param now - The current time in ms.
 @returns The registry, which keeps endpoints with missing entries until live endpoints must have restored theirs.
 */
-export const markRestored = (registry: Registry, now: number): Registry => ({...registry, uncertainUntil: now + recoveryWindowMs});
+export const markRestored = (registry: Registry, now: number): Registry => ({...registry, isRestored: true, uncertainUntil: now + recoveryWindowMs});
 
 /**
 Removes endpoints whose entries were not restored after a registry outage.
@@ -272,7 +291,7 @@
 export const removeMissing = (registry: Registry, now: number): Registry =>
 	registry.isUnavailable || now < registry.uncertainUntil || !registry.endpoints.some(endpoint => endpoint.missingSince !== undefined)
 		? registry
-		: {...registry, endpoints: registry.endpoints.filter(endpoint => endpoint.missingSince === undefined)};
+		: removeEndpoints(registry, registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.missingSince !== undefined));
 
 /**
 Updates the endpoint of an incarnation, if it is still in the registry.
