Tell peers which endpoints have said that they are leaving

Cause: each router learned it from its own responses only.

Change: the load messages carry the last 16 incarnations, of 30 s at most, that have said so to the sender. They are not passed on further.

--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -9,7 +9,7 @@
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** What stated that an endpoint came or went. */
-type RegistrySource = 'registry' | 'endpoint';
+type RegistrySource = 'registry' | 'endpoint' | 'peer';
 
 /** Logs each incarnation that was added or removed; also closes idle connections to removed ones. */
 const logEndpoints = (before: Registry, after: Registry, source: RegistrySource): readonly EdgeEffect[] => {
@@ -50,7 +50,18 @@
 		});
 
 const recordLeaving = (state: EdgeState, incarnation: Incarnation, {isLeaving}: ResponseHead, now: number): EdgeStep =>
-	isLeaving ? setRegistry(state, removeLeaving(state.registry, incarnation), now, 'endpoint') : keepState(state);
+	isLeaving ? setRegistry(state, removeLeaving(state.registry, incarnation, now), now, 'endpoint') : keepState(state);
+
+/**
+Removes the endpoints that have stated to a peer that they are leaving.
+
+@param state - The edge state.
+@param leaving - The incarnations.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const receivePeerLeaving = (state: EdgeState, leaving: readonly Incarnation[], now: number): EdgeStep =>
+	setRegistry(state, leaving.reduce((registry, each) => removeLeaving(registry, each), state.registry), now, 'peer');
 
 /**
 Records what a response states of its endpoint: load, rate limit, pushback, and that it
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -1,6 +1,7 @@
 import {Map} from 'immutable';
 import {describe, expect, test} from 'vitest';
 import {succeed} from '../errors/index.js';
+import {parseLoads} from '../gossip/index.js';
 import type {RoutingConfig, Route} from '../routing-config/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
 import type {Incarnation, RegistryEntry} from '../registry/index.js';
@@ -40,6 +41,8 @@
 		dataCentre: 'z', router: 'r', incarnation: 'r#1', peerAddress: '', retryBudgetBounds: {ratio: 0.2, slack: 40},
 	});
 
+	/** All effects of the latest event, and those that concern requests. */
+	effects: readonly EdgeEffect[] = [];
 	done: readonly EdgeEffect[] = [];
 	/** The endpoint of each attempt. */
 	sentTo = Map<string, Incarnation>();
@@ -48,6 +51,7 @@
 	post(event: EdgeEvent): this {
 		const step = handleEdge(this.state, event, this.now);
 		this.state = step.state;
+		this.effects = step.effects;
 		this.sentTo = this.sentTo.merge(step.effects.flatMap(effect => effect.kind === 'send' ? [[`${effect.call}/${effect.attempt}`, effect.endpoint] as const] : []));
 		this.done = step.effects.filter(effect => !['log', 'count', 'observe', 'store', 'tell-peers'].includes(effect.kind));
 		return this;
@@ -281,6 +285,17 @@
 	});
 });
 
+test('an endpoint that has said to a peer that it is leaving gets no request, also of a process that starts later', () => {
+	const told = new EdgeHarness().start().sendRequest(1, 'safe');
+	const leaving = told.getSentTo();
+	told.respond(1, 1, {isLeaving: true}).advance(20_000);
+	const message = told.effects.flatMap(effect => effect.kind === 'tell-peers' ? [effect.message] : []).at(-1)!;
+	const started = new EdgeHarness().post({kind: 'peer-heard', ...parseLoads(message).unwrap()}).start();
+	expect(Array.from({length: 6}, (_, index) => started.sendRequest(10 + index, 'safe').getSentTo())).not.toContain(leaving);
+	const heard = new EdgeHarness().start().post({kind: 'peer-heard', ...parseLoads(message).unwrap()});
+	expect(Array.from({length: 6}, (_, index) => heard.sendRequest(10 + index, 'safe').getSentTo())).not.toContain(leaving);
+});
+
 describe('a store that comes back from an older copy', () => {
 	const renewed = createEntry('e1', {startedAt: 2, address: '10.0.1.1:80'});
 	const startRenewed = () => new EdgeHarness().start().post({kind: 'endpoint-changed', id: 'e1', listing: renewed}).post({kind: 'registry-restored'});
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -10,7 +10,7 @@
 } from '../registry/index.js';
 import {completeSave} from '../stream-origin/index.js';
 import {createLogEffect} from './common.js';
-import {receiveStatements, setRegistry} from './endpoints.js';
+import {receivePeerLeaving, receiveStatements, setRegistry} from './endpoints.js';
 import {receiveRequest} from './receive.js';
 import {
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
@@ -76,7 +76,7 @@
 		state: {
 			...state, gossipSentAt: now, peers, peerLoadTotals: sumLoads(peers),
 		},
-		effects: [{kind: 'tell-peers', addresses, message: encodeLoads(state.quota.router, state.registry.endpoints.valueSeq().toArray(), now)}],
+		effects: [{kind: 'tell-peers', addresses, message: encodeLoads(state.quota.router, state.registry, now)}],
 	};
 };
 
@@ -104,6 +104,11 @@
 	return chain(saved, current => placeWaiting(current, event.random, now));
 };
 
+const receivePeerMessage: Handler<'peer-heard'> = (state, event, now) => chain(
+	receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
+	current => receivePeerLeaving(current, event.leaving, now),
+);
+
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Handler<Kind>}> = {
 	'call-arrived': receiveRequest,
 	'caller-left': receiveClientDisconnect,
@@ -122,7 +127,7 @@
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	'origin-read': receiveOrigin,
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, state.liveRouters.length, now)}),
-	'peer-heard': (state, event, now) => receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
+	'peer-heard': receivePeerMessage,
 	tick: receiveTick,
 	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -3,7 +3,8 @@
 import {createValidationFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {listStatements} from '../rate-limit/index.js';
-import type {Endpoint} from '../registry/index.js';
+import {listLeaving} from '../registry/index.js';
+import type {Incarnation, Registry} from '../registry/index.js';
 
 /** Load of one router at an endpoint. */
 export type EndpointLoad = Readonly<{
@@ -27,6 +28,8 @@
 	loads: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()])),
 	/** Endpoint, rate limit in requests per second or null for none, age of the endpoint's statement in ms, and start time of the endpoint. Older routers send only a part of this. */
 	limits: z.array(z.tuple([z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().optional()])).default([]),
+	/** Id, start time, address and service of the endpoints that have stated to the sender that they are leaving. Older routers do not send them. */
+	leaving: z.array(z.tuple([z.string(), z.number(), z.string(), z.string()])).default([]),
 });
 
 /** What a peer reports of the endpoints. */
@@ -35,21 +38,24 @@
 	loads: EndpointLoads;
 	/** Rate limits that endpoints stated to the peer. */
 	limits: ReadonlyArray<Readonly<{endpoint: string; startedAt: number | undefined; requestsPerSecond: number | undefined; ageMs: number}>>;
+	/** Endpoints that have stated to the peer that they are leaving. */
+	leaving: readonly Incarnation[];
 }>;
 
 /**
-Encodes the load of a router, and the rate limits that it knows, for its peers.
+Encodes the load of a router, and what endpoints have stated to it, for its peers.
 
 @param router - The router's id.
-@param endpoints - The endpoints known to the router.
+@param registry - The endpoints known to the router.
 @param now - The current time in ms.
 @returns The message.
 */
-export const encodeLoads = (router: string, endpoints: readonly Endpoint[], now: number): string => JSON.stringify({
+export const encodeLoads = (router: string, registry: Registry, now: number): string => JSON.stringify({
 	router,
-	loads: endpoints.filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
-	limits: listStatements(endpoints.map(endpoint => [endpoint, endpoint.rateLimit]), now)
+	loads: registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
+	limits: listStatements(registry.endpoints.valueSeq().toArray().map(endpoint => [endpoint, endpoint.rateLimit]), now)
 		.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt]),
+	leaving: listLeaving(registry, now).map(({id, startedAt, address, service}) => [id, startedAt, address, service]),
 });
 
 /**
@@ -68,6 +74,9 @@
 				limits: parsed.data.limits.map(([endpoint, requestsPerSecond, ageMs, startedAt]) => ({
 					endpoint, startedAt, requestsPerSecond: requestsPerSecond ?? undefined, ageMs,
 				})),
+				leaving: parsed.data.leaving.map(([id, startedAt, address, service]) => ({
+					id, startedAt, address, service,
+				})),
 			})
 			: fail(createValidationFault(parsed.error, 'message'));
 	} catch (error) {
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -67,7 +67,10 @@
 export type Registry = Readonly<{
 	endpoints: Map<string, Endpoint>;
 	/** Incarnations that have stated in a response or in their entries that they are leaving, the latest ones last. Entries that are read later may still say otherwise. */
-	leaving: OrderedMap<string, Incarnation>;
+	leaving: OrderedMap<string, Incarnation & Readonly<{
+		/** When it stated this in a response to this router, in ms; undefined if its entry or a peer said so. */
+		statedAt: number | undefined;
+	}>>;
 	/** Incarnations whose entries were removed, the latest ones last. An older copy of the store may still have their entries. */
 	removed: OrderedMap<string, Incarnation>;
 	/** True while the registry cannot be read. */
@@ -186,17 +189,42 @@
 
 @param registry - The registry.
 @param incarnation - The incarnation, which need not be listed.
+@param statedAt - When it stated this in a response to this router, in ms; undefined if its entry or a peer said so.
 @returns The registry.
 */
-export const removeLeaving = (registry: Registry, incarnation: Incarnation): Registry => {
+export const removeLeaving = (registry: Registry, incarnation: Incarnation, statedAt?: number): Registry => {
 	const key = formatIncarnation(incarnation);
+	const known = registry.leaving.get(key);
+	if (known !== undefined && statedAt === undefined) {
+		return registry;
+	}
+
 	return {
 		...registry,
-		leaving: registry.leaving.delete(key).set(key, getIncarnation(incarnation)).takeLast(maxRememberedLeaving),
+		leaving: registry.leaving.delete(key).set(key, {...getIncarnation(incarnation), statedAt}).takeLast(maxRememberedLeaving),
 		endpoints: findIncarnation(registry, incarnation) === undefined ? registry.endpoints : registry.endpoints.delete(incarnation.id),
 	};
 };
 
+/** Time for which peers are told that an incarnation is leaving, in ms: longer than one serves after its first such statement. */
+const leavingNewsMs = 30_000;
+
+/** Limit of the incarnations that peers are told about. */
+const maxLeavingNews = 16;
+
+/**
+Lists the incarnations that have lately stated to this router that they are leaving. Peers
+need this: an endpoint's entry may say so much later, and a process that has just started
+has had no response yet.
+
+@param registry - The registry.
+@param now - The current time in ms.
+@returns The incarnations, the latest ones last.
+*/
+export const listLeaving = (registry: Registry, now: number): readonly Incarnation[] => registry.leaving.valueSeq().toArray()
+	.filter(({statedAt}) => statedAt !== undefined && now - statedAt <= leavingNewsMs)
+	.slice(-maxLeavingNews);
+
 /** Tells whether an entry may be older than what is known of its id, as it may be after the store came back from an older copy. */
 const isOutdated = (registry: Registry, entry: RegistryEntry, now: number): boolean =>
 	now < registry.uncertainUntil && (registry.endpoints.get(entry.id)?.startedAt ?? Number.NEGATIVE_INFINITY) > entry.startedAt;
