--- /dev/null
+++ b/src/edge/poison.test.ts
@@ -0,0 +1,342 @@
+import {Map} from 'immutable';
+import {describe, expect, test} from 'vitest';
+import {succeed} from '../errors/index.js';
+import {parseLoads} from '../gossip/index.js';
+import type {ModelRequest, ResponseHead} from '../in-flight/index.js';
+import type {PeerRouter} from '../quota/index.js';
+import {createRandom} from '../random/index.js';
+import type {RegistryEntry} from '../registry/index.js';
+import type {Route, RoutingConfig} from '../routing-config/index.js';
+import {handleEdge} from './handle.js';
+import type {EdgeEffect, EdgeEvent} from './messages.js';
+import {createEdge} from './state.js';
+import type {EdgeState} from './state.js';
+
+const route: Route = {
+	name: 'r', host: 'h', prefix: '/', kind: 'stream', timeout: 5000, targetMs: 500, priority: 1, services: [{name: 's', weight: 1}],
+	maxAttempts: 2, isAnonymous: true, isResumable: true, eventGapTargetMs: 200,
+};
+
+const config: RoutingConfig = {
+	version: 1,
+	routes: Map([['h', [route]]]),
+	services: Map([['s', {
+		name: 's', maxConnections: 400, engine: {slots: 64, capacity: 500_000, tokensPerEvent: 4},
+	}]]),
+	organisations: Map(),
+	budgets: Map(),
+	needsAuthentication: false,
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+};
+
+/** What a fleet is subjected to. Times in ms. */
+type Load = Readonly<{
+	routers: number;
+	soundPerSecond: number;
+	poisonPerSecond: number;
+	/** Prompt part on which endpoints crash; the last part of a request does not count. */
+	poison: string;
+	poisonFrom: number;
+	poisonUntil: number;
+	/** Time from which the part is sound. */
+	mendedAt?: number;
+	/** Mean time between crashes for other reasons. */
+	otherCrashEveryMs?: number;
+	/** Endpoints that crash at the same moment, and when. */
+	massCrash?: Readonly<{count: number; at: number}>;
+	/** Time at which one router starts anew. */
+	restartAt?: number;
+	lostMessages?: number;
+}>;
+
+type Send = Readonly<{isPoison: boolean; at: number; call: number; attempt: number}>;
+type Played = Readonly<{
+	sends: readonly Send[];
+	/** Times of the crashes under the poison part. */
+	crashes: readonly number[];
+	/** Sound requests, by whether their first attempt gave output. */
+	sound: ReadonlyArray<Readonly<{at: number; hasBegunAtOnce: boolean}>>;
+	refusals: ReadonlyArray<Readonly<{at: number; isPoison: boolean; retryAfter: number | undefined}>>;
+	maxMessageBytes: number;
+	states: readonly EdgeState[];
+}>;
+
+const endpointCount = 12;
+const firstOutputMs = 120;
+const crashDelays = [0, 60] as const;
+const answerMs = 400;
+const downMs = 3000;
+const tickMs = 20;
+const messageDelayMs = 2;
+
+/** Parts that sound requests share with each other and with those that crash endpoints. */
+const sharedParts = ['a0', 'a1', 'a2', 'b0', 'b1', 'b2', 'b3', 'b4', 'b5'];
+
+const createModelRequest = (parts: readonly string[]): ModelRequest => ({
+	model: 'm', promptTokens: parts.length * 300, maxOutputTokens: 24, parts: parts.map(id => ({id, tokens: 300})),
+});
+
+/** Plays a load on routers that hear of each other, under virtual time; returns what reached the endpoints, and what the clients got. */
+const playLoad = (load: Load, seed: number, endMs: number): Played => {
+	const random = createRandom(seed);
+	const names = Array.from({length: load.routers}, (_, index) => `router-${index}`);
+	const start = (name: string): EdgeState => {
+		const state = createEdge({
+			dataCentre: 'z', router: name, incarnation: name, peerAddress: `${name}:1`, retryBudgetBounds: {ratio: 0.2, slack: 54},
+		});
+		const peers = Map<string, PeerRouter>(names.filter(each => each !== name).map(each => [each, {
+			peerAddress: `${each}:1`, isLive: true, era: undefined, holds: Map(),
+		}]));
+		return {...state, quota: {...state.quota, peers}, liveRouters: names.toSorted()};
+	};
+
+	let states: readonly EdgeState[] = names.map(name => start(name));
+	const sends: Send[] = [];
+	const crashes: number[] = [];
+	const refusals: Array<Played['refusals'][number]> = [];
+	const requests = new globalThis.Map<number, {at: number; isPoison: boolean; parts: readonly string[]; hasBegunAtOnce: boolean}>();
+	const due: Array<Array<() => void> | undefined> = [];
+	let maxMessageBytes = 0;
+	let now = 0;
+	let endpoints: ReadonlyArray<Readonly<{entry: RegistryEntry; crashedAt: number | undefined}>> = Array.from({length: endpointCount}, (_, index) => ({
+		entry: {
+			id: `e${index}`, service: 's', address: `10.0.0.${index}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 64, isLeaving: false, slowStartMs: 0, startedAt: 1,
+		}, crashedAt: undefined,
+	}));
+	/** Attempts in progress: endpoint, and events so far. */
+	const open = new globalThis.Map<string, {router: number; call: number; attempt: number; endpoint: string; events: number}>();
+
+	const schedule = (delay: number, run: () => void): void => {
+		due[now + delay] = [...due[now + delay] ?? [], run];
+	};
+
+	const post = (router: number, event: EdgeEvent): void => {
+		const step = handleEdge(states[router]!, event, now);
+		states = states.with(router, step.state);
+		step.effects.forEach(effect => {
+			(effectHandlers[effect.kind] as ((effect: EdgeEffect, router: number) => void) | undefined)?.(effect, router);
+		});
+	};
+
+	const postAll = (event: EdgeEvent): void => {
+		names.forEach((_, router) => {
+			post(router, event);
+		});
+	};
+
+	const crash = (index: number): void => {
+		const {entry, crashedAt} = endpoints[index]!;
+		if (crashedAt !== undefined) {
+			return;
+		}
+
+		endpoints = endpoints.with(index, {entry, crashedAt: now});
+		[...open].filter(([, each]) => each.endpoint === entry.id).forEach(([key, {router, call, attempt, events}]) => {
+			open.delete(key);
+			schedule(1, () => {
+				post(router, {
+					kind: 'endpoint-failed', call, attempt, stage: events > 0 ? 'streaming' : 'sent', reason: 'socket hang up', events,
+					lastEventId: events > 0 ? String(events) : undefined, random: random.draw(),
+				});
+			});
+		});
+		// The entry of a crashed endpoint goes after some heartbeats; the endpoint is back under another id.
+		schedule(2000, () => {
+			postAll({kind: 'endpoint-changed', id: entry.id, listing: undefined});
+		});
+		schedule(downMs, () => {
+			const renewed = {...entry, id: `${entry.id}+`, startedAt: now};
+			endpoints = endpoints.with(index, {entry: renewed, crashedAt: undefined});
+			postAll({kind: 'endpoint-changed', id: renewed.id, listing: renewed});
+		});
+	};
+
+	const isPoisoned = (parts: readonly string[]): boolean => now < (load.mendedAt ?? Number.POSITIVE_INFINITY) && parts.slice(0, -1).includes(load.poison);
+
+	const respond = (router: number, {call, attempt, endpoint}: EdgeEffect & {kind: 'send'}): void => {
+		const request = requests.get(call)!;
+		sends.push({
+			isPoison: request.isPoison, at: now, call, attempt,
+		});
+		const index = endpoints.findIndex(each => each.entry.id === endpoint.id && each.crashedAt === undefined);
+		if (index === -1) {
+			schedule(2, () => {
+				post(router, {
+					kind: 'endpoint-failed', call, attempt, stage: 'unsent', reason: 'connect ECONNREFUSED', events: 0, lastEventId: undefined, random: random.draw(),
+				});
+			});
+			return;
+		}
+
+		const key = `${call}/${attempt}`;
+		const progress = {
+			router, call, attempt, endpoint: endpoint.id, events: 0,
+		};
+		open.set(key, progress);
+		const head: ResponseHead = {
+			status: 200, key: undefined, hasNotRun: false, isOtherIncarnation: false, isSigned: true,
+			load: undefined, rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: true, forwardedHeaders: [],
+		};
+		const perform = (delay: number, run: () => void) => {
+			schedule(delay, () => {
+				if (open.has(key)) {
+					run();
+				}
+			});
+		};
+
+		perform(5, () => {
+			post(router, {kind: 'response-began', endpoint, head});
+			post(router, {
+				kind: 'endpoint-answered', call, attempt, head, random: random.draw(),
+			});
+		});
+		const crashDelay = crashDelays[random.pick(crashDelays.length)]!;
+		perform(firstOutputMs, () => {
+			if (isPoisoned(request.parts)) {
+				perform(crashDelay, () => {
+					crashes.push(now);
+					crash(index);
+				});
+			}
+
+			if (!isPoisoned(request.parts) || crashDelay > 0) {
+				progress.events = 1;
+				request.hasBegunAtOnce ||= attempt === 1;
+				post(router, {kind: 'stream-began', call, attempt});
+			}
+		});
+		perform(answerMs, () => {
+			open.delete(key);
+			post(router, {
+				kind: 'stream-ended', call, attempt, events: 6, framing: 'chunked',
+			});
+		});
+	};
+
+	const effectHandlers: Readonly<{[Kind in EdgeEffect['kind']]?: (effect: EdgeEffect & {kind: Kind}, router: number) => void}> = {
+		send(effect, router) {
+			respond(router, effect);
+		},
+		'tell-peers'({addresses, message}) {
+			maxMessageBytes = Math.max(maxMessageBytes, message.length);
+			addresses.filter(() => random.draw() >= (load.lostMessages ?? 0)).forEach(address => {
+				schedule(messageDelayMs, () => {
+					post(names.indexOf(address.split(':')[0]!), {kind: 'peer-heard', ...parseLoads(message).unwrap()});
+				});
+			});
+		},
+		refuse({call, fault}) {
+			refusals.push({at: now, isPoison: requests.get(call)!.isPoison, retryAfter: fault.retryAfter});
+		},
+	};
+
+	const sendRequest = (call: number, isPoison: boolean): void => {
+		const own = `own-${call}`;
+		const shared = [sharedParts[random.pick(3)]!, sharedParts[3 + random.pick(6)]!] as const;
+		const parts = isPoison ? [shared[0], load.poison, shared[1], own] : [...shared, own];
+		requests.set(call, {
+			at: now, isPoison, parts, hasBegunAtOnce: false,
+		});
+		post(random.pick(load.routers), {
+			kind: 'call-arrived', call, receivedAt: now, random: random.draw(), head: {
+				key: `c${call}`, method: 'GET', url: '/x', host: 'h', apiKey: undefined, clientTimeoutMs: 3000, modelRequest: createModelRequest(parts),
+				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [],
+			},
+		});
+	};
+
+	const startRouter = (router: number): void => {
+		post(router, {kind: 'catalog-read', config});
+		post(router, {kind: 'endpoints-listed', entries: endpoints.filter(({crashedAt}) => crashedAt === undefined).map(({entry}) => entry)});
+	};
+
+	names.forEach((_, router) => {
+		startRouter(router);
+	});
+	let calls = 0;
+	Array.from({length: endMs}, (_, at) => at).forEach(at => {
+		now = at;
+		due[now]?.forEach(run => {
+			run();
+		});
+		due[now] = undefined;
+		if (random.draw() < load.soundPerSecond / 1000) {
+			calls += 1;
+			sendRequest(calls, false);
+		}
+
+		if (now >= load.poisonFrom && now < load.poisonUntil && random.draw() < load.poisonPerSecond / 1000) {
+			calls += 1;
+			sendRequest(calls, true);
+		}
+
+		if (random.draw() < 1 / (load.otherCrashEveryMs ?? Number.POSITIVE_INFINITY)) {
+			crash(random.pick(endpointCount));
+		}
+
+		if (now === load.massCrash?.at) {
+			Array.from({length: load.massCrash.count}, (_, index) => index).forEach(index => {
+				crash(index);
+			});
+		}
+
+		if (now === load.restartAt) {
+			[...open].filter(([, each]) => each.router === 0).forEach(([key]) => open.delete(key));
+			states = states.with(0, start(names[0]!));
+			startRouter(0);
+		}
+
+		names.forEach((_, router) => {
+			if (now % tickMs === router % tickMs) {
+				post(router, {kind: 'tick', random: random.draw()});
+			}
+		});
+	});
+	return {
+		sends, crashes, refusals, maxMessageBytes, states, sound: [...requests.values()].filter(({isPoison}) => !isPoison),
+	};
+};
+
+const poisonFrom = 4000;
+const poisonLoad: Load = {
+	routers: 4, soundPerSecond: 60, poisonPerSecond: 4, poison: 'x', poisonFrom, poisonUntil: 24_000,
+};
+
+/** Time after the fifth crash from which hardly any request with the part may reach an endpoint; the other part of the rule counts from twice that. */
+const contactMs = 3000;
+const maxLateSends = 3;
+
+const computeBegunFraction = ({sound}: Played, from: number, until: number): number => {
+	const within = sound.filter(({at}) => at >= from && at < until);
+	return within.filter(({hasBegunAtOnce}) => hasBegunAtOnce).length / within.length;
+};
+
+describe('requests with a prompt part on which endpoints crash', () => {
+	test.each<[string, Partial<Load>]>([
+		['at four routers', {}],
+		['at twelve routers', {routers: 12}],
+		['that come seldom', {poisonPerSecond: 1.5, poisonUntil: 34_000}],
+		['among other crashes', {otherCrashEveryMs: 4000}],
+		['and a router starts anew', {restartAt: 12_000}],
+		['and messages between routers are lost', {lostMessages: 0.2}],
+	])('are soon kept from all endpoints, and sound requests keep theirs: %s', (_, fields) => {
+		[1, 2, 3].forEach(seed => {
+			const load = {...poisonLoad, ...fields};
+			const played = playLoad(load, seed, load.poisonUntil - 100);
+			const fifth = played.crashes[4] ?? Number.POSITIVE_INFINITY;
+			expect(played.sends.filter(({isPoison, at}) => isPoison && at >= fifth + contactMs).length, `seed ${seed}`).toBeLessThanOrEqual(maxLateSends);
+			const from = Math.min(fifth, played.crashes.at(-1) ?? 0) + (2 * contactMs);
+			expect(computeBegunFraction(played, from, load.poisonUntil), `seed ${seed}`).toBeGreaterThanOrEqual(computeBegunFraction(played, 0, poisonFrom) / 2);
+		});
+	});
+
+	test('are rejected at once as not run, with a time to come back', () => {
+		const {refusals, crashes} = playLoad(poisonLoad, 1, 20_000);
+		const late = refusals.filter(({at, isPoison}) => isPoison && at >= crashes[4]! + contactMs);
+		expect(late.length).toBeGreaterThan(20);
+		expect(late.every(({retryAfter}) => retryAfter !== undefined && retryAfter > 0)).toBe(true);
+	});
+});
