Condemn a prompt part on which endpoints crash one after the other

Cause: nothing connected the crashes. A break was taken for a fault of the endpoint alone, so the request's retry, its client's and the next one with the part went to the endpoints that were left. The class: whatever one request can do to many endpoints is counted for each endpoint by itself.

Change: src/poison. A crash is an incarnation at which requests break off and that does not respond to later ones; its suspects are the parts (without the last) of requests that had no output there, or only since 0.5 s. A part that has been in crashes of at least four moments, in half of all, and more than any other part, with no proven output since the first, is condemned: requests with it are rejected at once, first ones and retries alike. Output that its endpoint survives for 0.5 s clears the parts of its request, so parts that are shared with sound requests stay. Routers pass on crashes, proven outputs of suspects and verdicts with the load messages, so all decide on the same evidence. A verdict is tested after 20 s by one request of one router, then after twice the time; without such requests it ends after 60 s. State and messages have limits.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -12,6 +12,7 @@
 } from './common.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
+import {recordLife, recordRequestOutput} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** Weight of the latest attempt in the moving average of failures. */
@@ -104,7 +105,8 @@
 };
 
 const deliverResponse = (state: EdgeState, request: InFlightRequest, head: ResponseHead, now: number): EdgeStep => {
-	const recorded = recordResult(state, request, head.status >= 500 ? 'failed' : 'good', now);
+	const result = recordResult(state, request, head.status >= 500 ? 'failed' : 'good', now);
+	const recorded = head.status < 300 ? recordRequestOutput(result, request, now) : result;
 	const ended = endRequest(recorded, request, {outcome: head.status < 400 ? 'answered' : 'endpoint-error', status: head.status, events: 0}, now);
 	return {state: ended.state, effects: [{kind: 'deliver', call: request.id}, ...ended.effects]};
 };
@@ -141,11 +143,12 @@
 		return keepState(state);
 	}
 
+	const recorded = recordLife(state, request);
 	const step = event.head.hasNotRun
-		? receiveRefusal(state, request, event, now)
+		? receiveRefusal(recorded, request, event, now)
 		: (event.head.isStream && event.head.status === 200
-			? beginStream(state, request, now)
-			: receiveResponse(state, request, event, now));
+			? beginStream(recorded, request, now)
+			: receiveResponse(recorded, request, event, now));
 	return chain(step, current => placeNext(current, request.service, event.random, now));
 });
 
@@ -229,7 +232,7 @@
 export const receiveFirstOutput = (state: EdgeState, event: EdgeEvent & {kind: 'stream-began'}, now: number): EdgeStep => applyToRequest(state, event.call, request => request.attempt === event.attempt
 	? {
 		state: updateKnownEndpoint(
-			putRequest(recordStream(state, request, now), {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
+			putRequest(recordStream(recordRequestOutput(state, request, now), request, now), {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
 			request.sentTo,
 			endpoint => recordFirstOutput(endpoint, request, now),
 		),
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -20,6 +20,9 @@
 import {receivePeerLimits, updateShares} from './limits.js';
 import type {EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
+import {
+	receivePoisonNews, recordRequestBreak, rejectWaitingPoison, updateVerdicts,
+} from './poison.js';
 import {failOverUnresponsive} from './unresponsive.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
@@ -76,7 +79,7 @@
 		state: {
 			...state, gossipSentAt: now, peers, peerLoadTotals: sumLoads(peers),
 		},
-		effects: [{kind: 'tell-peers', addresses, message: encodeLoads(state.quota.router, state.registry, now)}],
+		effects: [{kind: 'tell-peers', addresses, message: encodeLoads(state.quota.router, state.registry, state.poison, now)}],
 	};
 };
 
@@ -92,7 +95,9 @@
 	}
 
 	const updated = setRegistry({...state, endpointsCheckedAt: now}, removeMissing(state.registry, now), now);
-	return chain(updated, current => failOverUnresponsive(updateShares(current, now), random, now));
+	const judged = chain(updated, current => updateVerdicts(current, now));
+	const cleared = chain(judged, current => rejectWaitingPoison(current, now));
+	return chain(cleared, current => failOverUnresponsive(updateShares(current, now), random, now));
 };
 
 const receiveTick: Handler<'tick'> = (state, event, now) => {
@@ -105,8 +110,11 @@
 };
 
 const receivePeerMessage: Handler<'peer-heard'> = (state, event, now) => chain(
-	receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
-	current => receivePeerLeaving(current, event.leaving, now),
+	chain(
+		receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
+		current => receivePeerLeaving(current, event.leaving, now),
+	),
+	current => receivePoisonNews(current, event.poison, now),
 );
 
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Handler<Kind>}> = {
@@ -115,7 +123,7 @@
 	'call-withdrawn': receiveCancellation,
 	'response-began': receiveStatements,
 	'endpoint-answered': receiveEndpointResponse,
-	'endpoint-failed': receiveEndpointFailure,
+	'endpoint-failed': (state, event, now) => chain(recordRequestBreak(state, event, now), current => receiveEndpointFailure(current, event, now)),
 	'stream-began': receiveFirstOutput,
 	'stream-ended': receiveStreamEnd,
 	'catalog-read': receiveConfig,
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -6,11 +6,13 @@
 import {
 	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, pickNext, predictLimitedSendAt, suggestRetryAfter,
 } from '../queue/index.js';
+import type {PoisonDecision} from '../poison/index.js';
 import type {Dispatch, LimitedQuery} from '../queue/index.js';
 import {spendCredit} from '../rate-limit/index.js';
 import {decaySlowness, getIncarnation} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {updateKnownEndpoint, putRequest, rejectRequest} from './common.js';
+import {checkPoison, rejectPoison, tryCondemnedPart} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** Limit of prompt parts remembered per endpoint; above it the older half is evicted. */
@@ -103,16 +105,7 @@
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
-/**
-Sends a request to an endpoint, queues it, or rejects it.
-
-@param state - The edge state.
-@param request - The request, whose tokens are reserved.
-@param random - A random number in [0, 1).
-@param now - The current time in ms.
-@returns The new state and the effects.
-*/
-export const placeRequest = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
+const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
 	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => canServe(endpoint, request));
 	const choice: Placement = service === undefined
@@ -159,6 +152,25 @@
 	return (handlers[choice.kind] as (placement: Placement) => EdgeStep)(choice);
 };
 
+/**
+Sends a request to an endpoint, queues it, or rejects it.
+
+@param state - The edge state.
+@param request - The request, whose tokens are reserved.
+@param random - A random number in [0, 1).
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const placeRequest = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
+	const handlers: Readonly<{[Kind in PoisonDecision['kind']]: (decision: PoisonDecision & {kind: Kind}) => EdgeStep}> = {
+		send: () => placeSound(state, request, random, now),
+		try: ({part}) => placeSound(tryCondemnedPart(state, request, part), request, random, now),
+		reject: decision => rejectPoison(state, request, decision, now),
+	};
+	const decision = checkPoison(state, request, now);
+	return (handlers[decision.kind] as (decision: PoisonDecision) => EdgeStep)(decision);
+};
+
 /** Queued requests of a service that are reconsidered when an attempt ends and at each tick. Reconsidering all of them each time would cost CPU time that on-time requests need. */
 const placementsPerCompletion = 1;
 const placementsPerTick = 5;
--- a/src/edge/poison.test.ts
+++ b/src/edge/poison.test.ts
@@ -59,6 +59,8 @@
 	/** Sound requests, by whether their first attempt gave output. */
 	sound: ReadonlyArray<Readonly<{at: number; hasBegunAtOnce: boolean}>>;
 	refusals: ReadonlyArray<Readonly<{at: number; isPoison: boolean; retryAfter: number | undefined}>>;
+	/** Parts that a router condemned or whose verdict it lifted by itself, and when. */
+	changes: ReadonlyArray<Readonly<{at: number; event: string; part: string}>>;
 	maxMessageBytes: number;
 	states: readonly EdgeState[];
 }>;
@@ -95,6 +97,7 @@
 	let states: readonly EdgeState[] = names.map(name => start(name));
 	const sends: Send[] = [];
 	const crashes: number[] = [];
+	const changes: Array<Played['changes'][number]> = [];
 	const refusals: Array<Played['refusals'][number]> = [];
 	const requests = new globalThis.Map<number, {at: number; isPoison: boolean; parts: readonly string[]; hasBegunAtOnce: boolean}>();
 	const due: Array<Array<() => void> | undefined> = [];
@@ -194,20 +197,17 @@
 			});
 		});
 		const crashDelay = crashDelays[random.pick(crashDelays.length)]!;
-		perform(firstOutputMs, () => {
+		perform(firstOutputMs + crashDelay, () => {
 			if (isPoisoned(request.parts)) {
-				perform(crashDelay, () => {
-					crashes.push(now);
-					crash(index);
-				});
-			}
-
-			if (!isPoisoned(request.parts) || crashDelay > 0) {
-				progress.events = 1;
-				request.hasBegunAtOnce ||= attempt === 1;
-				post(router, {kind: 'stream-began', call, attempt});
+				crashes.push(now);
+				crash(index);
 			}
 		});
+		perform(firstOutputMs, () => {
+			progress.events = 1;
+			request.hasBegunAtOnce ||= attempt === 1;
+			post(router, {kind: 'stream-began', call, attempt});
+		});
 		perform(answerMs, () => {
 			open.delete(key);
 			post(router, {
@@ -228,6 +228,11 @@
 				});
 			});
 		},
+		log({event, fields}) {
+			if (event.startsWith('part-')) {
+				changes.push({at: now, event, part: String(fields.part)});
+			}
+		},
 		refuse({call, fault}) {
 			refusals.push({at: now, isPoison: requests.get(call)!.isPoison, retryAfter: fault.retryAfter});
 		},
@@ -296,7 +301,7 @@
 		});
 	});
 	return {
-		sends, crashes, refusals, maxMessageBytes, states, sound: [...requests.values()].filter(({isPoison}) => !isPoison),
+		sends, crashes, changes, refusals, maxMessageBytes, states, sound: [...requests.values()].filter(({isPoison}) => !isPoison),
 	};
 };
 
@@ -340,3 +345,62 @@
 		expect(late.every(({retryAfter}) => retryAfter !== undefined && retryAfter > 0)).toBe(true);
 	});
 });
+
+describe('the parts that requests share with those on which endpoints crash', () => {
+	test.each<[string, Partial<Load>]>([
+		['at four routers', {}],
+		['among other crashes', {otherCrashEveryMs: 3000}],
+		['with few requests', {soundPerSecond: 25, poisonPerSecond: 2}],
+	])('are not condemned: %s', (_, fields) => {
+		[1, 2, 3, 4, 5, 6].forEach(seed => {
+			const {changes} = playLoad({...poisonLoad, ...fields}, seed, 20_000);
+			expect([...new Set(changes.map(({part}) => part))], `seed ${seed}`).toEqual(['x']);
+		});
+	});
+});
+
+describe('crashes that no part explains condemn nothing', () => {
+	const soundLoad: Load = {...poisonLoad, poisonPerSecond: 0};
+
+	test.each<[string, Load]>([
+		['single ones', {...soundLoad, otherCrashEveryMs: 2000}],
+		['one after the other', {...soundLoad, otherCrashEveryMs: 400}],
+		['half of the endpoints at once', {...soundLoad, massCrash: {count: 6, at: 6000}}],
+		['all endpoints at once', {...soundLoad, massCrash: {count: 12, at: 6000}}],
+		['with many requests', {...soundLoad, soundPerSecond: 300, otherCrashEveryMs: 700}],
+	])('%s', (_, load) => {
+		[1, 2, 3, 4, 5, 6].forEach(seed => {
+			expect(playLoad(load, seed, 16_000).changes, `seed ${seed}`).toEqual([]);
+		});
+	});
+});
+
+describe('a verdict', () => {
+	test('ends once the part is sound', () => {
+		const mendedAt = 15_000;
+		const {sends, states} = playLoad({...poisonLoad, mendedAt, poisonUntil: 60_000}, 1, 60_000);
+		expect(sends.filter(({isPoison, at}) => isPoison && at >= 50_000).length).toBeGreaterThan(20);
+		expect(states.every(({poison}) => poison.verdicts.isEmpty())).toBe(true);
+	});
+
+	test('ends without requests that could test it', () => {
+		const {states} = playLoad({...poisonLoad, poisonUntil: 12_000}, 1, 100_000);
+		expect(states.every(({poison}) => poison.verdicts.isEmpty() && poison.crashes.isEmpty())).toBe(true);
+	});
+
+	test('is tested by few requests of all routers while endpoints still crash', () => {
+		const {sends, crashes} = playLoad({...poisonLoad, poisonUntil: 100_000}, 1, 100_000);
+		expect(sends.filter(({isPoison, at}) => isPoison && at >= crashes[4]! + contactMs).length).toBeLessThanOrEqual(maxLateSends);
+	});
+});
+
+test('what routers keep and tell each other of crashes is bounded', () => {
+	const {states, maxMessageBytes} = playLoad({
+		...poisonLoad, poisonPerSecond: 0, soundPerSecond: 300, otherCrashEveryMs: 100,
+	}, 1, 12_000);
+	expect(maxMessageBytes).toBeLessThan(8192);
+	states.forEach(({poison}) => {
+		expect(poison.crashes.size).toBeLessThanOrEqual(64);
+		expect(poison.unproven.length).toBeLessThanOrEqual(1024);
+	});
+});
--- /dev/null
+++ b/src/edge/poison.ts
@@ -0,0 +1,139 @@
+import {createFault} from '../errors/index.js';
+import type {InFlightRequest} from '../in-flight/index.js';
+import {chainAll, keepState} from '../loop/step.js';
+import {
+	decidePoison, listSharedParts, mergePoisonNews, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+} from '../poison/index.js';
+import type {PoisonDecision, PoisonNews, VerdictChange} from '../poison/index.js';
+import {createLogEffect, rejectRequest} from './common.js';
+import type {EdgeEvent} from './messages.js';
+import type {EdgeState, EdgeStep} from './state.js';
+
+/**
+Decides whether a request is sent, rejected because endpoints crash on a part of its prompt,
+or sent to find out whether they still do.
+
+@param state - The edge state.
+@param request - The request.
+@param now - The current time in ms.
+@returns The decision.
+*/
+export const checkPoison = (state: EdgeState, request: InFlightRequest, now: number): PoisonDecision => state.poison.verdicts.isEmpty()
+	? {kind: 'send'}
+	: decidePoison(state.poison, {id: request.id, parts: listSharedParts(request.head.modelRequest)}, state.quota.router, state.liveRouters, now);
+
+/**
+Marks a request as the one that tests a verdict.
+
+@param state - The edge state.
+@param request - The request.
+@param part - The condemned part.
+@returns The new state.
+*/
+export const tryCondemnedPart = (state: EdgeState, request: InFlightRequest, part: string): EdgeState => ({...state, poison: startTrial(state.poison, part, request.id)});
+
+/**
+Rejects a request with a condemned part.
+
+@param state - The edge state.
+@param request - The request.
+@param decision - The decision to reject it.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const rejectPoison = (state: EdgeState, request: InFlightRequest, {part, retryAfterMs}: PoisonDecision & {kind: 'reject'}, now: number): EdgeStep => {
+	const detail = `endpoints of service ${request.service} have crashed on prompt part ${part}`;
+	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('prompt-condemned', detail, Math.ceil(retryAfterMs / 1000)), now);
+};
+
+/**
+Records the first output of a request.
+
+@param state - The edge state.
+@param request - The request.
+@param now - The current time in ms.
+@returns The new state.
+*/
+export const recordRequestOutput = (state: EdgeState, request: InFlightRequest, now: number): EdgeState => request.sentTo === undefined
+	? state
+	: {...state, poison: recordOutput(state.poison, request.sentTo, listSharedParts(request.head.modelRequest), now)};
+
+/**
+Records that an endpoint has responded to a request.
+
+@param state - The edge state.
+@param request - The request.
+@returns The new state.
+*/
+export const recordLife = (state: EdgeState, request: InFlightRequest): EdgeState => request.sentTo === undefined
+	? state
+	: {...state, poison: refuteCrash(state.poison, request.sentTo, request.sentAt)};
+
+/**
+Records that the connection of a request broke off at its endpoint.
+
+@param state - The edge state.
+@param event - The failed attempt.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const recordRequestBreak = (state: EdgeState, event: EdgeEvent & {kind: 'endpoint-failed'}, now: number): EdgeStep => {
+	const request = state.requests.get(event.call);
+	const endpoint = request?.sentTo;
+	if (request === undefined || endpoint === undefined || request.attempt !== event.attempt || event.stage === 'unsent') {
+		return keepState(state);
+	}
+
+	const suspects = event.events === 0 ? listSharedParts(request.head.modelRequest) : listSharedParts(undefined);
+	const poison = recordBreak(state.poison, {id: request.id, endpoint, suspects}, now);
+	return {
+		state: {...state, poison},
+		effects: suspects.isEmpty() ? [] : [createLogEffect('crash-suspected', {endpoint: endpoint.id, call: request.head.key, parts: suspects.keySeq().join(' ')})],
+	};
+};
+
+const logChange = ({part, kind, crashes}: VerdictChange) => createLogEffect(`part-${kind}`, {part, crashes});
+
+/**
+Reconsiders which parts are condemned.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state, and effects that log each change; waiting requests with a condemned part are rejected.
+*/
+export const updateVerdicts = (state: EdgeState, now: number): EdgeStep => {
+	const {guard, changes} = tickPoisonGuard(state.poison, request => state.requests.has(request), now);
+	const updated: EdgeState = {...state, poison: guard};
+	return {state: updated, effects: changes.map(change => logChange(change))};
+};
+
+/**
+Rejects the waiting requests with a condemned part.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const rejectWaitingPoison = (state: EdgeState, now: number): EdgeStep => state.poison.verdicts.isEmpty()
+	? keepState(state)
+	: chainAll(state, state.requests.valueSeq().toArray().filter(({phase}) => phase === 'queued' || phase === 'granting'), (current, request) => {
+		const decision = checkPoison(current, request, now);
+		return decision.kind === 'reject' ? rejectPoison(current, request, decision, now) : keepState(current);
+	});
+
+/**
+Adds what a peer knows of crashes and condemned parts.
+
+@param state - The edge state.
+@param news - The peer's message.
+@param now - The current time in ms.
+@returns The new state, and effects that log new verdicts.
+*/
+export const receivePoisonNews = (state: EdgeState, news: PoisonNews, now: number): EdgeStep => {
+	const poison = mergePoisonNews(state.poison, news, now);
+	const condemned = poison.verdicts.keySeq().toArray().filter(part => !state.poison.verdicts.has(part));
+	return {
+		state: {...state, poison},
+		effects: condemned.map(part => createLogEffect('part-condemned', {part, source: 'peer'})),
+	};
+};
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -9,6 +9,7 @@
 import type {RequestHead, InFlightRequest} from '../in-flight/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {putRequest} from './common.js';
+import {checkPoison, rejectPoison} from './poison.js';
 import {locateStream} from './resume.js';
 import type {EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -93,5 +94,7 @@
 	const counted: EdgeState = {
 		...state, retryBudget: creditRequest(state.retryBudget, request.service, state.retryBudgetBounds, state.liveRouters.length),
 	};
-	return locateStream(putRequest(counted, request), request, event.random, now);
+	const known = putRequest(counted, request);
+	const decision = checkPoison(known, request, now);
+	return decision.kind === 'reject' ? rejectPoison(known, request, decision, now) : locateStream(known, request, event.random, now);
 };
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -7,6 +7,8 @@
 import type {Step} from '../loop/loop.js';
 import {createLocalQuota} from '../quota/index.js';
 import type {LocalQuota} from '../quota/index.js';
+import {createPoisonGuard} from '../poison/index.js';
+import type {PoisonGuard} from '../poison/index.js';
 import {emptyRegistry} from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
 import {createStreamOrigins} from '../stream-origin/index.js';
@@ -31,6 +33,8 @@
 	quota: LocalQuota;
 	/** Retry credits of this router, by service. */
 	retryBudget: RetryBudget;
+	/** Prompt parts on which endpoints crash. */
+	poison: PoisonGuard;
 	/** Requests without a final response, by number. */
 	requests: Map<number, InFlightRequest>;
 	/** Load that peers reported, by router, and its totals by endpoint. */
@@ -79,6 +83,7 @@
 	origins: createStreamOrigins(),
 	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress),
 	retryBudget: createRetryBudget(),
+	poison: createPoisonGuard(),
 	requests: Map(),
 	peers: Map(),
 	peerLoadTotals: Map(),
--- a/src/errors/kinds.ts
+++ b/src/errors/kinds.ts
@@ -55,6 +55,9 @@
 	'stream-not-resumable': {
 		status: 503, title: 'The stream cannot go on where it was begun', outcome: 'not-run', retryAfter: 1,
 	},
+	'prompt-condemned': {
+		status: 503, title: 'Endpoints have crashed on a part of the prompt', outcome: 'not-run', retryAfter: 20,
+	},
 	'endpoint-failed': {
 		status: 502, title: 'The endpoint failed before the answer was whole', outcome: 'unknown', retryAfter: 1,
 	},
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -3,6 +3,8 @@
 import {createValidationFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {listStatements} from '../rate-limit/index.js';
+import {listPoisonNews} from '../poison/index.js';
+import type {PoisonGuard, PoisonNews} from '../poison/index.js';
 import {listLeaving} from '../registry/index.js';
 import type {Incarnation, Registry} from '../registry/index.js';
 
@@ -23,13 +25,30 @@
 /** Time after which a peer's message is ignored; long enough to lose several messages in a row. */
 const peerTtlMs = 500;
 
+/** Id, start time, address and service. */
+const incarnationSchema = z.tuple([z.string(), z.number(), z.string(), z.string()]);
+
+type EncodedIncarnation = z.infer<typeof incarnationSchema>;
+
+const encodeIncarnation = ({id, startedAt, address, service}: Incarnation): EncodedIncarnation => [id, startedAt, address, service];
+
+const decodeIncarnation = ([id, startedAt, address, service]: EncodedIncarnation): Incarnation => ({
+	id, startedAt, address, service,
+});
+
 const messageSchema = z.object({
 	router: z.string(),
 	loads: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()])),
 	/** Endpoint, rate limit in requests per second or null for none, age of the endpoint's statement in ms, and start time of the endpoint. Older routers send only a part of this. */
 	limits: z.array(z.tuple([z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().optional()])).default([]),
-	/** Id, start time, address and service of the endpoints that have stated to the sender that they are leaving. Older routers do not send them. */
-	leaving: z.array(z.tuple([z.string(), z.number(), z.string(), z.string()])).default([]),
+	/** The endpoints that have stated to the sender that they are leaving. Older routers send neither these nor what follows. */
+	leaving: z.array(incarnationSchema).default([]),
+	/** Endpoint, age in ms, whether it is refuted, and suspected parts with their positions in the prompt. */
+	crashes: z.array(z.tuple([incarnationSchema, z.number().nonnegative(), z.boolean(), z.array(z.tuple([z.string(), z.number().nonnegative()]))])).default([]),
+	/** Suspected part, and age of its last proven output in ms. */
+	proven: z.array(z.tuple([z.string(), z.number().nonnegative()])).default([]),
+	/** Condemned part, age and remaining time of the verdict in ms, and strikes. */
+	verdicts: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number(), z.number().int().nonnegative()])).default([]),
 });
 
 /** What a peer reports of the endpoints. */
@@ -40,22 +59,44 @@
 	limits: ReadonlyArray<Readonly<{endpoint: string; startedAt: number | undefined; requestsPerSecond: number | undefined; ageMs: number}>>;
 	/** Endpoints that have stated to the peer that they are leaving. */
 	leaving: readonly Incarnation[];
+	/** Prompt parts on which endpoints crash. */
+	poison: PoisonNews;
 }>;
 
+type EncodedPoison = Pick<z.infer<typeof messageSchema>, 'crashes' | 'proven' | 'verdicts'>;
+
+const encodePoison = ({crashes, proven, verdicts}: PoisonNews): EncodedPoison => ({
+	crashes: crashes.map(({endpoint, ageMs, isRefuted, suspects}) => [encodeIncarnation(endpoint), ageMs, isRefuted, suspects.map(([part, position]) => [part, position])]),
+	proven: proven.map(({part, ageMs}) => [part, ageMs]),
+	verdicts: verdicts.map(({part, ageMs, remainingMs, strikes}) => [part, ageMs, remainingMs, strikes]),
+});
+
+const decodePoison = ({crashes, proven, verdicts}: EncodedPoison): PoisonNews => ({
+	crashes: crashes.map(([endpoint, ageMs, isRefuted, suspects]) => ({
+		endpoint: decodeIncarnation(endpoint), ageMs, isRefuted, suspects,
+	})),
+	proven: proven.map(([part, ageMs]) => ({part, ageMs})),
+	verdicts: verdicts.map(([part, ageMs, remainingMs, strikes]) => ({
+		part, ageMs, remainingMs, strikes,
+	})),
+});
+
 /**
 Encodes the load of a router, and what endpoints have stated to it, for its peers.
 
 @param router - The router's id.
 @param registry - The endpoints known to the router.
+@param poison - What the router knows of prompt parts on which endpoints crash.
 @param now - The current time in ms.
 @returns The message.
 */
-export const encodeLoads = (router: string, registry: Registry, now: number): string => JSON.stringify({
+export const encodeLoads = (router: string, registry: Registry, poison: PoisonGuard, now: number): string => JSON.stringify({
 	router,
 	loads: registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
 	limits: listStatements(registry.endpoints.valueSeq().toArray().map(endpoint => [endpoint, endpoint.rateLimit]), now)
 		.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt]),
-	leaving: listLeaving(registry, now).map(({id, startedAt, address, service}) => [id, startedAt, address, service]),
+	leaving: listLeaving(registry, now).map(each => encodeIncarnation(each)),
+	...encodePoison(listPoisonNews(poison, now)),
 });
 
 /**
@@ -74,9 +115,8 @@
 				limits: parsed.data.limits.map(([endpoint, requestsPerSecond, ageMs, startedAt]) => ({
 					endpoint, startedAt, requestsPerSecond: requestsPerSecond ?? undefined, ageMs,
 				})),
-				leaving: parsed.data.leaving.map(([id, startedAt, address, service]) => ({
-					id, startedAt, address, service,
-				})),
+				leaving: parsed.data.leaving.map(each => decodeIncarnation(each)),
+				poison: decodePoison(parsed.data),
 			})
 			: fail(createValidationFault(parsed.error, 'message'));
 	} catch (error) {
--- /dev/null
+++ b/src/poison/index.ts
@@ -0,0 +1,6 @@
+export {
+	createPoisonGuard, decidePoison, listPoisonNews, listSharedParts, mergePoisonNews, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+} from './poison.js';
+export type {
+	PoisonDecision, PoisonGuard, PoisonNews, SharedParts, VerdictChange,
+} from './poison.js';
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -134,7 +134,13 @@
 	id, startedAt, address, service,
 });
 
-const formatIncarnation = ({id, startedAt, address, service}: Incarnation): string => JSON.stringify([id, startedAt, address, service]);
+/**
+Formats an incarnation as a key.
+
+@param incarnation - The incarnation.
+@returns The key.
+*/
+export const formatIncarnation = ({id, startedAt, address, service}: Incarnation): string => JSON.stringify([id, startedAt, address, service]);
 
 const isSameIncarnation = (a: Incarnation, b: Incarnation): boolean =>
 	a.id === b.id && a.startedAt === b.startedAt && a.address === b.address && a.service === b.service;
