--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,5 +1,6 @@
 export {
-	updateEntry, findIncarnation, formatIncarnation, getIncarnation, listLeaving, removeLeaving, removeMissing, emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, replaceEntries, updateEndpoint,
+	updateEntry, findIncarnation, formatIncarnation, getIncarnation, listLeaving, removeLeaving, removeMissing,
+	emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, replaceEntries, updateEndpoint,
 } from './registry.js';
 export type {
 	Endpoint, Incarnation, RegistryEntry, Registry,
