Condemn a part also if its crashes come in pairs or seldom

Crashes ten seconds apart never led to a verdict, since evidence was forgotten after 30 s.

Cause: evidence was counted in moments alone, and kept too shortly.

Change: five crashes of two moments suffice as well as four of four moments; crashes count for 120 s, and peers are told of them for 30 s. Parts that cannot be told apart are condemned together from the seventh crash. The test of a verdict that nobody tests now plays 140 s, until the crashes are forgotten, too.

--- a/src/edge/poison.test.ts
+++ b/src/edge/poison.test.ts
@@ -324,6 +324,8 @@
 		['at four routers', {}],
 		['at twelve routers', {routers: 12}],
 		['that come seldom', {poisonPerSecond: 1.5, poisonUntil: 34_000}],
+		['that come very seldom', {poisonPerSecond: 0.3, poisonUntil: 64_000}],
+		['that come every ten seconds', {poisonPerSecond: 0.1, poisonUntil: 84_000}],
 		['among other crashes', {otherCrashEveryMs: 4000}],
 		['and a router starts anew', {restartAt: 12_000}],
 		['and messages between routers are lost', {lostMessages: 0.2}],
@@ -384,7 +386,7 @@
 	});
 
 	test('ends without requests that could test it', () => {
-		const {states} = playLoad({...poisonLoad, poisonUntil: 12_000}, 1, 100_000);
+		const {states} = playLoad({...poisonLoad, poisonUntil: 12_000}, 1, 140_000);
 		expect(states.every(({poison}) => poison.verdicts.isEmpty() && poison.crashes.isEmpty())).toBe(true);
 	});
 
--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -74,8 +74,9 @@
 /** Time after its first crash before a part is condemned: the output of sound requests clears it by then. */
 const minSpanMs = 1000;
 
-/** Time for which a crash counts. */
-const crashTtlMs = 30_000;
+/** Time for which a crash counts, and for which peers are told of it. */
+const crashTtlMs = 120_000;
+const crashNewsMs = 30_000;
 
 /**
 Signs since the first crash that other requests are served, without which a part is not condemned: outputs
@@ -84,11 +85,18 @@
 const minOtherOutputs = 10;
 const minOtherCleared = 2;
 
-/** Evidence that suffices: the number of moments, and the fraction of all crashes since the first one that the part explains. */
-const thresholds = [{moments: 4, fraction: 0.5}, {moments: 8, fraction: 0.2}] as const;
+/**
+Evidence that suffices: the number of crashes and of their moments, and the fraction of all crashes since
+the first one that the part explains. A request and its retry are two crashes at one moment.
+*/
+const thresholds = [
+	{crashes: 4, moments: 4, fraction: 0.5},
+	{crashes: 5, moments: 2, fraction: 0.5},
+	{crashes: 8, moments: 8, fraction: 0.2},
+] as const;
 
-/** Number of moments from which parts that explain the same crashes are condemned together. */
-const minMomentsWithoutWinner = 6;
+/** Number of crashes from which parts that explain the same ones are condemned together. */
+const minCrashesWithoutWinner = 7;
 
 /** Duration of a first verdict, and the longest one. It doubles with each crash that confirms it. */
 const firstVerdictMs = 20_000;
@@ -242,7 +250,7 @@
 const hasServedOthers = (guard: PoisonGuard, part: string, first: Crash, crashes: readonly Crash[]): boolean => guard.outputCount - first.outputsBefore >= minOtherOutputs
 	|| new Set(crashes.flatMap(({suspects}) => suspects.keySeq().toArray().filter(each => each !== part && isCleared(guard, each, first.at)))).size >= minOtherCleared;
 
-type Suspicion = Readonly<{part: string; crashes: number; moments: number; isSufficient: boolean}>;
+type Suspicion = Readonly<{part: string; crashes: number; isSufficient: boolean}>;
 
 const gaugeSuspicion = (guard: PoisonGuard, part: string, crashes: readonly Crash[], now: number): Suspicion => {
 	const own = crashes.filter(crash => crash.suspects.has(part) && !isCleared(guard, part, crash.at));
@@ -252,9 +260,8 @@
 	return {
 		part,
 		crashes: own.length,
-		moments,
 		isSufficient: first !== undefined && now - first.at >= minSpanMs
-			&& thresholds.some(threshold => moments >= threshold.moments && fraction >= threshold.fraction) && hasServedOthers(guard, part, first, own),
+			&& thresholds.some(threshold => own.length >= threshold.crashes && moments >= threshold.moments && fraction >= threshold.fraction) && hasServedOthers(guard, part, first, own),
 	};
 };
 
@@ -264,7 +271,7 @@
 	const crashes = guard.crashes.valueSeq().toArray()
 		.filter(crash => !crash.isRefuted && now - crash.at >= settleMs && !crash.suspects.keySeq().some(part => guard.verdicts.has(part)))
 		.toSorted((a, b) => a.at - b.at);
-	if (crashes.length < thresholds[0].moments) {
+	if (crashes.length < thresholds[0].crashes) {
 		return [];
 	}
 
@@ -272,7 +279,7 @@
 	const suspicions = parts.map(part => gaugeSuspicion(guard, part, crashes, now));
 	const most = Math.max(0, ...suspicions.map(suspicion => suspicion.crashes));
 	const winners = suspicions.filter(suspicion => suspicion.crashes === most);
-	return winners.filter(({isSufficient, moments}) => isSufficient && (winners.length === 1 || moments >= minMomentsWithoutWinner));
+	return winners.filter(({isSufficient}) => isSufficient && (winners.length === 1 || most >= minCrashesWithoutWinner));
 };
 
 /**
@@ -366,7 +373,7 @@
 @returns The latest crashes, the proven outputs of their suspects, and the verdicts.
 */
 export const listPoisonNews = (guard: PoisonGuard, now: number): PoisonNews => {
-	const crashes = guard.crashes.valueSeq().toArray().slice(-maxToldCrashes);
+	const crashes = guard.crashes.valueSeq().toArray().filter(({at}) => now - at < crashNewsMs).slice(-maxToldCrashes);
 	const suspects = new Set([...crashes.flatMap(crash => crash.suspects.keySeq().toArray()), ...guard.verdicts.keys()]);
 	return {
 		crashes: crashes.map(crash => ({
@@ -379,7 +386,7 @@
 		})),
 		proven: [...suspects].flatMap(part => {
 			const at = guard.provenAt.get(part);
-			return at === undefined || now - at >= crashTtlMs ? [] : [{part, ageMs: Math.max(0, Math.round(now - at))}];
+			return at === undefined || now - at >= crashNewsMs ? [] : [{part, ageMs: Math.max(0, Math.round(now - at))}];
 		}),
 		verdicts: guard.verdicts.entrySeq().toArray().map(([part, {at, until, strikes}]) => ({
 			part, ageMs: Math.max(0, Math.round(now - at)), remainingMs: Math.round(until - now), strikes,
@@ -399,7 +406,7 @@
 	const provenAt = news.proven.reduce((times, {part, ageMs}) => now - ageMs > (times.get(part) ?? Number.NEGATIVE_INFINITY)
 		? times.delete(part).set(part, now - ageMs)
 		: times, guard.provenAt);
-	const withCrashes = news.crashes.filter(({ageMs}) => ageMs < crashTtlMs).reduce((current, {endpoint, ageMs, isRefuted, suspects}) => addCrash(current, {
+	const withCrashes = news.crashes.filter(({ageMs}) => ageMs < crashNewsMs).reduce((current, {endpoint, ageMs, isRefuted, suspects}) => addCrash(current, {
 		endpoint, at: now - ageMs, suspects: Map(suspects), isRefuted, outputsBefore: guard.outputCount,
 	}), {...guard, provenAt: provenAt.takeLast(maxProven)});
 	const verdicts = news.verdicts.reduce((all, {part, ageMs, remainingMs, strikes}) => {
