Do not condemn a part again for the crashes behind a verdict that has ended

A verdict that nobody tested ended after 80 s, but its crashes counted for 120 s and led to another one at once.

--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -301,7 +301,10 @@
 	const expired = current.verdicts.filter((verdict, part) => !cleared.has(part) && now - verdict.until >= idleVerdictMs);
 	const kept = current.verdicts.filter((_, part) => !cleared.has(part) && !expired.has(part))
 		.map(verdict => verdict.trial !== undefined && !isActive(verdict.trial) ? {...verdict, trial: undefined} : verdict);
-	const judged: PoisonGuard = {...current, verdicts: kept};
+	// The crashes behind a verdict that has ended do not lead to another one.
+	const judged: PoisonGuard = {
+		...current, verdicts: kept, crashes: current.crashes.map(crash => ({...crash, suspects: crash.suspects.deleteAll(expired.keys())})),
+	};
 	const poison = listPoison(judged, now).slice(0, maxVerdicts - kept.size);
 	const verdicts = poison.reduce((all, {part}) => all.set(part, {
 		at: now, until: now + firstVerdictMs, strikes: 0, trial: undefined,
