Let routers that start late get their part of the budgets

Cause, twofold. A router reads the rows of the others only while no request waits for tokens; requests of an organisation whose budget is used up wait all the time, so the rows of a late router were never seen. And a request that is rejected because other routers hold the tokens did not count as demand, so a late router's row asked for nothing, and the others kept what they had.

Change: only requests that the next write of the row can serve go before a read. A request that is rejected for tokens held elsewhere counts as demand.

Evidence: 'a router reads the rows of the others although requests wait for its tokens all the time' and 'a request that is rejected because other routers hold the budget counts as demand for it' failed before and pass now; that tokens do not oscillate holds (a trial that read after 2 s in any case failed that test).

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -616,6 +616,22 @@
 		expect(getTokens(post(edge))).toEqual({reserved: 0, charged: 0});
 	});
 
+	test('a request that is rejected because other routers hold the budget counts as demand for it', () => {
+		const edge = createBudgetedEdge(500);
+		edge.state = {
+			...edge.state, quota: {
+				...edge.state.quota,
+				holds: Map(),
+				budgets: Map([['o', {version: 1, taken: 1_000_000}]]),
+				peers: Map([['r2', {
+					peerAddress: '', isLive: true, era: undefined, holds: Map([['o', {held: 500, demand: 0}]]),
+				}]]),
+			},
+		};
+		expect(edge.sendRequest(1, 'whole', {modelRequest}).listEffects()).toContain('refuse budget-held');
+		expect(getBudgetHold(edge.advance(100).state.quota, 'o').demand).toBeGreaterThan(0);
+	});
+
 	test('a request of a disconnected client costs nothing if the endpoint ended it before any output', () => {
 		const edge = createBudgetedEdge(500).sendRequest(1, 'whole', {modelRequest}).post({kind: 'caller-left', call: 1, events: 0});
 		expect(edge.listEffects()).toEqual(['withdraw']);
--- a/src/edge/reserve.ts
+++ b/src/edge/reserve.ts
@@ -3,7 +3,7 @@
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {
-	countFreeTokens, countSpendableTokens, explainShortage, getBudgetHold, handleQuotaEvent, reserveTokens, setWaitingTokens,
+	countFreeTokens, countSpendableTokens, explainShortage, getBudgetHold, handleQuotaEvent, recordUnmetDemand, reserveTokens, setWaitingTokens,
 } from '../quota/index.js';
 import type {QuotaEffect, QuotaEvent, Shortage} from '../quota/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
@@ -47,9 +47,10 @@
 	}
 
 	const shortage = explainShortage(state.quota, budget, request.maxCostTokens, getBudgetLimit(state, budget));
+	const recorded = shortage === 'held-elsewhere' ? {...state, quota: recordUnmetDemand(state.quota, budget, request.maxCostTokens)} : state;
 	return shortage === undefined
 		? undefined
-		: rejectRequest(state, request, shortageFaults[shortage](describeTokenNeed(state, request, now), suggestRetryAfter(request.expiresAt - now, random)), now);
+		: rejectRequest(recorded, request, shortageFaults[shortage](describeTokenNeed(state, request, now), suggestRetryAfter(request.expiresAt - now, random)), now);
 };
 
 const translateEffect = (effect: QuotaEffect): readonly EdgeEffect[] => effect.kind === 'changed'
--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -349,6 +349,10 @@
 		: quota;
 };
 
+/** Tells whether requests wait for tokens that the next write of the row brings. They take precedence over a read. */
+const canServeWaiting = (quota: LocalQuota, context: QuotaContext, now: number): boolean => quota.restoration === undefined
+	&& quota.holds.some((hold, organisation) => hold.waitingTokens > 0 && (computeDrawTokens(quota, organisation, context) > 0 || isWindowLimiting(quota, organisation, now)));
+
 /** Starts the next store call if one is due and none is in flight. */
 const startSync = (before: LocalQuota, context: QuotaContext, now: number): QuotaStep => {
 	const quota = endRestoration(before, now);
@@ -364,8 +368,7 @@
 		return readRows(quota, 'holds');
 	}
 
-	const hasWaitingRequests = quota.restoration === undefined && quota.holds.some(hold => hold.waitingTokens > 0);
-	if (now - quota.readAtMs >= readIntervalMs && !hasWaitingRequests) {
+	if (now - quota.readAtMs >= readIntervalMs && !canServeWaiting(quota, context, now)) {
 		return readRows(quota, 'holds');
 	}
 
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -191,6 +191,10 @@
 		},
 		store, step, sendRequest, spent: () => spentTokens, now: () => now, getQuota: (router: string) => quotas.get(router)!,
 		countLogged: (event: string) => loggedEvents.filter(each => each === event).length,
+		/** Lets a request of another organisation wait for good. */
+		await(router: string, other: string, tokens: number) {
+			quotas = quotas.set(router, setWaitingTokens(quotas.get(router)!, other, tokens, tokens));
+		},
 		leave(router: string) {
 			apply(router, {kind: 'leave'});
 		},
@@ -333,6 +337,16 @@
 		expect(fleet.countLogged('tokens-drawn') - drawn).toBeLessThanOrEqual(8);
 	});
 
+	test('a router reads the rows of the others although requests wait for its tokens all the time', () => {
+		const fleet = createRouterFleet(['a', 'b'], createRandom(8), replyAlways);
+		fleet.await('a', 'exhausted', 1000);
+		const ages = Array.from({length: 500}).map(() => {
+			fleet.step();
+			return fleet.now() - fleet.getQuota('a').readAtMs;
+		});
+		expect(Math.max(...ages.slice(100))).toBeLessThanOrEqual(2500);
+	});
+
 	test('the successor of a killed router recovers most of the tokens that it held', () => {
 		const fleet = createRouterFleet(['a', 'b'], createRandom(6), replyAlways);
 		sendRequests(fleet, ['a', 'b'], 500, () => 1000);
--- a/src/quota/state.ts
+++ b/src/quota/state.ts
@@ -322,6 +322,18 @@
 	return updateBudgetHold(quota, organisation, {waitingTokens: tokens, smallestWaitingTokens: smallest, usedSinceTick: hold.usedSinceTick + Math.max(0, tokens - hold.waitingTokens)});
 };
 
+/**
+Records that a request was rejected because other routers hold the tokens that it needs. It
+counts as demand, as one that waits does, so that they return some.
+
+@param quota - The local quota.
+@param organisation - The organisation that pays.
+@param tokens - Tokens that the request needs.
+@returns The updated quota.
+*/
+export const recordUnmetDemand = (quota: LocalQuota, organisation: string, tokens: number): LocalQuota =>
+	updateBudgetHold(quota, organisation, {usedSinceTick: getBudgetHold(quota, organisation).usedSinceTick + tokens});
+
 /**
 Lists the routers that share budgets and are live by their rows, including this one.
 
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -15,7 +15,7 @@
 const seeds = Array.from({length: Number(process.env.SOAK_SEEDS ?? 2)}, (_, index) => from + index);
 
 /** Seeds of KNOWN-RED.txt that CI passes over; runs by hand do not. */
-const knownFailures: readonly number[] = process.env.CI === 'true' ? [1] : [];
+const knownFailures: readonly number[] = [];
 
 const runSeed = async (seed: number) => {
 	const result = await runSoak(seed);
