Keep verdicts on prompt parts in the store, for processes that start later

What callers would see: if all routers are killed at once, none knows the condemned part any more, and five more endpoints crash before they do.

Cause: verdicts were only in the memory of processes, which have no disk.

Change: the router that reaches a verdict, or extends it after a trial, writes it to the table `verdicts`; a starting process reads the table once and retries until it can. Rows of ended verdicts are removed. After the store has come back from an older copy, the rows are written again. A row that cannot be read is left out, with a log line that names the field.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -23,6 +23,7 @@
 import {findRoute} from '../routing-config/index.js';
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
+import {verdictTable} from '../poison/index.js';
 import type {StoredRow} from '../store/index.js';
 import {locateOrigin} from '../stream-origin/index.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
@@ -60,6 +61,9 @@
 /** Maximum time that a stopping process waits for the store to take back its budget reservations, in ms. */
 const budgetReleaseTimeoutMs = 1000;
 
+/** Delay before verdicts are read again after a failure, in ms. */
+const verdictRetryMs = 300;
+
 /** Interval at which a stopping process checks for remaining requests and reservations, in ms. */
 const drainPollIntervalMs = 50;
 
@@ -155,6 +159,12 @@
 				loop.post({kind: 'origins-saved', isDone: reply.kind === 'done'});
 			});
 		},
+		'save-verdicts'(effect) {
+			runInBackground(async () => {
+				const reply = await store.transact(effect.writes);
+				loop.post({kind: 'verdicts-saved', isDone: reply.kind === 'done'});
+			});
+		},
 		log(effect) {
 			log.write(effect.level, effect.event, effect.fields);
 		},
@@ -372,6 +382,19 @@
 		logFeed(tables.endpoints, event);
 		(registryHandlers[event.kind] as (event: FeedEvent) => void)(event);
 	}));
+	const readVerdicts = async (): Promise<void> => {
+		const reply = await store.read(verdictTable);
+		if (reply.kind === 'done') {
+			loop.post({kind: 'verdicts-read', rows: reply.rows, storeTime: reply.now});
+			return;
+		}
+
+		log.write('failure', 'verdicts-unread', {reason: 'reason' in reply ? reply.reason : reply.kind});
+		await sleep(verdictRetryMs);
+		return readVerdicts();
+	};
+
+	runInBackground(readVerdicts);
 	runInBackground(async () => periodic(tickIntervalMs).observe(() => {
 		lagMs = clock() - lastTickAt - tickIntervalMs;
 		lastTickAt = clock();
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -21,7 +21,7 @@
 import type {EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
 import {
-	receivePoisonNews, recordRequestBreak, rejectWaitingPoison, updateVerdicts,
+	receivePoisonNews, receiveSavedVerdicts, receiveVerdictSave, recordRequestBreak, rejectWaitingPoison, resetVerdictRows, saveVerdicts, updateVerdicts,
 } from './poison.js';
 import {failOverUnresponsive} from './unresponsive.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -97,7 +97,8 @@
 	const updated = setRegistry({...state, endpointsCheckedAt: now}, removeMissing(state.registry, now), now);
 	const judged = chain(updated, current => updateVerdicts(current, now));
 	const cleared = chain(judged, current => rejectWaitingPoison(current, now));
-	return chain(cleared, current => failOverUnresponsive(updateShares(current, now), random, now));
+	const saved = chain(cleared, current => saveVerdicts(current, now));
+	return chain(saved, current => failOverUnresponsive(updateShares(current, now), random, now));
 };
 
 const receiveTick: Handler<'tick'> = (state, event, now) => {
@@ -114,7 +115,7 @@
 		receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
 		current => receivePeerLeaving(current, event.leaving, now),
 	),
-	current => receivePoisonNews(current, event.poison, now),
+	current => receivePoisonNews(current, event.poison, 'peer', now),
 );
 
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Handler<Kind>}> = {
@@ -130,10 +131,12 @@
 	'endpoints-listed': (state, event, now) => setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, event.entries, now), now),
 	'endpoint-changed': (state, event, now) => setRegistry(state, updateEntry(state.registry, event.id, event.listing, now), now),
 	'registry-lost': state => keepState({...state, registry: markUnavailable(state.registry)}),
-	'registry-restored': (state, _event, now) => keepState({...state, registry: markRestored(state.registry, now)}),
+	'registry-restored': (state, _event, now) => keepState(resetVerdictRows({...state, registry: markRestored(state.registry, now)})),
 	'registry-regained': (state, _event, now) => keepState({...state, registry: markAvailable(state.registry, now)}),
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	'origin-read': receiveOrigin,
+	'verdicts-read': receiveSavedVerdicts,
+	'verdicts-saved': receiveVerdictSave,
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, state.liveRouters.length, now)}),
 	'peer-heard': receivePeerMessage,
 	tick: receiveTick,
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -6,7 +6,7 @@
 import type {Fields, Level} from '../log/index.js';
 import type {QuotaStoreCall} from '../quota/index.js';
 import type {Incarnation, RegistryEntry} from '../registry/index.js';
-import type {StoreReply, StoreWrite} from '../store/index.js';
+import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
 
 /** How far a failed attempt got. */
 export type FailureStage =
@@ -49,6 +49,9 @@
 	/** The store was asked where a stream began. */
 	| Readonly<{kind: 'origin-read'; call: number; reply: StoreReply; random: number}>
 	| Readonly<{kind: 'origins-saved'; isDone: boolean}>
+	/** The verdicts on prompt parts that outlast processes were read, at the given time of the store's clock. */
+	| Readonly<{kind: 'verdicts-read'; rows: readonly StoredRow[]; storeTime: number}>
+	| Readonly<{kind: 'verdicts-saved'; isDone: boolean}>
 	/** A peer reported its requests in flight, and rate limits of endpoints. */
 	| (Readonly<{kind: 'peer-heard'}> & PeerMessage)
 	| Readonly<{kind: 'tick'; random: number}>
@@ -80,6 +83,7 @@
 	/** Asks the store, after a delay, where the stream of the given key began. */
 	| Readonly<{kind: 'read-origin'; call: number; key: string; delayMs: number}>
 	| Readonly<{kind: 'save-origins'; writes: readonly StoreWrite[]}>
+	| Readonly<{kind: 'save-verdicts'; writes: readonly StoreWrite[]}>
 	/** Sends a load message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
 	| Readonly<{kind: 'log'; level: Level; event: string; fields: Fields}>
--- a/src/edge/poison.test.ts
+++ b/src/edge/poison.test.ts
@@ -7,6 +7,7 @@
 import {createRandom} from '../random/index.js';
 import type {RegistryEntry} from '../registry/index.js';
 import type {Route, RoutingConfig} from '../routing-config/index.js';
+import type {StoredRow} from '../store/index.js';
 import {handleEdge} from './handle.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {createEdge} from './state.js';
@@ -46,8 +47,9 @@
 	otherCrashEveryMs?: number;
 	/** Endpoints that crash at the same moment, and when. */
 	massCrash?: Readonly<{count: number; at: number}>;
-	/** Time at which one router starts anew. */
+	/** Time at which one router starts anew, and at which all of them do. */
 	restartAt?: number;
+	restartAllAt?: number;
 	lostMessages?: number;
 }>;
 
@@ -73,6 +75,9 @@
 const tickMs = 20;
 const messageDelayMs = 2;
 
+/** What the store's clock shows at the start. */
+const storeTimeOffset = 5_000_000;
+
 /** Parts that sound requests share with each other and with those that crash endpoints. */
 const sharedParts = ['a0', 'a1', 'a2', 'b0', 'b1', 'b2', 'b3', 'b4', 'b5'];
 
@@ -91,18 +96,23 @@
 		const peers = Map<string, PeerRouter>(names.filter(each => each !== name).map(each => [each, {
 			peerAddress: `${each}:1`, isLive: true, era: undefined, holds: Map(),
 		}]));
-		return {...state, quota: {...state.quota, peers}, liveRouters: names.toSorted()};
+		return {
+			...state, quota: {
+				...state.quota, peers, hasTakenOver: true, sync: {step: 'reading', table: 'holds'}, storeClock: {timeMs: now + storeTimeOffset, receivedAtMs: now},
+			}, liveRouters: names.toSorted(),
+		};
 	};
 
-	let states: readonly EdgeState[] = names.map(name => start(name));
 	const sends: Send[] = [];
 	const crashes: number[] = [];
 	const changes: Array<Played['changes'][number]> = [];
 	const refusals: Array<Played['refusals'][number]> = [];
 	const requests = new globalThis.Map<number, {at: number; isPoison: boolean; parts: readonly string[]; hasBegunAtOnce: boolean}>();
+	const rows = new globalThis.Map<string, StoredRow>();
 	const due: Array<Array<() => void> | undefined> = [];
 	let maxMessageBytes = 0;
 	let now = 0;
+	let states: readonly EdgeState[] = [];
 	let endpoints: ReadonlyArray<Readonly<{entry: RegistryEntry; crashedAt: number | undefined}>> = Array.from({length: endpointCount}, (_, index) => ({
 		entry: {
 			id: `e${index}`, service: 's', address: `10.0.0.${index}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 64, isLeaving: false, slowStartMs: 0, startedAt: 1,
@@ -233,6 +243,17 @@
 				changes.push({at: now, event, part: String(fields.part)});
 			}
 		},
+		'save-verdicts'({writes}, router) {
+			schedule(messageDelayMs, () => {
+				writes.forEach(({table, key, value}) => {
+					rows.set(key, {
+						table, key, version: 1, value,
+					});
+				});
+				[...rows.values()].filter(({value}) => value === undefined).forEach(({key}) => rows.delete(key));
+				post(router, {kind: 'verdicts-saved', isDone: true});
+			});
+		},
 		refuse({call, fault}) {
 			refusals.push({at: now, isPoison: requests.get(call)!.isPoison, retryAfter: fault.retryAfter});
 		},
@@ -253,11 +274,19 @@
 		});
 	};
 
+	const restartRouter = (router: number): void => {
+		[...open].filter(([, each]) => each.router === router).forEach(([key]) => open.delete(key));
+		states = states.with(router, start(names[router]!));
+		startRouter(router);
+	};
+
 	const startRouter = (router: number): void => {
 		post(router, {kind: 'catalog-read', config});
+		post(router, {kind: 'verdicts-read', rows: [...rows.values()], storeTime: now + storeTimeOffset});
 		post(router, {kind: 'endpoints-listed', entries: endpoints.filter(({crashedAt}) => crashedAt === undefined).map(({entry}) => entry)});
 	};
 
+	states = names.map(name => start(name));
 	names.forEach((_, router) => {
 		startRouter(router);
 	});
@@ -289,9 +318,13 @@
 		}
 
 		if (now === load.restartAt) {
-			[...open].filter(([, each]) => each.router === 0).forEach(([key]) => open.delete(key));
-			states = states.with(0, start(names[0]!));
-			startRouter(0);
+			restartRouter(0);
+		}
+
+		if (now === load.restartAllAt) {
+			names.forEach((_, router) => {
+				restartRouter(router);
+			});
 		}
 
 		names.forEach((_, router) => {
@@ -328,6 +361,7 @@
 		['that come every ten seconds', {poisonPerSecond: 0.1, poisonUntil: 84_000}],
 		['among other crashes', {otherCrashEveryMs: 4000}],
 		['and a router starts anew', {restartAt: 12_000}],
+		['and all routers start anew', {restartAllAt: 12_000}],
 		['and messages between routers are lost', {lostMessages: 0.2}],
 	])('are soon kept from all endpoints, and sound requests keep theirs: %s', (_, fields) => {
 		[1, 2, 3].forEach(seed => {
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -2,7 +2,7 @@
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chainAll, keepState} from '../loop/step.js';
 import {
-	decidePoison, listSharedParts, mergePoisonNews, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, listSharedParts, mergePoisonNews, planVerdictSave, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
 } from '../poison/index.js';
 import type {PoisonDecision, PoisonNews, VerdictChange} from '../poison/index.js';
 import {createLogEffect, rejectRequest} from './common.js';
@@ -107,6 +107,64 @@
 	return {state: updated, effects: changes.map(change => logChange(change))};
 };
 
+/**
+Saves the verdicts of this router in the store, once it knows the store's clock.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const saveVerdicts = (state: EdgeState, now: number): EdgeStep => {
+	const {hasTakenOver, storeClock} = state.quota;
+	if (!hasTakenOver) {
+		return keepState(state);
+	}
+
+	const {rows, writes} = planVerdictSave(state.verdictRows, state.poison, storeClock.timeMs - storeClock.receivedAtMs, now);
+	return {state: {...state, verdictRows: rows}, effects: writes.length === 0 ? [] : [{kind: 'save-verdicts', writes}]};
+};
+
+/**
+Ends a save of verdicts.
+
+@param state - The edge state.
+@param event - Whether the save is done.
+@param now - The current time in ms.
+@returns The new state.
+*/
+export const receiveVerdictSave = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-saved'}, now: number): EdgeStep => keepState({...state, verdictRows: completeVerdictSave(state.verdictRows, event.isDone, now)});
+
+/**
+Forgets which verdicts are saved, after the store has come back from an older copy: they are saved again.
+
+@param state - The edge state.
+@returns The new state.
+*/
+export const resetVerdictRows = (state: EdgeState): EdgeState => ({...state, verdictRows: createVerdictRows()});
+
+/**
+Adds the verdicts that are saved in the store.
+
+@param state - The edge state.
+@param event - The rows.
+@param now - The current time in ms.
+@returns The new state, and effects that log the verdicts and unreadable rows.
+*/
+export const receiveSavedVerdicts = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-read'}, now: number): EdgeStep => {
+	const {verdicts, faults} = decodeVerdicts(event.rows, event.storeTime);
+	const saved = state.verdictRows.saved.merge(verdicts.map(({part, ageMs}) => [part, now - ageMs] as const));
+	const known = receivePoisonNews({...state, verdictRows: {...state.verdictRows, saved}}, {crashes: [], proven: [], verdicts}, 'store', now);
+	return {
+		state: known.state,
+		effects: [
+			...known.effects,
+			...faults.map(reason => ({
+				kind: 'log', level: 'failure', event: 'verdict-unreadable', fields: {reason},
+			} as const)),
+		],
+	};
+};
+
 /**
 Rejects the waiting requests with a condemned part.
 
@@ -122,18 +180,19 @@
 	});
 
 /**
-Adds what a peer knows of crashes and condemned parts.
+Adds what a peer or the store knows of crashes and condemned parts.
 
 @param state - The edge state.
-@param news - The peer's message.
+@param news - What it knows.
+@param source - Where that comes from, for the log.
 @param now - The current time in ms.
 @returns The new state, and effects that log new verdicts.
 */
-export const receivePoisonNews = (state: EdgeState, news: PoisonNews, now: number): EdgeStep => {
+export const receivePoisonNews = (state: EdgeState, news: PoisonNews, source: 'peer' | 'store', now: number): EdgeStep => {
 	const poison = mergePoisonNews(state.poison, news, now);
 	const condemned = poison.verdicts.keySeq().toArray().filter(part => !state.poison.verdicts.has(part));
 	return {
 		state: {...state, poison},
-		effects: condemned.map(part => createLogEffect('part-condemned', {part, source: 'peer'})),
+		effects: condemned.map(part => createLogEffect('part-condemned', {part, source})),
 	};
 };
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -7,8 +7,8 @@
 import type {Step} from '../loop/loop.js';
 import {createLocalQuota} from '../quota/index.js';
 import type {LocalQuota} from '../quota/index.js';
-import {createPoisonGuard} from '../poison/index.js';
-import type {PoisonGuard} from '../poison/index.js';
+import {createPoisonGuard, createVerdictRows} from '../poison/index.js';
+import type {PoisonGuard, VerdictRows} from '../poison/index.js';
 import {emptyRegistry} from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
 import {createStreamOrigins} from '../stream-origin/index.js';
@@ -35,6 +35,7 @@
 	retryBudget: RetryBudget;
 	/** Prompt parts on which endpoints crash. */
 	poison: PoisonGuard;
+	verdictRows: VerdictRows;
 	/** Requests without a final response, by number. */
 	requests: Map<number, InFlightRequest>;
 	/** Load that peers reported, by router, and its totals by endpoint. */
@@ -84,6 +85,7 @@
 	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress),
 	retryBudget: createRetryBudget(),
 	poison: createPoisonGuard(),
+	verdictRows: createVerdictRows(),
 	requests: Map(),
 	peers: Map(),
 	peerLoadTotals: Map(),
--- a/src/poison/index.ts
+++ b/src/poison/index.ts
@@ -4,3 +4,7 @@
 export type {
 	PoisonDecision, PoisonGuard, PoisonNews, SharedParts, VerdictChange,
 } from './poison.js';
+export {
+	completeVerdictSave, createVerdictRows, decodeVerdicts, planVerdictSave, verdictTable,
+} from './rows.js';
+export type {VerdictRows} from './rows.js';
--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -26,6 +26,8 @@
 	until: number;
 	/** Number of such requests under which an endpoint has crashed. */
 	strikes: number;
+	/** True if this router has reached it. */
+	isOwn: boolean;
 	/** The request of this router that is sent to find out. */
 	trial: number | undefined;
 }>;
@@ -200,7 +202,7 @@
 	return {
 		...added, verdicts: added.verdicts.map(verdict => verdict.trial === request.id
 			? {
-				at: now, until: now + computeVerdictMs(verdict.strikes + 1), strikes: verdict.strikes + 1, trial: undefined,
+				at: now, until: now + computeVerdictMs(verdict.strikes + 1), strikes: verdict.strikes + 1, isOwn: true, trial: undefined,
 			}
 			: verdict),
 	};
@@ -307,7 +309,7 @@
 	};
 	const poison = listPoison(judged, now).slice(0, maxVerdicts - kept.size);
 	const verdicts = poison.reduce((all, {part}) => all.set(part, {
-		at: now, until: now + firstVerdictMs, strikes: 0, trial: undefined,
+		at: now, until: now + firstVerdictMs, strikes: 0, isOwn: true, trial: undefined,
 	}), kept);
 	return {
 		guard: {...judged, verdicts},
@@ -417,7 +419,7 @@
 		const isNews = known === undefined ? all.size < maxVerdicts && remainingMs > -idleVerdictMs : strikes > known.strikes;
 		return isNews && !isCleared(withCrashes, part, now - ageMs)
 			? all.set(part, {
-				at: now - ageMs, until: now + Math.min(remainingMs, maxVerdictMs), strikes, trial: undefined,
+				at: now - ageMs, until: now + Math.min(remainingMs, maxVerdictMs), strikes, isOwn: false, trial: undefined,
 			})
 			: all;
 	}, withCrashes.verdicts);
--- /dev/null
+++ b/src/poison/rows.test.ts
@@ -0,0 +1,60 @@
+import {Map} from 'immutable';
+import {describe, expect, test} from 'vitest';
+import type {StoredRow} from '../store/index.js';
+import {
+	completeVerdictSave, createPoisonGuard, createVerdictRows, decodeVerdicts, planVerdictSave,
+} from './index.js';
+import type {PoisonGuard} from './index.js';
+
+const offset = 1000;
+const verdict = {
+	at: 5, until: 25, strikes: 0, isOwn: true, trial: undefined,
+};
+const createGuard = (...verdicts: ReadonlyArray<readonly [string, typeof verdict]>): PoisonGuard => ({...createPoisonGuard(), verdicts: Map(verdicts)});
+
+describe('verdicts in the store', () => {
+	const guard = createGuard(['x', verdict]);
+	const planned = planVerdictSave(createVerdictRows(), guard, offset, 10);
+	const saved = completeVerdictSave(planned.rows, true, 10);
+
+	test('are written once, in times of its clock', () => {
+		expect(planned.writes.map(({key, value}) => [key, JSON.parse(value!) as unknown])).toEqual([['x', {at: 1005, until: 1025, strikes: 0}]]);
+		expect(planVerdictSave(planned.rows, guard, offset, 10).writes).toEqual([]);
+		expect(planVerdictSave(saved, guard, offset, 1000).writes).toEqual([]);
+	});
+
+	test('are written again after a failure, and when a trial has extended them', () => {
+		const failed = completeVerdictSave(planned.rows, false, 10);
+		expect(planVerdictSave(failed, guard, offset, 11).writes).toEqual([]);
+		expect(planVerdictSave(failed, guard, offset, 1000).writes.length).toBe(1);
+		expect(planVerdictSave(saved, createGuard(['x', {...verdict, at: 30, strikes: 1}]), offset, 1000).writes.length).toBe(1);
+	});
+
+	test('are removed when they have ended, and left to the router that reached them', () => {
+		expect(planVerdictSave(saved, createGuard(), offset, 1000).writes).toMatchObject([{key: 'x', value: undefined}]);
+		expect(planVerdictSave(createVerdictRows(), createGuard(['x', {...verdict, isOwn: false}]), offset, 10).writes).toEqual([]);
+	});
+
+	const createRow = (value: string): StoredRow => ({
+		table: 'verdicts', key: 'x', version: 1, value,
+	});
+
+	test('are read with their ages', () => {
+		expect(decodeVerdicts([createRow('{"at":1005,"until":1025,"strikes":2}')], 1015)).toEqual({
+			verdicts: [{
+				part: 'x', ageMs: 10, remainingMs: 10, strikes: 2,
+			}], faults: [],
+		});
+	});
+
+	test.each([
+		['{"at":"1","until":2,"strikes":0}', 'at'],
+		['{"at":1,"until":2,"strikes":-1}', 'strikes'],
+		['{"at":1,"strikes":0}', 'until'],
+		['{', 'verdict x'],
+	])('that cannot be read are left out, and the field is named: %s', (value, field) => {
+		const {verdicts, faults} = decodeVerdicts([createRow(value)], 10);
+		expect(verdicts).toEqual([]);
+		expect(faults.join('\n')).toContain(field);
+	});
+});
