Tell peers of crashes in every fifth load message only

What it concerns: while crashes are remembered, each load message (12 a second to each of up to 16 peers) carried up to 8 crashes with 24 parts each.

Change: every 400 ms; a few exchanges still reach all routers well within the time in which they have to act, also at three steps from each other.

--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -5,6 +5,7 @@
 import type {RequestPhase} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {hashText} from '../random/index.js';
+import {hasPoisonNews, listPoisonNews} from '../poison/index.js';
 import {
 	updateEntry, removeMissing, markUnavailable, markAvailable, markRestored, replaceEntries,
 } from '../registry/index.js';
@@ -60,6 +61,9 @@
 /** Interval of load messages to peers: about the time in which an engine processes one long prompt. */
 const gossipIntervalMs = 80;
 
+/** Interval at which these messages also tell of crashes, which takes far more bytes. */
+const poisonIntervalMs = 400;
+
 /** Limit of peers that receive load messages, so that traffic per router does not grow with the fleet. The choice is stable while the peers are alive. */
 const maxGossipPeers = 16;
 
@@ -75,11 +79,13 @@
 		.toSorted((a, b) => hashText(`${state.quota.router}/${a}`) - hashText(`${state.quota.router}/${b}`))
 		.slice(0, maxGossipPeers);
 	const peers = removeStalePeers(state.peers, now);
+	const isPoisonDue = now - state.poisonToldAt >= poisonIntervalMs && hasPoisonNews(state.poison);
+	const message = encodeLoads(state.quota.router, state.registry, isPoisonDue ? listPoisonNews(state.poison, now) : undefined, now);
 	return {
 		state: {
-			...state, gossipSentAt: now, peers, peerLoadTotals: sumLoads(peers),
+			...state, gossipSentAt: now, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, peers, peerLoadTotals: sumLoads(peers),
 		},
-		effects: [{kind: 'tell-peers', addresses, message: encodeLoads(state.quota.router, state.registry, state.poison, now)}],
+		effects: [{kind: 'tell-peers', addresses, message}],
 	};
 };
 
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -45,6 +45,8 @@
 	liveRouters: readonly string[];
 	/** Time of the last load message to peers, in ms. */
 	gossipSentAt: number;
+	/** Time of the last such message that told of crashes, in ms. */
+	poisonToldAt: number;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
 	endpointsCheckedAt: number;
 	isStopping: boolean;
@@ -91,6 +93,7 @@
 	peerLoadTotals: Map(),
 	liveRouters: [options.router],
 	gossipSentAt: 0,
+	poisonToldAt: 0,
 	endpointsCheckedAt: 0,
 	isStopping: false,
 });
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -3,8 +3,7 @@
 import {createValidationFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {listStatements} from '../rate-limit/index.js';
-import {listPoisonNews} from '../poison/index.js';
-import type {PoisonGuard, PoisonNews} from '../poison/index.js';
+import type {PoisonNews} from '../poison/index.js';
 import {listLeaving} from '../registry/index.js';
 import type {Incarnation, Registry} from '../registry/index.js';
 
@@ -86,17 +85,17 @@
 
 @param router - The router's id.
 @param registry - The endpoints known to the router.
-@param poison - What the router knows of prompt parts on which endpoints crash.
+@param poison - What the router knows of prompt parts on which endpoints crash; undefined if that is not due.
 @param now - The current time in ms.
 @returns The message.
 */
-export const encodeLoads = (router: string, registry: Registry, poison: PoisonGuard, now: number): string => JSON.stringify({
+export const encodeLoads = (router: string, registry: Registry, poison: PoisonNews | undefined, now: number): string => JSON.stringify({
 	router,
 	loads: registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
 	limits: listStatements(registry.endpoints.valueSeq().toArray().map(endpoint => [endpoint, endpoint.rateLimit]), now)
 		.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt]),
 	leaving: listLeaving(registry, now).map(each => encodeIncarnation(each)),
-	...encodePoison(listPoisonNews(poison, now)),
+	...(poison !== undefined && encodePoison(poison)),
 });
 
 /**
--- a/src/poison/index.ts
+++ b/src/poison/index.ts
@@ -1,5 +1,5 @@
 export {
-	createPoisonGuard, decidePoison, listPoisonNews, listSharedParts, mergePoisonNews, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+	createPoisonGuard, decidePoison, hasPoisonNews, listPoisonNews, listSharedParts, mergePoisonNews, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
 } from './poison.js';
 export type {
 	PoisonDecision, PoisonGuard, PoisonNews, SharedParts, VerdictChange,
--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -370,6 +370,14 @@
 	return verdict === undefined ? guard : {...guard, verdicts: guard.verdicts.set(part, {...verdict, trial: request})};
 };
 
+/**
+Tells whether there is anything to tell peers.
+
+@param guard - The guard.
+@returns False if no crash and no verdict is known.
+*/
+export const hasPoisonNews = (guard: PoisonGuard): boolean => !guard.crashes.isEmpty() || !guard.verdicts.isEmpty();
+
 /**
 Lists what peers need to know. Peers pass it on, with its age, so that all routers learn it.
 
