Bound the size of replies of the table service and of routers to operators

What callers would see: a table service in trouble that sends bytes without end fills the memory of a router, and a router that does so that of galenactl.

Change: 16 MiB, by the option of the HTTP library. Such a reply counts as lost; the operator's call fails.

--- a/src/operator-client/client.ts
+++ b/src/operator-client/client.ts
@@ -1,4 +1,4 @@
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import type {JsonValue} from '../table/index.js';
 
 /** A router's response to an operator request. The revision comes from the `ETag` header, if there is one. */
@@ -11,6 +11,11 @@
 
 const timeoutMs = 15_000;
 
+/** Maximum size of a response, in bytes. */
+const maxResponseBytes = 16 * 1024 * 1024;
+
+const dispatcher = new Agent({maxResponseSize: maxResponseBytes});
+
 /**
 Creates a client of a router's operator API.
 
@@ -21,6 +26,7 @@
 export const createOperatorClient = (address: string, key: string): OperatorClient => ({
 	async call(method, path, body, headers = {}) {
 		const response = await request(`${address}${path}`, {
+			dispatcher,
 			method,
 			headers: {authorization: `Bearer ${key}`, 'content-type': 'application/json', ...headers},
 			...(body !== undefined && {body: JSON.stringify(body)}),
--- a/src/table/client.ts
+++ b/src/table/client.ts
@@ -29,6 +29,9 @@
 
 const maxConnections = 8;
 
+/** Maximum size of a reply, in bytes. */
+const maxReplyBytes = 16 * 1024 * 1024;
+
 const decodeFailure = (reply: WireReply): StoreReply => {
 	const failed = (reply.CancellationReasons ?? []).flatMap((reason, index) => reason.Code === 'ConditionalCheckFailed' ? [index] : []);
 	return failed.length > 0 ? {kind: 'conflict', failed} : {kind: 'lost'};
@@ -48,7 +51,7 @@
 @returns The client.
 */
 export const createTableClient = (options: TableOptions): TableClient => {
-	const pool = new Pool(options.address, {connections: maxConnections, connectTimeout: options.timeout});
+	const pool = new Pool(options.address, {connections: maxConnections, connectTimeout: options.timeout, maxResponseSize: maxReplyBytes});
 
 	const sendCall = async (call: StoreCall): Promise<StoreReply> => {
 		const {operation, body} = encodeCall(call, options.tableName);
