--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -12,7 +12,7 @@
 } from './common.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
-import {recordLife, recordRequestOutput} from './poison.js';
+import {recordEndpointResponse, recordRequestOutput} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** Weight of the latest attempt in the moving average of failures. */
@@ -143,7 +143,7 @@
 		return keepState(state);
 	}
 
-	const recorded = recordLife(state, request);
+	const recorded = recordEndpointResponse(state, request);
 	const step = event.head.hasNotRun
 		? receiveRefusal(recorded, request, event, now)
 		: (event.head.isStream && event.head.status === 200
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -65,7 +65,7 @@
 @param request - The request.
 @returns The new state.
 */
-export const recordLife = (state: EdgeState, request: InFlightRequest): EdgeState => request.sentTo === undefined
+export const recordEndpointResponse = (state: EdgeState, request: InFlightRequest): EdgeState => request.sentTo === undefined
 	? state
 	: {...state, poison: refuteCrash(state.poison, request.sentTo, request.sentAt)};
 
