Keep the evidence of a crash when more requests break off at its endpoint

What callers would see: a condemned part is cleared again although endpoints still crash on it, or is condemned later than it could be.

Cause: if a part was suspected already, a second break at the endpoint did not discard the output that a request with this part had given there just before; half a second later that output counted as proven and cleared the part. And requests that broke off at a dead endpoint more than half a second later replaced the suspects of its crash.

Change: output just before a crash is discarded at each break; a crash keeps its suspects unless the endpoint has responded in between.

--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -155,13 +155,14 @@
 	? suspects
 	: Map(suspects.entrySeq().toArray().toSorted(([a], [b]) => (guard.provenAt.get(a) ?? 0) - (guard.provenAt.get(b) ?? 0)).slice(0, maxSuspects));
 
+/** Combines what is known of the crash of an incarnation. Requests that break off there long after it show nothing new, unless it has responded in between. */
 const mergeCrash = (known: Crash | undefined, crash: Crash): Crash => {
-	if (known === undefined || known.at < crash.at - probationMs) {
+	if (known === undefined || (known.isRefuted && known.at < crash.at - probationMs)) {
 		return crash;
 	}
 
 	const isNews = (crash.isRefuted && !known.isRefuted) || crash.suspects.some((_, part) => !known.suspects.has(part));
-	return !isNews || known.at > crash.at + probationMs
+	return !isNews || Math.abs(known.at - crash.at) > probationMs
 		? known
 		: {...known, suspects: known.suspects.merge(crash.suspects), isRefuted: known.isRefuted || crash.isRefuted};
 };
@@ -174,7 +175,7 @@
 	const doubtful = crash.isRefuted ? [] : guard.unproven.filter(output => isDoubtful(output));
 	const suspects = doubtful.reduce((parts, output) => parts.merge(output.parts), crash.suspects);
 	const merged = mergeCrash(known, {...crash, suspects});
-	if (merged === known) {
+	if (merged === known && doubtful.length === 0) {
 		return guard;
 	}
 
