Let the live routers take turns in testing a verdict

What callers would see: if the one router that may test a verdict gets no request with the part for 60 s, the verdict lapses at all routers, and the part ends four or five more endpoints.

Change: the right to test passes to the next router every 5 s.

Evidence: 'a verdict that has ended is tested by one router at a time, and in time by each' failed before and passes now.

--- a/src/poison/poison.test.ts
+++ b/src/poison/poison.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, test} from 'vitest';
 import type {Incarnation} from '../registry/index.js';
 import {
-	createPoisonGuard, recordBreak, recordOutput, refuteCrash, tickPoisonGuard,
+	createPoisonGuard, decidePoison, recordBreak, recordOutput, refuteCrash, tickPoisonGuard,
 } from './index.js';
 import type {PoisonGuard} from './index.js';
 
@@ -34,3 +34,17 @@
 		expect(broken.crashes.every(crash => !crash.isRefuted)).toBe(true);
 	});
 });
+
+test('a verdict that has ended is tested by one router at a time, and in time by each', () => {
+	const guard: PoisonGuard = {
+		...createPoisonGuard(), verdicts: Map([['x', {
+			at: 0, until: 1000, strikes: 0, isOwn: true, trial: undefined,
+		}]]),
+	};
+	const routers = ['a', 'b', 'c', 'd'];
+	const listTesters = (now: number) => routers.filter(router => decidePoison(guard, {id: 1, parts: listParts('x')}, router, routers, now).kind === 'try');
+	expect(listTesters(999)).toEqual([]);
+	const testers = Array.from({length: 60}, (_, seconds) => listTesters(1000 + (seconds * 1000)));
+	expect(testers.every(each => each.length === 1)).toBe(true);
+	expect([...new Set(testers.flat())].toSorted()).toEqual(routers);
+});
--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -328,9 +328,12 @@
 	| Readonly<{kind: 'reject'; part: string; retryAfterMs: number}>
 	| Readonly<{kind: 'try'; part: string}>;
 
+/** Time for which one router may test a verdict before it is the turn of the next one, which may have requests to test it with. */
+const testerTurnMs = 5000;
+
 /** Selects the router that may test a verdict. All routers that know the same live routers select the same one. */
-const selectTester = (part: string, routers: readonly string[]): string | undefined =>
-	routers.toSorted((a, b) => hashText(`${part}/${b}`) - hashText(`${part}/${a}`))[0];
+const selectTester = (part: string, until: number, routers: readonly string[], now: number): string | undefined =>
+	routers.toSorted((a, b) => hashText(`${part}/${b}`) - hashText(`${part}/${a}`))[Math.floor((now - until) / testerTurnMs) % routers.length];
 
 /**
 Decides whether a request may be sent to an endpoint. Once a verdict has ended, a single
@@ -354,7 +357,7 @@
 	}
 
 	const {part, verdict} = first;
-	const canTry = others.length === 0 && verdict.trial === undefined && now >= verdict.until && selectTester(part, routers) === router;
+	const canTry = others.length === 0 && verdict.trial === undefined && now >= verdict.until && selectTester(part, verdict.until, routers, now) === router;
 	return canTry ? {kind: 'try', part} : {kind: 'reject', part, retryAfterMs: Math.max(minSpanMs, verdict.until - now)};
 };
 
