--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -132,7 +132,8 @@
 @param now - The current time in ms.
 @returns The new state.
 */
-export const receiveVerdictSave = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-saved'}, now: number): EdgeStep => keepState({...state, verdictRows: completeVerdictSave(state.verdictRows, event.isDone, now)});
+export const receiveVerdictSave = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-saved'}, now: number): EdgeStep =>
+	keepState({...state, verdictRows: completeVerdictSave(state.verdictRows, event.isDone, now)});
 
 /**
 Forgets which verdicts are saved, after the store has come back from an older copy: they are saved again.
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -15,7 +15,7 @@
 const seeds = Array.from({length: Number(process.env.SOAK_SEEDS ?? 2)}, (_, index) => from + index);
 
 /** Seeds of KNOWN-RED.txt that CI passes over; runs by hand do not. */
-const knownFailures: readonly number[] = [];
+const knownFailures: ReadonlySet<number> = new Set();
 
 const runSeed = async (seed: number) => {
 	const result = await runSoak(seed);
@@ -34,7 +34,7 @@
 });
 
 describe('routers and a relay as processes, under injected faults', () => {
-	test.concurrent.each(seeds.filter(seed => !knownFailures.includes(seed)))('seed %i', runSeed);
-	test.skip.each(seeds.filter(seed => knownFailures.includes(seed)))('seed %i', runSeed);
+	test.concurrent.each(seeds.filter(seed => !knownFailures.has(seed)))('seed %i', runSeed);
+	test.skip.each(seeds.filter(seed => knownFailures.has(seed)))('seed %i', runSeed);
 	test.each(regressions)('regression seed $seed: $cause', async ({seed}) => runSeed(seed));
 });
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -221,7 +221,8 @@
 		organisation,
 		tokens: [...executions].filter(([, run]) => run.organisation === organisation && !run.isAct).reduce((sum, [id, run]) => sum + run.promptTokens + countDelivered(byId.get(id)!), 0),
 	}));
-	const isDuringShutdown = (call: Call, shutdown: Shutdown) => call.router === shutdown.router && (call.sentAt < shutdown.from + 2500 || executions.has(call.id)) && call.endedAt > shutdown.from && call.endedAt < shutdown.until;
+	const isDuringShutdown = (call: Call, shutdown: Shutdown) =>
+		call.router === shutdown.router && (call.sentAt < shutdown.from + 2500 || executions.has(call.id)) && call.endedAt > shutdown.from && call.endedAt < shutdown.until;
 	const isOutsideFaults = (call: Call) => !faultSpans.some(span => span.from - 1000 < call.endedAt && span.until + 3000 > call.sentAt);
 	return [
 		...usages.filter(({organisation, tokens}) => tokens > budgets[organisation]!).map(({organisation, tokens}) => `${organisation} used ${tokens} of ${budgets[organisation]} tokens`),
@@ -516,7 +517,8 @@
 		return sentAt > (poisonCrashes[0] ?? Number.POSITIVE_INFINITY) - 1000 && sentAt < Math.min(crashedAt, poisonCrashes.at(-1) ?? 0) + (2 * poison.noticeMs);
 	};
 
-	const [resumed, begun] = [true, false].map(isResumed => calls.filter(call => call.id.startsWith('chat') && (call.resumed !== undefined) === isResumed && !isAmidCrashes(call)));
+	const [resumed, begun] = [true, false].map(isResumed => calls.filter(call =>
+		call.id.startsWith('chat') && (call.resumed !== undefined) === isResumed && !isAmidCrashes(call)));
 	const countShare = (group: readonly Call[]) => group.filter(call => countDelivered(call) > 0).length / Math.max(1, group.length);
 	const isResumable = resumed!.length < minResumed || countShare(resumed!) >= countShare(begun!) / 2;
 	const latePoison = poisonArrivals.filter(({id, at}) => at > crashedAt + poison.noticeMs && !hasPaused(findRouter(id)!, crashedAt));
