Do not condemn parts that sound requests share while few requests are served

What callers would see: with two crashing parts at once, or with a router cut off from the others while the crashes begin, parts of sound requests were condemned too. Once, three quarters of the sound requests did not begin at the first attempt; and the crashing parts stayed hidden behind the wrong verdicts.

Cause: the part in the most crashes won, and from seven crashes all that tied. While most endpoints are down, little output is proven, and a popular sound part is in as many crashes as the crashing one.

Change: parts without any proven output come first; parts with some are considered only if no other one is in two crashes.

The rule's five crashes are counted for each part.

--- a/src/edge/poison.test.ts
+++ b/src/edge/poison.test.ts
@@ -39,6 +39,10 @@
 	poisonPerSecond: number;
 	/** Prompt part on which endpoints crash; the last part of a request does not count. */
 	poison: string;
+	/** Another such part, which half of these requests have instead. */
+	otherPoison?: string;
+	/** Position of the part; 1, between the two others, if not given. */
+	position?: number;
 	poisonFrom: number;
 	poisonUntil: number;
 	/** Time from which the part is sound. */
@@ -51,13 +55,15 @@
 	restartAt?: number;
 	restartAllAt?: number;
 	lostMessages?: number;
+	/** Time from which one router neither hears nor reaches the others for 3 s. */
+	cutAt?: number;
 }>;
 
-type Send = Readonly<{isPoison: boolean; at: number; call: number; attempt: number}>;
+type Send = Readonly<{isPoison: boolean; poison: string | undefined; at: number; call: number; attempt: number}>;
 type Played = Readonly<{
 	sends: readonly Send[];
-	/** Times of the crashes under the poison part. */
-	crashes: readonly number[];
+	/** The crashes, by the part that caused them. */
+	crashes: ReadonlyArray<Readonly<{at: number; poison: string}>>;
 	/** Sound requests, by whether their first attempt gave output. */
 	sound: ReadonlyArray<Readonly<{at: number; hasBegunAtOnce: boolean}>>;
 	refusals: ReadonlyArray<Readonly<{at: number; isPoison: boolean; retryAfter: number | undefined}>>;
@@ -74,6 +80,7 @@
 const downMs = 3000;
 const tickMs = 20;
 const messageDelayMs = 2;
+const cutMs = 3000;
 
 /** What the store's clock shows at the start. */
 const storeTimeOffset = 5_000_000;
@@ -104,7 +111,7 @@
 	};
 
 	const sends: Send[] = [];
-	const crashes: number[] = [];
+	const crashes: Array<Played['crashes'][number]> = [];
 	const changes: Array<Played['changes'][number]> = [];
 	const refusals: Array<Played['refusals'][number]> = [];
 	const requests = new globalThis.Map<number, {at: number; isPoison: boolean; parts: readonly string[]; hasBegunAtOnce: boolean}>();
@@ -166,12 +173,15 @@
 		});
 	};
 
-	const isPoisoned = (parts: readonly string[]): boolean => now < (load.mendedAt ?? Number.POSITIVE_INFINITY) && parts.slice(0, -1).includes(load.poison);
+	const findPoison = (parts: readonly string[]): string | undefined => parts.find(part => part === load.poison || part === load.otherPoison);
+
+	const isPoisoned = (parts: readonly string[]): boolean => now < (load.mendedAt ?? Number.POSITIVE_INFINITY)
+		&& parts.slice(0, -1).some(part => part === load.poison || part === load.otherPoison);
 
 	const respond = (router: number, {call, attempt, endpoint}: EdgeEffect & {kind: 'send'}): void => {
 		const request = requests.get(call)!;
 		sends.push({
-			isPoison: request.isPoison, at: now, call, attempt,
+			isPoison: request.isPoison, poison: findPoison(request.parts), at: now, call, attempt,
 		});
 		const index = endpoints.findIndex(each => each.entry.id === endpoint.id && each.crashedAt === undefined);
 		if (index === -1) {
@@ -209,7 +219,7 @@
 		const crashDelay = crashDelays[random.pick(crashDelays.length)]!;
 		perform(firstOutputMs + crashDelay, () => {
 			if (isPoisoned(request.parts)) {
-				crashes.push(now);
+				crashes.push({at: now, poison: findPoison(request.parts)!});
 				crash(index);
 			}
 		});
@@ -230,9 +240,10 @@
 		send(effect, router) {
 			respond(router, effect);
 		},
-		'tell-peers'({addresses, message}) {
+		'tell-peers'({addresses, message}, router) {
 			maxMessageBytes = Math.max(maxMessageBytes, message.length);
-			addresses.filter(() => random.draw() >= (load.lostMessages ?? 0)).forEach(address => {
+			const isCut = load.cutAt !== undefined && now >= load.cutAt && now < load.cutAt + cutMs;
+			addresses.filter(address => random.draw() >= (load.lostMessages ?? 0) && !(isCut && (router === 0 || address === `${names[0]}:1`))).forEach(address => {
 				schedule(messageDelayMs, () => {
 					post(names.indexOf(address.split(':')[0]!), {kind: 'peer-heard', ...parseLoads(message).unwrap()});
 				});
@@ -261,8 +272,9 @@
 
 	const sendRequest = (call: number, isPoison: boolean): void => {
 		const own = `own-${call}`;
-		const shared = [sharedParts[random.pick(3)]!, sharedParts[3 + random.pick(6)]!] as const;
-		const parts = isPoison ? [shared[0], load.poison, shared[1], own] : [...shared, own];
+		const shared = [sharedParts[random.pick(3)]!, sharedParts[3 + random.pick(6)]!];
+		const poison = load.otherPoison !== undefined && random.draw() < 0.5 ? load.otherPoison : load.poison;
+		const parts = isPoison ? [...shared.toSpliced(load.position ?? 1, 0, poison), own] : [...shared, own];
 		requests.set(call, {
 			at: now, isPoison, parts, hasBegunAtOnce: false,
 		});
@@ -362,21 +374,32 @@
 		['among other crashes', {otherCrashEveryMs: 4000}],
 		['and a router starts anew', {restartAt: 12_000}],
 		['and all routers start anew', {restartAllAt: 12_000}],
+		['that have it in the first place', {position: 0}],
+		['that have it in the last place that counts', {position: 2}],
+		['that have one of two such parts', {otherPoison: 'y'}],
+		['that have one of two such parts, among other crashes', {otherPoison: 'y', position: 0, otherCrashEveryMs: 4000}],
+		['and one router is cut off from the others', {cutAt: poisonFrom}],
 		['and messages between routers are lost', {lostMessages: 0.2}],
 	])('are soon kept from all endpoints, and sound requests keep theirs: %s', (_, fields) => {
-		[1, 2, 3].forEach(seed => {
+		[1, 2, 3, 4].forEach(seed => {
 			const load = {...poisonLoad, ...fields};
 			const played = playLoad(load, seed, load.poisonUntil - 100);
-			const fifth = played.crashes[4] ?? Number.POSITIVE_INFINITY;
-			expect(played.sends.filter(({isPoison, at}) => isPoison && at >= fifth + contactMs).length, `seed ${seed}`).toBeLessThanOrEqual(maxLateSends);
-			const from = Math.min(fifth, played.crashes.at(-1) ?? 0) + (2 * contactMs);
+			const findFifth = (poison: string) => played.crashes.filter(crash => crash.poison === poison)[4]?.at ?? Number.POSITIVE_INFINITY;
+			const poisons = [load.poison, ...(load.otherPoison === undefined ? [] : [load.otherPoison])];
+			const fifth = Math.max(...poisons.map(poison => findFifth(poison)));
+			poisons.forEach(poison => {
+				const late = played.sends.filter(send => send.poison === poison && send.at >= findFifth(poison) + contactMs);
+				expect(late.length, `seed ${seed}, ${poison}`).toBeLessThanOrEqual(maxLateSends);
+			});
+			const from = Math.min(fifth, played.crashes.at(-1)?.at ?? 0) + (2 * contactMs);
 			expect(computeBegunFraction(played, from, load.poisonUntil), `seed ${seed}`).toBeGreaterThanOrEqual(computeBegunFraction(played, 0, poisonFrom) / 2);
+			expect(played.changes.filter(({part}) => sharedParts.includes(part)), `seed ${seed}`).toEqual([]);
 		});
 	});
 
 	test('are rejected at once as not run, with a time to come back', () => {
 		const {refusals, crashes} = playLoad(poisonLoad, 1, 20_000);
-		const late = refusals.filter(({at, isPoison}) => isPoison && at >= crashes[4]! + contactMs);
+		const late = refusals.filter(({at, isPoison}) => isPoison && at >= crashes[4]!.at + contactMs);
 		expect(late.length).toBeGreaterThan(20);
 		expect(late.every(({retryAfter}) => retryAfter !== undefined && retryAfter > 0)).toBe(true);
 	});
@@ -426,7 +449,7 @@
 
 	test('is tested by few requests of all routers while endpoints still crash', () => {
 		const {sends, crashes} = playLoad({...poisonLoad, poisonUntil: 100_000}, 1, 100_000);
-		expect(sends.filter(({isPoison, at}) => isPoison && at >= crashes[4]! + contactMs).length).toBeLessThanOrEqual(maxLateSends);
+		expect(sends.filter(({isPoison, at}) => isPoison && at >= crashes[4]!.at + contactMs).length).toBeLessThanOrEqual(maxLateSends);
 	});
 });
 
--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -100,6 +100,9 @@
 /** Number of crashes from which parts that explain the same ones are condemned together. */
 const minCrashesWithoutWinner = 7;
 
+/** Number of crashes from which a part without any proven output is a better explanation than parts with some. */
+const minCrashesOfExplanation = 2;
+
 /** Duration of a first verdict, and the longest one. It doubles with each crash that confirms it. */
 const firstVerdictMs = 20_000;
 const maxVerdictMs = 600_000;
@@ -268,7 +271,17 @@
 	};
 };
 
-/** Lists the parts to condemn: the one that explains the most crashes, or several that cannot be told apart. */
+/** Picks the parts that explain the most crashes: one, or several that cannot be told apart. */
+const pickWinners = (suspicions: readonly Suspicion[]): readonly Suspicion[] => {
+	const most = Math.max(0, ...suspicions.map(({crashes}) => crashes));
+	const winners = suspicions.filter(({crashes}) => crashes === most);
+	return winners.filter(({isSufficient}) => isSufficient && (winners.length === 1 || most >= minCrashesWithoutWinner));
+};
+
+/**
+Lists the parts to condemn. Parts without any proven output come first: while few requests are served, those
+that sound requests share are in as many crashes, and become suspects only if nothing else explains them.
+*/
 const listPoison = (guard: PoisonGuard, now: number): readonly Suspicion[] => {
 	// A crash that a condemned part explains is no evidence against another part.
 	const crashes = guard.crashes.valueSeq().toArray()
@@ -280,9 +293,9 @@
 
 	const parts = [...new Set(crashes.flatMap(({suspects}) => suspects.keySeq().toArray()))];
 	const suspicions = parts.map(part => gaugeSuspicion(guard, part, crashes, now));
-	const most = Math.max(0, ...suspicions.map(suspicion => suspicion.crashes));
-	const winners = suspicions.filter(suspicion => suspicion.crashes === most);
-	return winners.filter(({isSufficient}) => isSufficient && (winners.length === 1 || most >= minCrashesWithoutWinner));
+	const neverProven = suspicions.filter(({part}) => !guard.provenAt.has(part));
+	const hasOtherExplanation = neverProven.some(suspicion => suspicion.crashes >= minCrashesOfExplanation);
+	return pickWinners(hasOtherExplanation ? neverProven : suspicions);
 };
 
 /**
