Log a fingerprint of each request: what is asked, for whom, and the body

The body is digested where it has been read completely, before the request is placed, so the fingerprint is known at each decision.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -10,6 +10,7 @@
 import {createFault} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {parseLoads} from '../gossip/index.js';
+import {digestBody} from '../in-flight/index.js';
 import type {BoundedLog} from '../log/bounded.js';
 import {runInBackground} from '../loop/background.js';
 import {startLoop} from '../loop/loop.js';
@@ -304,7 +305,7 @@
 			requestCount += 1;
 			proxy.accept(requestCount, head.val, hostHeader, body, response);
 			loop.post({
-				kind: 'call-arrived', call: requestCount, head: head.val, receivedAt, random: random(),
+				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, random: random(),
 			});
 		};
 
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -63,7 +63,7 @@
 
 	sendRequest(id: number, route: string, fields: Partial<RequestHead> = {}, receivedAt = this.now): this {
 		return this.post({
-			kind: 'call-arrived', call: id, receivedAt, random: 0.5, head: {
+			kind: 'call-arrived', call: id, bodyDigest: `b${id}`, receivedAt, random: 0.5, head: {
 				key: `c${id}`, method: 'GET', url: `/${route}/x`, host: 'h', apiKey: 'k', clientTimeoutMs: 3000, modelRequest: undefined,
 				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [], ...fields,
 			},
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -71,6 +71,7 @@
 			{
 				kind: 'log', level: 'routine', event: 'call-sent', fields: {
 					call: request.head.key,
+					fingerprint: request.fingerprint,
 					attempt: sent.attempt,
 					endpoint: endpoint.id,
 					softwareVersion: endpoint.softwareVersion,
--- a/src/edge/poison.test.ts
+++ b/src/edge/poison.test.ts
@@ -279,7 +279,7 @@
 			at: now, isPoison, parts, hasBegunAtOnce: false,
 		});
 		post(random.pick(load.routers), {
-			kind: 'call-arrived', call, receivedAt: now, random: random.draw(), head: {
+			kind: 'call-arrived', call, bodyDigest: `b${call}`, receivedAt: now, random: random.draw(), head: {
 				key: `c${call}`, method: 'GET', url: '/x', host: 'h', apiKey: undefined, clientTimeoutMs: 3000, modelRequest: createModelRequest(parts),
 				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [],
 			},
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -86,10 +86,10 @@
 
 	const suspects = event.events === 0 ? listSharedParts(request.head.modelRequest) : listSharedParts(undefined);
 	const poison = recordBreak(state.poison, {id: request.id, endpoint, suspects}, now);
-	return {
-		state: {...state, poison},
-		effects: suspects.isEmpty() ? [] : [createLogEffect('crash-suspected', {endpoint: endpoint.id, call: request.head.key, parts: suspects.keySeq().join(' ')})],
-	};
+	const logged = createLogEffect('crash-suspected', {
+		endpoint: endpoint.id, call: request.head.key, fingerprint: request.fingerprint, parts: suspects.keySeq().join(' '),
+	});
+	return {state: {...state, poison}, effects: event.events === 0 ? [logged] : []};
 };
 
 const logChange = ({part, kind, crashes}: VerdictChange) => createLogEffect(`part-${kind}`, {part, crashes});
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -5,7 +5,7 @@
 	errorResponses, createFault, fail, succeed,
 } from '../errors/index.js';
 import type {Fault, Result} from '../errors/index.js';
-import {createInFlightRequest} from '../in-flight/index.js';
+import {computeFingerprint, createInFlightRequest} from '../in-flight/index.js';
 import type {RequestHead, InFlightRequest} from '../in-flight/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {putRequest} from './common.js';
@@ -45,6 +45,7 @@
 	return createInFlightRequest({
 		id: event.call,
 		head: event.head,
+		fingerprint: computeFingerprint(event.head, organisation?.name, event.bodyDigest),
 		route,
 		service,
 		organisation: organisation?.name,
--- a/src/in-flight/index.ts
+++ b/src/in-flight/index.ts
@@ -1,3 +1,4 @@
+export {computeFingerprint, digestBody} from './fingerprint.js';
 export {createInFlightRequest} from './request.js';
 export type {
 	ResponseHead, RequestHead, InFlightRequest, RequestPhase, ForwardingMetadata, ModelRequest,
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -86,6 +86,8 @@
 export type InFlightRequest = Readonly<{
 	id: number;
 	head: RequestHead;
+	/** The same for each repetition of the request. */
+	fingerprint: string;
 	route: Route;
 	service: string;
 	organisation: string | undefined;
@@ -141,7 +143,7 @@
 @returns The request, without reserved tokens or attempts.
 */
 export const createInFlightRequest = (fields: Pick<
-	InFlightRequest, 'id' | 'head' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'expiresAt' | 'phaseAt'
+	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
 	reserved: 0,
--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -20,6 +20,7 @@
 			model: 'm', promptTokens: tokens, maxOutputTokens: 50, parts: [],
 		}, resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [],
 	},
+	fingerprint: `f${id}`,
 	route: {...route, targetMs: target},
 	service: 's',
 	organisation: 'o',
