Failing test: a request that crashes the endpoints that run it comes again

The fingerprint of a request without a body includes its prompt, since nothing else tells two of them apart.

--- /dev/null
+++ b/src/edge/crashing-requests.test.ts
@@ -0,0 +1,72 @@
+import {describe, expect, test} from 'vitest';
+import {computeBegunFraction, playLoad, sharedParts} from '../../test/crash-play.js';
+import type {
+	Killer, Load, Play, RequestKind,
+} from '../../test/crash-play.js';
+
+const killFrom = 4000;
+const killUntil = 24_000;
+
+const createKiller = (kind: RequestKind, fields: Partial<Killer> = {}): Killer => ({
+	kind, name: `kill-${kind}`, perSecond: 3, from: killFrom, until: killUntil, parts: kind === 'model' ? ['a0', 'b1'] : [], ...fields,
+});
+
+const loadOf = (...killers: readonly Killer[]): Load => ({
+	routers: 4, soundPerSecond: 60, popularFraction: 0.5, plainFraction: 0.15, killers,
+});
+
+/** Time after the third crash from which hardly any of the repetitions may reach an endpoint. */
+const contactMs = 3000;
+const maxLateSends = 3;
+const minSoundFraction = 0.8;
+
+const countLate = ({sends, crashes}: Play, name: string): number => {
+	const third = crashes.filter(({cause}) => cause === name)[2]?.at ?? Number.POSITIVE_INFINITY;
+	return sends.filter(({killer, at, hasReached}) => killer === name && hasReached && at >= third + contactMs).length;
+};
+
+const read = createKiller('read');
+
+describe('a request that crashes each endpoint that runs it', () => {
+	test.each<[string, Load]>([
+		['a read', loadOf(read)],
+		['an act', loadOf(createKiller('act'))],
+		['a stream', loadOf(createKiller('stream'))],
+		['a model request', loadOf(createKiller('model'))],
+		['two reads', loadOf(read, createKiller('read', {name: 'other'}))],
+		['two model requests', loadOf(createKiller('model'), createKiller('model', {name: 'other', parts: ['a0', 'b2']}))],
+		['a read and a model request', loadOf(read, createKiller('model'))],
+		['once in two seconds', loadOf(createKiller('read', {perSecond: 0.5}))],
+		['every ten seconds', loadOf(createKiller('read', {perSecond: 0.1, until: 120_000}))],
+		['an act, every twenty seconds', loadOf(createKiller('act', {perSecond: 0.05, until: 300_000}))],
+		['in a flood', loadOf(createKiller('read', {perSecond: 30}))],
+		['at twelve routers', {...loadOf(read), routers: 12}],
+		['with four endpoints', {...loadOf(read), endpoints: 4}],
+		['a model request, with four endpoints', {...loadOf(createKiller('model')), endpoints: 4}],
+		['beside crashes for other reasons', {...loadOf(read), otherCrashEveryMs: 3000}],
+		['a model request, beside crashes for other reasons', {...loadOf(createKiller('model')), otherCrashEveryMs: 3000}],
+		['beside the end of a rack', {...loadOf(read), massCrashes: [{count: 4, at: killFrom + 100}]}],
+		['and a router restarts', {...loadOf(read), restartAt: 9000}],
+		['and all routers restart', {...loadOf(read), restartAllAt: 9000}],
+		['and all routers restart while the store is away', {
+			...loadOf(read), restartAllAt: 9000, storeAwayAt: 3000, storeAwayMs: 30_000,
+		}],
+		['and a router is cut off from the others', {...loadOf(read), cutAt: killFrom, cutMs: 3000}],
+		['and messages between routers are lost', {...loadOf(read), lostMessages: 0.2}],
+		['whose clients leave', loadOf(createKiller('read', {leavingFraction: 0.8}))],
+		['beside another part on which endpoints crash', {
+			...loadOf(createKiller('model')), poison: 'x', poisonPerSecond: 3, poisonFrom: killFrom, poisonUntil: killUntil,
+		}],
+	])('is soon kept from all endpoints, and sound requests keep theirs: %s', (_, load) => {
+		[1, 2, 3].forEach(seed => {
+			const until = Math.max(...load.killers!.map(killer => killer.until));
+			const play = playLoad(load, seed, until);
+			load.killers!.forEach(({name}) => {
+				expect(countLate(play, name), `seed ${seed}, ${name}`).toBeLessThanOrEqual(maxLateSends);
+			});
+			expect(play.changes.filter(({part}) => sharedParts.includes(part)), `seed ${seed}`).toEqual([]);
+			const before = computeBegunFraction(play, 0, killFrom);
+			expect(computeBegunFraction(play, killFrom, until), `seed ${seed}`).toBeGreaterThanOrEqual(before * minSoundFraction);
+		});
+	});
+});
--- a/src/in-flight/fingerprint.test.ts
+++ b/src/in-flight/fingerprint.test.ts
@@ -29,4 +29,13 @@
 	])('differs with %s', (_, other) => {
 		expect(other).not.toBe(fingerprint);
 	});
+
+	test('differs with another prompt if there is no body', () => {
+		const [a, b] = ['a', 'b'].map(id => computeFingerprint({
+			...head, modelRequest: {
+				model: 'm', promptTokens: 1, maxOutputTokens: 1, parts: [{id, tokens: 1}],
+			},
+		}, 'studio', undefined));
+		expect(a).not.toBe(b);
+	});
 });
