Blame a prompt part only for what no single request explains

Clients whose sound requests shared a part with one request that crashed endpoints were rejected: with that request coming again, all routers condemned its parts, and a quarter to a third of all sound requests got 503. One request that comes again has each of its parts in each of its crashes, and the guard did not know requests. And a part that had always been served was condemned as soon as nothing never-proven explained two crashes, although hardly any request with it could be served while most endpoints were down.

A crash now has the fingerprints of its requests as suspects beside their parts. A part is to blame only if it explains two crashes more than any request that has it; a part that was proven before must explain twice as many, while a hundred other outputs of its service are proven. Outputs count by service, so that reads no longer show that engines serve. A verdict is as old as its last crash, not as the judgement, so that a router that was cut off cannot condemn what others have seen served since.

--- a/src/edge/crashing-requests.test.ts
+++ b/src/edge/crashing-requests.test.ts
@@ -70,3 +70,21 @@
 		});
 	});
 });
+
+describe('the parts that a model request shares with sound ones are not condemned when endpoints crash on that request', () => {
+	const model = createKiller('model');
+
+	test.each<[string, Load]>([
+		['alone', loadOf(model)],
+		['beside another one', loadOf(model, createKiller('model', {name: 'other', parts: ['a0', 'b2']}))],
+		['beside a read', loadOf(model, read)],
+		['beside crashes for other reasons', {...loadOf(model), otherCrashEveryMs: 3000}],
+		['with four endpoints', {...loadOf(model), endpoints: 4}],
+		['and a router is cut off from the others', {...loadOf(model), cutAt: killFrom, cutMs: 6000}],
+		['among model requests only', {...loadOf(model), popularFraction: 0, plainFraction: 0}],
+	])('%s', (_, load) => {
+		[1, 2, 3, 4, 5, 6].forEach(seed => {
+			expect(playLoad(load, seed, killUntil).changes.filter(({part}) => part !== ''), `seed ${seed}`).toEqual([]);
+		});
+	});
+});
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -12,7 +12,7 @@
 import {decaySlowness, getIncarnation} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {updateKnownEndpoint, putRequest, rejectRequest} from './common.js';
-import {checkPoison, rejectPoison, tryCondemnedPart} from './poison.js';
+import {checkPoison, rejectPoison, startRequestTrial} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** Limit of prompt parts remembered per endpoint; above it the older half is evicted. */
@@ -165,7 +165,7 @@
 export const placeRequest = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const handlers: Readonly<{[Kind in PoisonDecision['kind']]: (decision: PoisonDecision & {kind: Kind}) => EdgeStep}> = {
 		send: () => placeSound(state, request, random, now),
-		try: ({part}) => placeSound(tryCondemnedPart(state, request, part), request, random, now),
+		try: ({suspect}) => placeSound(startRequestTrial(state, request, suspect), request, random, now),
 		reject: decision => rejectPoison(state, request, decision, now),
 	};
 	const decision = checkPoison(state, request, now);
--- a/src/edge/poison.test.ts
+++ b/src/edge/poison.test.ts
@@ -93,7 +93,7 @@
 
 	test('ends without requests that could test it', () => {
 		const {states} = playLoad({...poisonLoad, poisonUntil: 12_000}, 1, 140_000);
-		expect(states.every(({poison}) => poison.verdicts.isEmpty() && poison.crashes.isEmpty())).toBe(true);
+		expect(states.every(({poison}) => poison.verdicts.isEmpty() && poison.evidence.crashes.isEmpty())).toBe(true);
 	});
 
 	test('is tested by few requests of all routers while endpoints still crash', () => {
@@ -108,7 +108,7 @@
 	}, 1, 12_000);
 	expect(maxMessageBytes).toBeLessThan(8192);
 	states.forEach(({poison}) => {
-		expect(poison.crashes.size).toBeLessThanOrEqual(64);
-		expect(poison.unproven.length).toBeLessThanOrEqual(1024);
+		expect(poison.evidence.crashes.size).toBeLessThanOrEqual(64);
+		expect(poison.evidence.unproven.length).toBeLessThanOrEqual(1024);
 	});
 });
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -1,10 +1,14 @@
+import {Set} from 'immutable';
 import {createFault} from '../errors/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chainAll, keepState} from '../loop/step.js';
 import {
-	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, listSharedParts, mergePoisonNews, planVerdictSave, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, getSuspectId, getSuspectKind, listSuspects, mergePoisonNews, planVerdictSave,
+	recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+} from '../poison/index.js';
+import type {
+	PoisonDecision, PoisonNews, Suspect, VerdictChange,
 } from '../poison/index.js';
-import type {PoisonDecision, PoisonNews, VerdictChange} from '../poison/index.js';
 import {createLogEffect, rejectRequest} from './common.js';
 import type {EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -20,17 +24,18 @@
 */
 export const checkPoison = (state: EdgeState, request: InFlightRequest, now: number): PoisonDecision => state.poison.verdicts.isEmpty()
 	? {kind: 'send'}
-	: decidePoison(state.poison, {id: request.id, parts: listSharedParts(request.head.modelRequest)}, state.quota.router, state.liveRouters, now);
+	: decidePoison(state.poison.verdicts, {id: request.id, suspects: listSuspects(request)}, state.quota.router, state.liveRouters, now);
 
 /**
 Marks a request as the one that tests a verdict.
 
 @param state - The edge state.
 @param request - The request.
-@param part - The condemned part.
+@param suspect - What is condemned.
 @returns The new state.
 */
-export const tryCondemnedPart = (state: EdgeState, request: InFlightRequest, part: string): EdgeState => ({...state, poison: startTrial(state.poison, part, request.id)});
+export const startRequestTrial = (state: EdgeState, request: InFlightRequest, suspect: Suspect): EdgeState =>
+	({...state, poison: {...state.poison, verdicts: startTrial(state.poison.verdicts, suspect, request.id)}});
 
 /**
 Rejects a request with a condemned part.
@@ -41,8 +46,8 @@
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const rejectPoison = (state: EdgeState, request: InFlightRequest, {part, retryAfterMs}: PoisonDecision & {kind: 'reject'}, now: number): EdgeStep => {
-	const detail = `endpoints of service ${request.service} have crashed on prompt part ${part}`;
+export const rejectPoison = (state: EdgeState, request: InFlightRequest, {suspect, retryAfterMs}: PoisonDecision & {kind: 'reject'}, now: number): EdgeStep => {
+	const detail = `endpoints of service ${request.service} have crashed on prompt part ${getSuspectId(suspect)}`;
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('prompt-condemned', detail, Math.ceil(retryAfterMs / 1000)), now);
 };
 
@@ -56,7 +61,7 @@
 */
 export const recordRequestOutput = (state: EdgeState, request: InFlightRequest, now: number): EdgeState => request.sentTo === undefined
 	? state
-	: {...state, poison: recordOutput(state.poison, request.sentTo, listSharedParts(request.head.modelRequest), now)};
+	: {...state, poison: {...state.poison, evidence: recordOutput(state.poison.evidence, request.sentTo, listSuspects(request), now)}};
 
 /**
 Records that an endpoint has responded to a request.
@@ -67,7 +72,7 @@
 */
 export const recordEndpointResponse = (state: EdgeState, request: InFlightRequest): EdgeState => request.sentTo === undefined
 	? state
-	: {...state, poison: refuteCrash(state.poison, request.sentTo, request.sentAt)};
+	: {...state, poison: {...state.poison, evidence: refuteCrash(state.poison.evidence, request.sentTo, request.sentAt)}};
 
 /**
 Records that the connection of a request broke off at its endpoint.
@@ -84,15 +89,16 @@
 		return keepState(state);
 	}
 
-	const suspects = event.events === 0 ? listSharedParts(request.head.modelRequest) : listSharedParts(undefined);
+	const suspects = event.events === 0 ? listSuspects(request) : Set<Suspect>();
 	const poison = recordBreak(state.poison, {id: request.id, endpoint, suspects}, now);
 	const logged = createLogEffect('crash-suspected', {
-		endpoint: endpoint.id, call: request.head.key, fingerprint: request.fingerprint, parts: suspects.keySeq().join(' '),
+		endpoint: endpoint.id, call: request.head.key, fingerprint: request.fingerprint,
+		parts: suspects.filter(suspect => getSuspectKind(suspect) === 'part').map(part => getSuspectId(part)).join(' '),
 	});
 	return {state: {...state, poison}, effects: event.events === 0 ? [logged] : []};
 };
 
-const logChange = ({part, kind, crashes}: VerdictChange) => createLogEffect(`part-${kind}`, {part, crashes});
+const logChange = ({suspect, kind, crashes}: VerdictChange) => createLogEffect(`part-${kind}`, {part: getSuspectId(suspect), crashes});
 
 /**
 Reconsiders which parts are condemned.
@@ -153,7 +159,7 @@
 */
 export const receiveSavedVerdicts = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-read'}, now: number): EdgeStep => {
 	const {verdicts, faults} = decodeVerdicts(event.rows, event.storeTime);
-	const saved = state.verdictRows.saved.merge(verdicts.map(({part, ageMs}) => [part, now - ageMs] as const));
+	const saved = state.verdictRows.saved.merge(verdicts.map(({suspect, ageMs}) => [suspect, now - ageMs] as const));
 	const known = receivePoisonNews({...state, verdictRows: {...state.verdictRows, saved}}, {crashes: [], proven: [], verdicts}, 'store', now);
 	return {
 		state: known.state,
@@ -191,9 +197,9 @@
 */
 export const receivePoisonNews = (state: EdgeState, news: PoisonNews, source: 'peer' | 'store', now: number): EdgeStep => {
 	const poison = mergePoisonNews(state.poison, news, now);
-	const condemned = poison.verdicts.keySeq().toArray().filter(part => !state.poison.verdicts.has(part));
+	const condemned = poison.verdicts.keySeq().toArray().filter(suspect => !state.poison.verdicts.has(suspect));
 	return {
 		state: {...state, poison},
-		effects: condemned.map(part => createLogEffect('part-condemned', {part, source})),
+		effects: condemned.map(suspect => createLogEffect('part-condemned', {part: getSuspectId(suspect), source})),
 	};
 };
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -42,11 +42,11 @@
 	limits: z.array(z.tuple([z.string(), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().optional()])).default([]),
 	/** The endpoints that have stated to the sender that they are leaving. Older routers send neither these nor what follows. */
 	leaving: z.array(incarnationSchema).default([]),
-	/** Endpoint, age in ms, whether it is refuted, and suspected parts with their positions in the prompt. */
+	/** Endpoint, age in ms, whether it is refuted, and suspects, each with a number that only older routers read. */
 	crashes: z.array(z.tuple([incarnationSchema, z.number().nonnegative(), z.boolean(), z.array(z.tuple([z.string(), z.number().nonnegative()]))])).default([]),
-	/** Suspected part, and age of its last proven output in ms. */
+	/** Suspect, and age of its last proven output in ms. */
 	proven: z.array(z.tuple([z.string(), z.number().nonnegative()])).default([]),
-	/** Condemned part, age and remaining time of the verdict in ms, and strikes. */
+	/** Condemned suspect, age and remaining time of the verdict in ms, and strikes. */
 	verdicts: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number(), z.number().int().nonnegative()])).default([]),
 });
 
@@ -58,25 +58,25 @@
 	limits: ReadonlyArray<Readonly<{endpoint: string; startedAt: number | undefined; requestsPerSecond: number | undefined; ageMs: number}>>;
 	/** Endpoints that have stated to the peer that they are leaving. */
 	leaving: readonly Incarnation[];
-	/** Prompt parts on which endpoints crash. */
+	/** Requests and prompt parts on which endpoints crash. */
 	poison: PoisonNews;
 }>;
 
 type EncodedPoison = Pick<z.infer<typeof messageSchema>, 'crashes' | 'proven' | 'verdicts'>;
 
 const encodePoison = ({crashes, proven, verdicts}: PoisonNews): EncodedPoison => ({
-	crashes: crashes.map(({endpoint, ageMs, isRefuted, suspects}) => [encodeIncarnation(endpoint), ageMs, isRefuted, suspects.map(([part, position]) => [part, position])]),
-	proven: proven.map(({part, ageMs}) => [part, ageMs]),
-	verdicts: verdicts.map(({part, ageMs, remainingMs, strikes}) => [part, ageMs, remainingMs, strikes]),
+	crashes: crashes.map(({endpoint, ageMs, isRefuted, suspects}) => [encodeIncarnation(endpoint), ageMs, isRefuted, suspects.map(suspect => [suspect, 0])]),
+	proven: proven.map(({suspect, ageMs}) => [suspect, ageMs]),
+	verdicts: verdicts.map(({suspect, ageMs, remainingMs, strikes}) => [suspect, ageMs, remainingMs, strikes]),
 });
 
 const decodePoison = ({crashes, proven, verdicts}: EncodedPoison): PoisonNews => ({
 	crashes: crashes.map(([endpoint, ageMs, isRefuted, suspects]) => ({
-		endpoint: decodeIncarnation(endpoint), ageMs, isRefuted, suspects,
+		endpoint: decodeIncarnation(endpoint), ageMs, isRefuted, suspects: suspects.map(([suspect]) => suspect),
 	})),
-	proven: proven.map(([part, ageMs]) => ({part, ageMs})),
-	verdicts: verdicts.map(([part, ageMs, remainingMs, strikes]) => ({
-		part, ageMs, remainingMs, strikes,
+	proven: proven.map(([suspect, ageMs]) => ({suspect, ageMs})),
+	verdicts: verdicts.map(([suspect, ageMs, remainingMs, strikes]) => ({
+		suspect, ageMs, remainingMs, strikes,
 	})),
 });
 
@@ -85,7 +85,7 @@
 
 @param router - The router's id.
 @param registry - The endpoints known to the router.
-@param poison - What the router knows of prompt parts on which endpoints crash; undefined if that is not due.
+@param poison - What the router knows of requests and prompt parts on which endpoints crash; undefined if that is not due.
 @param now - The current time in ms.
 @returns The message.
 */
--- a/src/poison/index.ts
+++ b/src/poison/index.ts
@@ -1,10 +1,13 @@
-export {
-	createPoisonGuard, decidePoison, hasPoisonNews, listPoisonNews, listSharedParts, mergePoisonNews, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
-} from './poison.js';
-export type {
-	PoisonDecision, PoisonGuard, PoisonNews, SharedParts, VerdictChange,
-} from './poison.js';
+export {recordOutput, refuteCrash} from './evidence.js';
+export {hasPoisonNews, listPoisonNews, mergePoisonNews} from './news.js';
+export type {PoisonNews} from './news.js';
+export {createPoisonGuard, recordBreak, tickPoisonGuard} from './poison.js';
+export type {PoisonGuard, VerdictChange} from './poison.js';
 export {
 	completeVerdictSave, createVerdictRows, decodeVerdicts, planVerdictSave, verdictTable,
 } from './rows.js';
 export type {VerdictRows} from './rows.js';
+export {getSuspectId, getSuspectKind, listSuspects} from './suspects.js';
+export type {Suspect, Suspects} from './suspects.js';
+export {decidePoison, startTrial} from './verdicts.js';
+export type {PoisonDecision} from './verdicts.js';
--- /dev/null
+++ b/src/poison/judge.ts
@@ -0,0 +1,145 @@
+import {countOutputs, getProvenAt, isCleared} from './evidence.js';
+import type {Crash, Evidence} from './evidence.js';
+import {getSuspectKind} from './suspects.js';
+import type {Suspect, SuspectKind} from './suspects.js';
+
+/** A suspect and the crashes that it may explain: it is in them, and had no proven output since. */
+type Suspicion = Readonly<{
+	suspect: Suspect;
+	kind: SuspectKind;
+	/** In the order of time. */
+	crashes: readonly Crash[];
+	/** True if it has had a proven output at any time. */
+	wasProven: boolean;
+}>;
+
+/** A suspect that is to be condemned, the number of its crashes, and the time of the last one in ms. */
+export type Finding = Readonly<{suspect: Suspect; crashes: number; lastAt: number}>;
+
+/** Time after a crash within which a response of the endpoint may still refute it. */
+const settleMs = 300;
+
+/** Crashes within this time count as one moment, because a rack or a release may end several endpoints at once. */
+const momentMs = 250;
+
+/** Time after its first crash before a part is condemned: the output of sound requests clears it by then. */
+const minSpanMs = 1000;
+
+/**
+Signs since the first crash that other requests are served, without which a part is not condemned: outputs
+of this router, or other suspects that have been cleared at any router.
+*/
+const minOtherOutputs = 10;
+const minOtherCleared = 2;
+
+/** The same for a part that was proven before, which most of its requests are likely to prove again. */
+const minOtherOutputsOnceProven = 100;
+
+/**
+Evidence that suffices against a part: the number of crashes and of their moments, and the fraction of all crashes
+since the first one that the part explains. A request and its retry are two crashes at one moment.
+*/
+const thresholds = [
+	{crashes: 4, moments: 4, fraction: 0.5},
+	{crashes: 5, moments: 2, fraction: 0.5},
+	{crashes: 8, moments: 8, fraction: 0.2},
+] as const;
+
+/** Crashes that a part must explain beyond those of any single request that has it. */
+const minCrashesOfOtherRequests = 2;
+
+/** Number of crashes from which parts that explain the same ones are condemned together. */
+const minCrashesWithoutWinner = 7;
+
+/** Number of crashes from which a part without any proven output is a better explanation than parts with some. */
+const minCrashesOfExplanation = 2;
+
+/** Fewest crashes with which anything is condemned. */
+const minCrashes = Math.min(...thresholds.map(({crashes}) => crashes));
+
+/** Counts the moments at which endpoints crashed; `crashes` are in the order of time. */
+const countMoments = (crashes: readonly Crash[]): number => crashes.reduce<{count: number; last: number}>(
+	({count, last}, {at}) => at - last >= momentMs ? {count: count + 1, last: at} : {count, last},
+	{count: 0, last: Number.NEGATIVE_INFINITY},
+).count;
+
+const listSuspicions = (evidence: Evidence, crashes: readonly Crash[]): readonly Suspicion[] => {
+	const bySuspect = new Map<Suspect, Crash[]>();
+	crashes.forEach(crash => {
+		crash.suspects.forEach(suspect => {
+			if (!isCleared(evidence, suspect, crash.at)) {
+				bySuspect.set(suspect, [...bySuspect.get(suspect) ?? [], crash]);
+			}
+		});
+	});
+	return [...bySuspect].filter(([, each]) => each.length >= minCrashesOfExplanation).map(([suspect, each]) => ({
+		suspect, kind: getSuspectKind(suspect), crashes: each, wasProven: getProvenAt(evidence, suspect) !== undefined,
+	}));
+};
+
+/** Counts the crashes of a part that the request explains which is in most of them. A request that was proven before explains none. */
+const countExplainedByRequest = (part: Suspicion, requests: readonly Suspicion[]): number =>
+	Math.max(1, ...requests.filter(({wasProven}) => !wasProven).map(({crashes}) => part.crashes.filter(crash => crashes.includes(crash)).length));
+
+/** Tells whether requests without a part have been served since its first crash. */
+const hasServedOthers = (evidence: Evidence, {suspect, crashes, wasProven}: Suspicion): boolean => {
+	const [first] = crashes;
+	if (first === undefined) {
+		return false;
+	}
+
+	const outputs = countOutputs(evidence, first.endpoint.service) - first.outputsBefore;
+	const countCleared = () => new Set(crashes.flatMap(crash => crash.suspects.toArray().filter(each => each !== suspect && isCleared(evidence, each, first.at)))).size;
+	return wasProven ? outputs >= minOtherOutputsOnceProven : outputs >= minOtherOutputs || countCleared() >= minOtherCleared;
+};
+
+/** Computes the fraction of the crashes of a service, since the first one of a suspect, that the suspect explains. */
+const computeFraction = ({crashes}: Suspicion, all: readonly Crash[]): number => {
+	const [first] = crashes;
+	return first === undefined ? 0 : crashes.length / all.filter(({at, endpoint}) => at >= first.at && endpoint.service === first.endpoint.service).length;
+};
+
+const isSufficient = (evidence: Evidence, part: Suspicion, all: readonly Crash[], requests: readonly Suspicion[], now: number): boolean => {
+	const moments = countMoments(part.crashes);
+	const fraction = computeFraction(part, all);
+	const explained = countExplainedByRequest(part, requests);
+	return now - (part.crashes[0]?.at ?? now) >= minSpanMs
+		&& thresholds.some(threshold => part.crashes.length >= threshold.crashes && moments >= threshold.moments && fraction >= threshold.fraction)
+		&& part.crashes.length >= Math.max(explained + minCrashesOfOtherRequests, part.wasProven ? 2 * explained : 0)
+		&& hasServedOthers(evidence, part);
+};
+
+/** Picks the parts that explain the most crashes: one, or several that cannot be told apart. */
+const pickParts = (parts: readonly Suspicion[], canCondemn: (part: Suspicion) => boolean): readonly Suspicion[] => {
+	const most = Math.max(0, ...parts.map(({crashes}) => crashes.length));
+	const winners = parts.filter(({crashes}) => crashes.length === most);
+	return winners.length === 1 || most >= minCrashesWithoutWinner ? winners.filter(part => canCondemn(part)) : [];
+};
+
+/**
+Finds what endpoints crash on.
+
+A part is to blame only if it explains clearly more crashes than any request that has it: one request that comes
+again has all its parts in all its crashes. Parts without any proven output come first: while few requests are
+served, those that sound requests share are in as many crashes.
+
+@param evidence - The evidence.
+@param condemned - The suspects that are condemned already. What they explain is no evidence against others.
+@param now - The current time in ms.
+@returns The suspects to condemn.
+*/
+export const findCauses = (evidence: Evidence, condemned: ReadonlySet<Suspect>, now: number): readonly Finding[] => {
+	const crashes = evidence.crashes.valueSeq().toArray()
+		.filter(crash => !crash.isRefuted && now - crash.at >= settleMs && !crash.suspects.some(suspect => condemned.has(suspect)))
+		.toSorted((a, b) => a.at - b.at);
+	if (crashes.length < minCrashes) {
+		return [];
+	}
+
+	const suspicions = listSuspicions(evidence, crashes);
+	const requests = suspicions.filter(({kind}) => kind === 'request');
+	const parts = suspicions.filter(({kind}) => kind === 'part');
+	const neverProven = parts.filter(({wasProven}) => !wasProven);
+	return pickParts(neverProven.length > 0 ? neverProven : parts, part => isSufficient(evidence, part, crashes, requests, now))
+		.map(({suspect, crashes: explained}) => ({suspect, crashes: explained.length, lastAt: explained.at(-1)?.at ?? now}));
+};
--- a/src/poison/rows.test.ts
+++ b/src/poison/rows.test.ts
@@ -42,7 +42,7 @@
 	test('are read with their ages', () => {
 		expect(decodeVerdicts([createRow('{"at":1005,"until":1025,"strikes":2}')], 1015)).toEqual({
 			verdicts: [{
-				part: 'x', ageMs: 10, remainingMs: 10, strikes: 2,
+				suspect: 'x', ageMs: 10, remainingMs: 10, strikes: 2,
 			}], faults: [],
 		});
 	});
--- a/src/poison/rows.ts
+++ b/src/poison/rows.ts
@@ -1,11 +1,13 @@
+import {Buffer} from 'node:buffer';
 import {Map} from 'immutable';
 import {z} from 'zod';
 import {createValidationFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import type {StoredRow, StoreWrite} from '../store/index.js';
-import type {PoisonGuard, PoisonNews} from './poison.js';
+import type {PoisonNews} from './news.js';
+import type {PoisonGuard} from './poison.js';
 
-/** Table of the verdicts, by part, so that they outlast all processes. */
+/** Table of the verdicts, by suspect, so that they outlast all processes. */
 export const verdictTable = 'verdicts';
 
 /** The rows of verdicts that this router has written or read. Times in ms. */
@@ -48,8 +50,8 @@
 		return {rows, writes: []};
 	}
 
-	const added = guard.verdicts.filter((verdict, part) => verdict.isOwn && verdict.at !== rows.saved.get(part) && part.length <= maxKeyBytes);
-	const removed = rows.saved.filter((_, part) => !guard.verdicts.has(part));
+	const added = guard.verdicts.filter((verdict, suspect) => verdict.isOwn && verdict.at !== rows.saved.get(suspect) && Buffer.byteLength(suspect) <= maxKeyBytes);
+	const removed = rows.saved.filter((_, suspect) => !guard.verdicts.has(suspect));
 	const writes: readonly StoreWrite[] = [
 		...added.entrySeq().toArray().map(([key, {at, until, strikes}]) => ({
 			table: verdictTable, key, version: undefined, value: JSON.stringify({at: Math.round(at + storeTimeOffset), until: Math.round(until + storeTimeOffset), strikes}),
@@ -92,11 +94,11 @@
 @returns The verdicts, and a fault that names the field for each row that cannot be read.
 */
 export const decodeVerdicts = (rows: readonly StoredRow[], storeTime: number): Readonly<{verdicts: PoisonNews['verdicts']; faults: readonly string[]}> => {
-	const decoded = rows.map(row => ({part: row.key, verdict: decodeVerdict(row)}));
+	const decoded = rows.map(row => ({suspect: row.key, verdict: decodeVerdict(row)}));
 	return {
-		verdicts: decoded.flatMap(({part, verdict}) => verdict.ok
+		verdicts: decoded.flatMap(({suspect, verdict}) => verdict.ok
 			? [{
-				part, ageMs: Math.max(0, storeTime - verdict.val.at), remainingMs: verdict.val.until - storeTime, strikes: verdict.val.strikes,
+				suspect, ageMs: Math.max(0, storeTime - verdict.val.at), remainingMs: verdict.val.until - storeTime, strikes: verdict.val.strikes,
 			}]
 			: []),
 		faults: decoded.flatMap(({verdict}) => verdict.err ? [verdict.val.detail] : []),
