Condemn a request on which endpoints crash when it comes again

Callers of a service saw it go away every few seconds: a read came again and again, each time with another id and at another router, was sent to two endpoints, and each ended under it. All four endpoints of the service ended within 0.3 s, and again half a second after they were back. 181 of 253 acts and 58 of 80 reads were refused meanwhile. Nothing identified the request.

Routers now blame a request, by its fingerprint, for the crashes that it explains best: from three on, with no proven output of it since. If another request explains as much, or if the crashes may be one event, or if it was sound before, one request of all routers tests the verdict at once; otherwise after 30 s. A crash during the test extends it to four times as long, a proven output lifts it. Verdicts and evidence travel as those on prompt parts do, now with the next message; a router tells when it tests. Evidence is kept for ten minutes, since a request may come seldom; that verdicts and evidence are forgotten is tested per kind now.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -12,7 +12,9 @@
 } from './common.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
-import {recordEndpointResponse, recordRequestOutput} from './poison.js';
+import {
+	recordEndpointResponse, recordRequestAbandonment, recordRequestError, recordRequestOutput,
+} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** Weight of the latest attempt in the moving average of failures. */
@@ -106,7 +108,7 @@
 
 const deliverResponse = (state: EdgeState, request: InFlightRequest, head: ResponseHead, now: number): EdgeStep => {
 	const result = recordResult(state, request, head.status >= 500 ? 'failed' : 'good', now);
-	const recorded = head.status < 300 ? recordRequestOutput(result, request, now) : result;
+	const recorded = (head.status < 300 ? recordRequestOutput : recordRequestError)(result, request, now);
 	const ended = endRequest(recorded, request, {outcome: head.status < 400 ? 'answered' : 'endpoint-error', status: head.status, events: 0}, now);
 	return {state: ended.state, effects: [{kind: 'deliver', call: request.id}, ...ended.effects]};
 };
@@ -118,7 +120,7 @@
 		return deliverResponse(state, request, head, now);
 	}
 
-	const closed = recordResult(closeAttempt(state, request), request, 'failed', now);
+	const closed = recordResult(closeAttempt(recordRequestError(state, request, now), request), request, 'failed', now);
 	const fault = createFault('endpoint-failed', `endpoint ${request.triedEndpoints.at(-1) ?? ''} responded with status ${head.status}`);
 	return retryRequest(closed, {...request, phase: 'queued', hasPossiblyRun: true}, {
 		hasReachedEndpoint: true, fault, random, now,
@@ -283,11 +285,12 @@
 		return keepState(state);
 	}
 
+	const recorded = recordRequestAbandonment(state, request, now);
 	if (request.phase === 'sent' && request.reserved > 0 && !request.hasPossiblyRun) {
-		return {state: putRequest(state, {...request, phase: 'leaving', phaseAt: now}), effects: [{kind: 'withdraw', call: request.id}]};
+		return {state: putRequest(recorded, {...request, phase: 'leaving', phaseAt: now}), effects: [{kind: 'withdraw', call: request.id}]};
 	}
 
-	const ended = endDisconnectedRequest(state, request, event.events, now);
+	const ended = endDisconnectedRequest(recorded, request, event.events, now);
 	return {state: ended.state, effects: [{kind: 'abort', call: request.id}, ...ended.effects]};
 });
 
@@ -327,5 +330,5 @@
 	const fault = canHaveRun(request)
 		? createFault('deadline', `no response within ${Math.round(now - request.arrivedAt)} ms`)
 		: createFault('overloaded', 'no endpoint was available before the deadline', suggestRetryAfter(request.expiresAt - now, random));
-	return rejectRequest(state, request, fault, now);
+	return rejectRequest(recordRequestAbandonment(state, request, now), request, fault, now);
 };
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -61,7 +61,7 @@
 /** Interval of load messages to peers: about the time in which an engine processes one long prompt. */
 const gossipIntervalMs = 80;
 
-/** Interval at which these messages also tell of crashes, which takes far more bytes. */
+/** Interval at which these messages also tell of crashes, which takes far more bytes. The next one does if there is news. */
 const poisonIntervalMs = 400;
 
 /** Limit of peers that receive load messages, so that traffic per router does not grow with the fleet. The choice is stable while the peers are alive. */
@@ -79,11 +79,11 @@
 		.toSorted((a, b) => hashText(`${state.quota.router}/${a}`) - hashText(`${state.quota.router}/${b}`))
 		.slice(0, maxGossipPeers);
 	const peers = removeStalePeers(state.peers, now);
-	const isPoisonDue = now - state.poisonToldAt >= poisonIntervalMs && hasPoisonNews(state.poison);
+	const isPoisonDue = (state.isPoisonNewsUrgent || now - state.poisonToldAt >= poisonIntervalMs) && hasPoisonNews(state.poison);
 	const message = encodeLoads(state.quota.router, state.registry, isPoisonDue ? listPoisonNews(state.poison, now) : undefined, now);
 	return {
 		state: {
-			...state, gossipSentAt: now, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, peers, peerLoadTotals: sumLoads(peers),
+			...state, gossipSentAt: now, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, isPoisonNewsUrgent: false, peers, peerLoadTotals: sumLoads(peers),
 		},
 		effects: [{kind: 'tell-peers', addresses, message}],
 	};
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -1,20 +1,37 @@
 import {Set} from 'immutable';
 import {createFault} from '../errors/index.js';
+import type {ErrorKind} from '../errors/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
+import type {Fields} from '../log/index.js';
 import {chainAll, keepState} from '../loop/step.js';
 import {
 	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, getSuspectId, getSuspectKind, listSuspects, mergePoisonNews, planVerdictSave,
-	recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+	recordAbandonment, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
 } from '../poison/index.js';
 import type {
-	PoisonDecision, PoisonNews, Suspect, VerdictChange,
+	PoisonDecision, PoisonNews, Suspect, SuspectKind, Suspects, VerdictChange,
 } from '../poison/index.js';
 import {createLogEffect, rejectRequest} from './common.js';
-import type {EdgeEvent} from './messages.js';
+import type {EdgeEffect, EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
+/** How each kind of suspect is named: in errors, and in the log the event and the field of its id. */
+const suspectNames = {
+	request: {
+		errorKind: 'request-condemned', name: 'request', event: 'request', field: 'fingerprint',
+	},
+	part: {
+		errorKind: 'prompt-condemned', name: 'prompt part', event: 'part', field: 'part',
+	},
+} as const satisfies Readonly<Record<SuspectKind, Readonly<{errorKind: ErrorKind; name: string; event: string; field: string}>>>;
+
+const logVerdict = (suspect: Suspect, change: VerdictChange['kind'], fields: Fields): EdgeEffect => {
+	const {event, field} = suspectNames[getSuspectKind(suspect)];
+	return createLogEffect(`${event}-${change}`, {[field]: getSuspectId(suspect), ...fields});
+};
+
 /**
-Decides whether a request is sent, rejected because endpoints crash on a part of its prompt,
+Decides whether a request is sent, rejected because endpoints crash on it or on a part of its prompt,
 or sent to find out whether they still do.
 
 @param state - The edge state.
@@ -35,10 +52,10 @@
 @returns The new state.
 */
 export const startRequestTrial = (state: EdgeState, request: InFlightRequest, suspect: Suspect): EdgeState =>
-	({...state, poison: {...state.poison, verdicts: startTrial(state.poison.verdicts, suspect, request.id)}});
+	({...state, isPoisonNewsUrgent: true, poison: {...state.poison, verdicts: startTrial(state.poison.verdicts, suspect, request.id)}});
 
 /**
-Rejects a request with a condemned part.
+Rejects a request that is condemned, or has a condemned part.
 
 @param state - The edge state.
 @param request - The request.
@@ -47,10 +64,15 @@
 @returns The new state and the effects.
 */
 export const rejectPoison = (state: EdgeState, request: InFlightRequest, {suspect, retryAfterMs}: PoisonDecision & {kind: 'reject'}, now: number): EdgeStep => {
-	const detail = `endpoints of service ${request.service} have crashed on prompt part ${getSuspectId(suspect)}`;
-	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('prompt-condemned', detail, Math.ceil(retryAfterMs / 1000)), now);
+	const {errorKind, name} = suspectNames[getSuspectKind(suspect)];
+	const detail = `endpoints of service ${request.service} have crashed on ${name} ${getSuspectId(suspect)}`;
+	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault(errorKind, detail, Math.ceil(retryAfterMs / 1000)), now);
 };
 
+const recordSuspects = (state: EdgeState, request: InFlightRequest, record: typeof recordOutput, suspects: Suspects, now: number): EdgeState => request.sentTo === undefined
+	? state
+	: {...state, poison: {...state.poison, evidence: record(state.poison.evidence, request.sentTo, suspects, now)}};
+
 /**
 Records the first output of a request.
 
@@ -59,9 +81,32 @@
 @param now - The current time in ms.
 @returns The new state.
 */
-export const recordRequestOutput = (state: EdgeState, request: InFlightRequest, now: number): EdgeState => request.sentTo === undefined
-	? state
-	: {...state, poison: {...state.poison, evidence: recordOutput(state.poison.evidence, request.sentTo, listSuspects(request), now)}};
+export const recordRequestOutput = (state: EdgeState, request: InFlightRequest, now: number): EdgeState =>
+	recordSuspects(state, request, recordOutput, listSuspects(request), now);
+
+/**
+Records that a request was answered with an error by its endpoint. This says nothing of the prompt, on which the endpoint may not have begun.
+
+@param state - The edge state.
+@param request - The request.
+@param now - The current time in ms.
+@returns The new state.
+*/
+export const recordRequestError = (state: EdgeState, request: InFlightRequest, now: number): EdgeState =>
+	recordSuspects(state, request, recordOutput, listSuspects(request).filter(suspect => getSuspectKind(suspect) === 'request'), now);
+
+/**
+Records that a request without output is given up, because its client has disconnected or its deadline has passed.
+
+@param state - The edge state.
+@param request - The request.
+@param now - The current time in ms.
+@returns The new state.
+*/
+export const recordRequestAbandonment = (state: EdgeState, request: InFlightRequest, now: number): EdgeState =>
+	request.phase === 'sent' || (request.phase === 'streaming' && request.firstEventAt === undefined)
+		? recordSuspects(state, request, recordAbandonment, listSuspects(request), now)
+		: state;
 
 /**
 Records that an endpoint has responded to a request.
@@ -95,21 +140,21 @@
 		endpoint: endpoint.id, call: request.head.key, fingerprint: request.fingerprint,
 		parts: suspects.filter(suspect => getSuspectKind(suspect) === 'part').map(part => getSuspectId(part)).join(' '),
 	});
-	return {state: {...state, poison}, effects: event.events === 0 ? [logged] : []};
+	return {state: {...state, poison, isPoisonNewsUrgent: true}, effects: event.events === 0 ? [logged] : []};
 };
 
-const logChange = ({suspect, kind, crashes}: VerdictChange) => createLogEffect(`part-${kind}`, {part: getSuspectId(suspect), crashes});
+const logChange = ({suspect, kind, crashes, strikes}: VerdictChange) => logVerdict(suspect, kind, {crashes, strikes});
 
 /**
-Reconsiders which parts are condemned.
+Reconsiders what is condemned.
 
 @param state - The edge state.
 @param now - The current time in ms.
-@returns The new state, and effects that log each change; waiting requests with a condemned part are rejected.
+@returns The new state, and effects that log each change.
 */
 export const updateVerdicts = (state: EdgeState, now: number): EdgeStep => {
 	const {guard, changes} = tickPoisonGuard(state.poison, request => state.requests.has(request), now);
-	const updated: EdgeState = {...state, poison: guard};
+	const updated: EdgeState = {...state, poison: guard, isPoisonNewsUrgent: state.isPoisonNewsUrgent || changes.length > 0};
 	return {state: updated, effects: changes.map(change => logChange(change))};
 };
 
@@ -160,7 +205,9 @@
 export const receiveSavedVerdicts = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-read'}, now: number): EdgeStep => {
 	const {verdicts, faults} = decodeVerdicts(event.rows, event.storeTime);
 	const saved = state.verdictRows.saved.merge(verdicts.map(({suspect, ageMs}) => [suspect, now - ageMs] as const));
-	const known = receivePoisonNews({...state, verdictRows: {...state.verdictRows, saved}}, {crashes: [], proven: [], verdicts}, 'store', now);
+	const known = receivePoisonNews({...state, verdictRows: {...state.verdictRows, saved}}, {
+		crashes: [], proven: [], verdicts, trials: [],
+	}, 'store', now);
 	return {
 		state: known.state,
 		effects: [
@@ -173,7 +220,7 @@
 };
 
 /**
-Rejects the waiting requests with a condemned part.
+Rejects the waiting requests that are condemned, or have a condemned part.
 
 @param state - The edge state.
 @param now - The current time in ms.
@@ -187,7 +234,7 @@
 	});
 
 /**
-Adds what a peer or the store knows of crashes and condemned parts.
+Adds what a peer or the store knows of crashes and verdicts.
 
 @param state - The edge state.
 @param news - What it knows.
@@ -200,6 +247,6 @@
 	const condemned = poison.verdicts.keySeq().toArray().filter(suspect => !state.poison.verdicts.has(suspect));
 	return {
 		state: {...state, poison},
-		effects: condemned.map(suspect => createLogEffect('part-condemned', {part: getSuspectId(suspect), source})),
+		effects: condemned.map(suspect => logVerdict(suspect, 'condemned', {source})),
 	};
 };
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -45,8 +45,9 @@
 	liveRouters: readonly string[];
 	/** Time of the last load message to peers, in ms. */
 	gossipSentAt: number;
-	/** Time of the last such message that told of crashes, in ms. */
+	/** Time of the last such message that told of crashes, in ms, and whether the next one must. */
 	poisonToldAt: number;
+	isPoisonNewsUrgent: boolean;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
 	endpointsCheckedAt: number;
 	isStopping: boolean;
@@ -94,6 +95,7 @@
 	liveRouters: [options.router],
 	gossipSentAt: 0,
 	poisonToldAt: 0,
+	isPoisonNewsUrgent: false,
 	endpointsCheckedAt: 0,
 	isStopping: false,
 });
--- a/src/errors/kinds.ts
+++ b/src/errors/kinds.ts
@@ -55,6 +55,9 @@
 	'stream-not-resumable': {
 		status: 503, title: 'The stream cannot go on where it was begun', outcome: 'not-run', retryAfter: 1,
 	},
+	'request-condemned': {
+		status: 503, title: 'Endpoints have crashed on this request', outcome: 'not-run', retryAfter: 20,
+	},
 	'prompt-condemned': {
 		status: 503, title: 'Endpoints have crashed on a part of the prompt', outcome: 'not-run', retryAfter: 20,
 	},
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -48,6 +48,8 @@
 	proven: z.array(z.tuple([z.string(), z.number().nonnegative()])).default([]),
 	/** Condemned suspect, age and remaining time of the verdict in ms, and strikes. */
 	verdicts: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number(), z.number().int().nonnegative()])).default([]),
+	/** Suspects whose verdicts a request of the sender tests. Older routers do not send them. */
+	trials: z.array(z.string()).default([]),
 });
 
 /** What a peer reports of the endpoints. */
@@ -62,15 +64,16 @@
 	poison: PoisonNews;
 }>;
 
-type EncodedPoison = Pick<z.infer<typeof messageSchema>, 'crashes' | 'proven' | 'verdicts'>;
+type EncodedPoison = Pick<z.infer<typeof messageSchema>, 'crashes' | 'proven' | 'verdicts' | 'trials'>;
 
-const encodePoison = ({crashes, proven, verdicts}: PoisonNews): EncodedPoison => ({
+const encodePoison = ({crashes, proven, verdicts, trials}: PoisonNews): EncodedPoison => ({
 	crashes: crashes.map(({endpoint, ageMs, isRefuted, suspects}) => [encodeIncarnation(endpoint), ageMs, isRefuted, suspects.map(suspect => [suspect, 0])]),
 	proven: proven.map(({suspect, ageMs}) => [suspect, ageMs]),
 	verdicts: verdicts.map(({suspect, ageMs, remainingMs, strikes}) => [suspect, ageMs, remainingMs, strikes]),
+	trials: [...trials],
 });
 
-const decodePoison = ({crashes, proven, verdicts}: EncodedPoison): PoisonNews => ({
+const decodePoison = ({crashes, proven, verdicts, trials}: EncodedPoison): PoisonNews => ({
 	crashes: crashes.map(([endpoint, ageMs, isRefuted, suspects]) => ({
 		endpoint: decodeIncarnation(endpoint), ageMs, isRefuted, suspects: suspects.map(([suspect]) => suspect),
 	})),
@@ -78,6 +81,7 @@
 	verdicts: verdicts.map(([suspect, ageMs, remainingMs, strikes]) => ({
 		suspect, ageMs, remainingMs, strikes,
 	})),
+	trials,
 });
 
 /**
--- a/src/poison/evidence.ts
+++ b/src/poison/evidence.ts
@@ -16,26 +16,33 @@
 	outputsBefore: number;
 }>;
 
-/** An output that proves its suspects sound once its endpoint has survived it for a while. */
-type Output = Readonly<{endpoint: Incarnation; suspects: Suspects; at: number}>;
+/** A run of a request at an endpoint that may still crash on it. */
+type Run = Readonly<{
+	endpoint: Incarnation;
+	suspects: Suspects;
+	/** When it gave its first output, or was abandoned, in ms. */
+	at: number;
+	/** True for an output, which proves the suspects sound once the endpoint has survived it for a while. */
+	isOutput: boolean;
+}>;
 
 /** What a router has seen and heard of crashes and of outputs. */
 export type Evidence = Readonly<{
 	/** Crashes by incarnation, the latest ones last. */
 	crashes: OrderedMap<string, Crash>;
-	/** Outputs that are not proven yet, oldest first. */
-	unproven: readonly Output[];
+	/** Runs of which nothing is proven yet, oldest first. */
+	unproven: readonly Run[];
 	/** Time of the last proven output by suspect, the latest ones last. */
 	provenAt: Readonly<Record<SuspectKind, OrderedMap<Suspect, number>>>;
 	/** Number of proven outputs at this router, by service. */
 	outputCounts: Map<string, number>;
 }>;
 
-/** Time that an endpoint must survive an output. An endpoint may write a few events before it crashes. */
+/** Time that an endpoint must survive a run. It may write a few events before it crashes. */
 const probationMs = 500;
 
 /** Time for which a crash counts. */
-const crashTtlMs = 120_000;
+const crashTtlMs = 600_000;
 
 /** Limits of the state. */
 const maxCrashes = 64;
@@ -95,17 +102,33 @@
 	return proofs.length === 0 ? evidence : {...evidence, provenAt: {request: add('request'), part: add('part')}};
 };
 
+const recordRun = (evidence: Evidence, run: Run): Evidence => ({...evidence, unproven: [...evidence.unproven, run].slice(-maxUnproven)});
+
 /**
 Records the first output of a request.
 
 @param evidence - The evidence.
 @param endpoint - The endpoint that gave it.
+@param suspects - The suspects of the request that the output speaks for.
+@param now - The current time in ms.
+@returns The evidence.
+*/
+export const recordOutput = (evidence: Evidence, endpoint: Incarnation, suspects: Suspects, now: number): Evidence => recordRun(evidence, {
+	endpoint, suspects, at: now, isOutput: true,
+});
+
+/**
+Records that a request without output was abandoned. Its endpoint may crash on it nevertheless.
+
+@param evidence - The evidence.
+@param endpoint - Its endpoint.
 @param suspects - The suspects of the request.
 @param now - The current time in ms.
 @returns The evidence.
 */
-export const recordOutput = (evidence: Evidence, endpoint: Incarnation, suspects: Suspects, now: number): Evidence =>
-	({...evidence, unproven: [...evidence.unproven, {endpoint, suspects, at: now}].slice(-maxUnproven)});
+export const recordAbandonment = (evidence: Evidence, endpoint: Incarnation, suspects: Suspects, now: number): Evidence => recordRun(evidence, {
+	endpoint, suspects, at: now, isOutput: false,
+});
 
 /** Keeps the suspects that are in the most other crashes, and of these the ones that have been proven least recently. */
 const capSuspects = (evidence: Evidence, suspects: Suspects): Suspects => {
@@ -144,7 +167,7 @@
 };
 
 /**
-Adds a crash, whose endpoint may have given output just before.
+Adds a crash. The endpoint may have given output just before, or been left by clients.
 
 @param evidence - The evidence.
 @param crash - What is known of the crash.
@@ -153,10 +176,10 @@
 export const addCrash = (evidence: Evidence, crash: Omit<Crash, 'outputsBefore'>): Evidence => {
 	const key = formatIncarnation(crash.endpoint);
 	const known = evidence.crashes.get(key);
-	const isDoubtful = (output: Output) =>
-		Math.abs(output.at - crash.at) <= probationMs && output.endpoint.id === crash.endpoint.id && formatIncarnation(output.endpoint) === key;
-	const doubtful = crash.isRefuted ? [] : evidence.unproven.filter(output => isDoubtful(output));
-	const suspects = crash.suspects.union(...doubtful.map(output => output.suspects));
+	const isDoubtful = (run: Run) =>
+		Math.abs(run.at - crash.at) <= probationMs && run.endpoint.id === crash.endpoint.id && formatIncarnation(run.endpoint) === key;
+	const doubtful = crash.isRefuted ? [] : evidence.unproven.filter(run => isDoubtful(run));
+	const suspects = crash.suspects.union(...doubtful.map(run => run.suspects));
 	const merged = mergeCrash(known, {...crash, suspects, outputsBefore: countOutputs(evidence, crash.endpoint.service)});
 	if (merged === known && doubtful.length === 0) {
 		return evidence;
@@ -164,7 +187,7 @@
 
 	return {
 		...evidence,
-		unproven: doubtful.length === 0 ? evidence.unproven : evidence.unproven.filter(output => !doubtful.includes(output)),
+		unproven: doubtful.length === 0 ? evidence.unproven : evidence.unproven.filter(run => !doubtful.includes(run)),
 		crashes: evidence.crashes.set(key, {...merged, suspects: capSuspects(evidence, merged.suspects)}).takeLast(maxCrashes),
 	};
 };
@@ -195,11 +218,12 @@
 @returns The evidence.
 */
 export const tickEvidence = (evidence: Evidence, now: number): Evidence => {
-	const proven = evidence.unproven.filter(({at}) => now - at >= probationMs);
+	const settled = evidence.unproven.filter(({at}) => now - at >= probationMs);
+	const proven = settled.filter(({isOutput}) => isOutput);
 	const added = addProofs(evidence, proven.flatMap(({suspects, at}) => suspects.toArray().map(suspect => [suspect, at] as const)));
 	return {
 		...added,
-		unproven: proven.length === 0 ? added.unproven : added.unproven.slice(proven.length),
+		unproven: settled.length === 0 ? added.unproven : added.unproven.slice(settled.length),
 		outputCounts: proven.reduce((counts, {endpoint}) => counts.update(endpoint.service, 0, count => count + 1), added.outputCounts),
 		crashes: added.crashes.every(({at}) => now - at < crashTtlMs) ? added.crashes : added.crashes.filter(({at}) => now - at < crashTtlMs),
 	};
--- a/src/poison/index.ts
+++ b/src/poison/index.ts
@@ -1,4 +1,4 @@
-export {recordOutput, refuteCrash} from './evidence.js';
+export {recordAbandonment, recordOutput, refuteCrash} from './evidence.js';
 export {hasPoisonNews, listPoisonNews, mergePoisonNews} from './news.js';
 export type {PoisonNews} from './news.js';
 export {createPoisonGuard, recordBreak, tickPoisonGuard} from './poison.js';
@@ -8,6 +8,6 @@
 } from './rows.js';
 export type {VerdictRows} from './rows.js';
 export {getSuspectId, getSuspectKind, listSuspects} from './suspects.js';
-export type {Suspect, Suspects} from './suspects.js';
+export type {Suspect, SuspectKind, Suspects} from './suspects.js';
 export {decidePoison, startTrial} from './verdicts.js';
 export type {PoisonDecision} from './verdicts.js';
--- a/src/poison/news.ts
+++ b/src/poison/news.ts
@@ -5,7 +5,9 @@
 } from './evidence.js';
 import type {PoisonGuard} from './poison.js';
 import type {Suspect} from './suspects.js';
-import {idleVerdictMs, maxVerdictMs, maxVerdicts} from './verdicts.js';
+import {
+	isIdle, maxVerdictMs, maxVerdicts, recordPeerTrial,
+} from './verdicts.js';
 
 /** What routers tell each other about crashes. Ages in ms. */
 export type PoisonNews = Readonly<{
@@ -13,6 +15,8 @@
 	/** Proven outputs of suspects. */
 	proven: ReadonlyArray<Readonly<{suspect: Suspect; ageMs: number}>>;
 	verdicts: ReadonlyArray<Readonly<{suspect: Suspect; ageMs: number; remainingMs: number; strikes: number}>>;
+	/** Suspects whose verdicts a request of the sender tests. */
+	trials: readonly Suspect[];
 }>;
 
 /** Time for which peers are told of a crash or of a proven output. */
@@ -55,6 +59,7 @@
 		verdicts: verdicts.entrySeq().toArray().map(([suspect, {at, until, strikes}]) => ({
 			suspect, ageMs: Math.max(0, Math.round(now - at)), remainingMs: Math.round(until - now), strikes,
 		})),
+		trials: verdicts.filter(({trial}) => trial !== undefined).keySeq().toArray(),
 	};
 };
 
@@ -73,12 +78,12 @@
 	}), proven);
 	const verdicts = news.verdicts.reduce((all, {suspect, ageMs, remainingMs, strikes}) => {
 		const known = all.get(suspect);
-		const isNews = known === undefined ? all.size < maxVerdicts && remainingMs > -idleVerdictMs : strikes > known.strikes;
+		const isNews = known === undefined ? all.size < maxVerdicts && !isIdle(suspect, -remainingMs) : strikes > known.strikes;
 		return isNews && !isCleared(evidence, suspect, now - ageMs)
 			? all.set(suspect, {
-				at: now - ageMs, until: now + Math.min(remainingMs, maxVerdictMs), strikes, isOwn: false, trial: undefined,
+				at: now - ageMs, until: now + Math.min(remainingMs, maxVerdictMs), strikes, isOwn: false, trial: undefined, peerTrialUntil: 0,
 			})
 			: all;
 	}, guard.verdicts);
-	return {evidence, verdicts};
+	return {evidence, verdicts: news.trials.reduce((all, suspect) => recordPeerTrial(all, suspect, now), verdicts)};
 };
--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -7,7 +7,7 @@
 import {findCauses} from './judge.js';
 import type {Suspect, Suspects} from './suspects.js';
 import {
-	createVerdict, extendVerdicts, idleVerdictMs, maxVerdicts,
+	createVerdict, extendVerdicts, isIdle, maxVerdicts,
 } from './verdicts.js';
 import type {Verdicts} from './verdicts.js';
 
@@ -20,7 +20,7 @@
 export type PoisonGuard = Readonly<{evidence: Evidence; verdicts: Verdicts}>;
 
 /** A change of a verdict, for the log. */
-export type VerdictChange = Readonly<{suspect: Suspect; kind: 'condemned' | 'cleared' | 'expired'; crashes: number}>;
+export type VerdictChange = Readonly<{suspect: Suspect; kind: 'condemned' | 'cleared' | 'expired'; crashes: number; strikes: number}>;
 
 /**
 Creates the guard of a process that has seen no crash.
@@ -55,7 +55,7 @@
 export const tickPoisonGuard = (guard: PoisonGuard, isActive: (request: number) => boolean, now: number): Readonly<{guard: PoisonGuard; changes: readonly VerdictChange[]}> => {
 	const evidence = tickEvidence(guard.evidence, now);
 	const cleared = guard.verdicts.filter((verdict, suspect) => isCleared(evidence, suspect, verdict.at));
-	const expired = guard.verdicts.filter((verdict, suspect) => !cleared.has(suspect) && now - verdict.until >= idleVerdictMs);
+	const expired = guard.verdicts.filter((verdict, suspect) => !cleared.has(suspect) && isIdle(suspect, now - verdict.until));
 	const kept = guard.verdicts.filter((_, suspect) => !cleared.has(suspect) && !expired.has(suspect))
 		.map(verdict => verdict.trial !== undefined && !isActive(verdict.trial) ? {...verdict, trial: undefined} : verdict);
 	// The crashes behind a verdict that has ended do not lead to another one.
@@ -64,11 +64,17 @@
 		: {...evidence, crashes: evidence.crashes.map(crash => ({...crash, suspects: crash.suspects.subtract(expired.keySeq())}))};
 	const causes = findCauses(judged, new Set(kept.keys()), now).slice(0, maxVerdicts - kept.size);
 	return {
-		guard: {evidence: judged, verdicts: kept.merge(causes.map(({suspect, lastAt}) => [suspect, createVerdict(lastAt, 0)] as const))},
+		guard: {evidence: judged, verdicts: kept.merge(causes.map(({suspect, lastAt, isCertain}) => [suspect, createVerdict(suspect, lastAt, isCertain ? 1 : 0)] as const))},
 		changes: [
-			...cleared.keySeq().toArray().map(suspect => ({suspect, kind: 'cleared', crashes: 0} as const)),
-			...expired.keySeq().toArray().map(suspect => ({suspect, kind: 'expired', crashes: 0} as const)),
-			...causes.map(({suspect, crashes}) => ({suspect, kind: 'condemned', crashes} as const)),
+			...cleared.entrySeq().toArray().map(([suspect, {strikes}]) => ({
+				suspect, kind: 'cleared', crashes: 0, strikes,
+			} as const)),
+			...expired.entrySeq().toArray().map(([suspect, {strikes}]) => ({
+				suspect, kind: 'expired', crashes: 0, strikes,
+			} as const)),
+			...causes.map(({suspect, crashes, isCertain}) => ({
+				suspect, kind: 'condemned', crashes, strikes: isCertain ? 1 : 0,
+			} as const)),
 		],
 	};
 };
--- a/src/poison/verdicts.ts
+++ b/src/poison/verdicts.ts
@@ -1,6 +1,7 @@
 import type {Map} from 'immutable';
 import {hashText} from '../random/index.js';
-import type {Suspect, Suspects} from './suspects.js';
+import {getSuspectKind} from './suspects.js';
+import type {Suspect, SuspectKind, Suspects} from './suspects.js';
 
 /** The decision to send no request with a suspect to any endpoint. Times in ms. */
 export type Verdict = Readonly<{
@@ -8,22 +9,34 @@
 	at: number;
 	/** From when on one request may be sent to find out whether the verdict still holds. */
 	until: number;
-	/** Number of such requests under which an endpoint has crashed. */
+	/** 0 for a verdict to test at once; rises with each such request under which an endpoint has crashed. */
 	strikes: number;
 	/** True if this router has reached it. */
 	isOwn: boolean;
 	/** The request of this router that is sent to find out. */
 	trial: number | undefined;
+	/** Until when such a request of another router is assumed to be in progress. */
+	peerTrialUntil: number;
 }>;
 
 export type Verdicts = Map<Suspect, Verdict>;
 
-/** Duration of a first verdict, and the longest one. It doubles with each crash that confirms it. */
-const firstVerdictMs = 20_000;
-export const maxVerdictMs = 600_000;
+type VerdictTerms = Readonly<{
+	/** Duration of a certain verdict, in ms, and the factor by which it grows with each crash that confirms it. */
+	firstMs: number;
+	growth: number;
+	/** Time after its end for which a verdict without any request that tests it is kept, in ms. */
+	idleMs: number;
+}>;
+
+/** A request that comes again may do so seldom; parts are in the requests of many clients. */
+const termsByKind: Readonly<Record<SuspectKind, VerdictTerms>> = {
+	request: {firstMs: 30_000, growth: 4, idleMs: 600_000},
+	part: {firstMs: 20_000, growth: 2, idleMs: 60_000},
+};
 
-/** Time after its end for which a verdict without any request that tests it is kept. */
-export const idleVerdictMs = 60_000;
+/** Duration of the longest verdict. */
+export const maxVerdictMs = 600_000;
 
 export const maxVerdicts = 64;
 
@@ -31,19 +44,35 @@
 const minRetryAfterMs = 1000;
 
 /** Time for which one router may test a verdict before it is the turn of the next one, which may have requests to test it with. */
-const testerTurnMs = 5000;
+const testerTurnMs = 1000;
+
+/** Time for which the news of another router's test holds: a few messages. */
+const peerTrialMs = 1000;
 
-const computeVerdictMs = (strikes: number): number => Math.min(maxVerdictMs, firstVerdictMs * (2 ** strikes));
+const computeVerdictMs = (suspect: Suspect, strikes: number): number => {
+	const {firstMs, growth} = termsByKind[getSuspectKind(suspect)];
+	return strikes === 0 ? 0 : Math.min(maxVerdictMs, firstMs * (growth ** (strikes - 1)));
+};
+
+/**
+Tells whether a verdict has ended for lack of requests that test it.
+
+@param suspect - The condemned suspect.
+@param endedForMs - Time since the verdict's end, in ms.
+@returns True if it is to be forgotten.
+*/
+export const isIdle = (suspect: Suspect, endedForMs: number): boolean => endedForMs >= termsByKind[getSuspectKind(suspect)].idleMs;
 
 /**
 Creates a verdict of this router.
 
+@param suspect - The suspect.
 @param at - Time of the last crash that led to it, in ms.
-@param strikes - Number of tests under which an endpoint has crashed.
+@param strikes - 0 for a verdict to test at once.
 @returns The verdict.
 */
-export const createVerdict = (at: number, strikes: number): Verdict => ({
-	at, until: at + computeVerdictMs(strikes), strikes, isOwn: true, trial: undefined,
+export const createVerdict = (suspect: Suspect, at: number, strikes: number): Verdict => ({
+	at, until: at + computeVerdictMs(suspect, strikes), strikes, isOwn: true, trial: undefined, peerTrialUntil: 0,
 });
 
 /**
@@ -55,7 +84,7 @@
 @returns The verdicts.
 */
 export const extendVerdicts = (verdicts: Verdicts, request: number, now: number): Verdicts =>
-	verdicts.map(verdict => verdict.trial === request ? createVerdict(now, verdict.strikes + 1) : verdict);
+	verdicts.map((verdict, suspect) => verdict.trial === request ? createVerdict(suspect, now, verdict.strikes + 1) : verdict);
 
 /** What is done with a request: it is sent, rejected because of a suspect, or sent to find out whether a verdict still holds. */
 export type PoisonDecision =
@@ -89,7 +118,8 @@
 	}
 
 	const {suspect, verdict} = first;
-	const canTry = others.length === 0 && verdict.trial === undefined && now >= verdict.until && selectTester(suspect, verdict.until, routers, now) === router;
+	const canTry = others.length === 0 && verdict.trial === undefined && now >= Math.max(verdict.until, verdict.peerTrialUntil)
+		&& selectTester(suspect, verdict.until, routers, now) === router;
 	return canTry ? {kind: 'try', suspect} : {kind: 'reject', suspect, retryAfterMs: Math.max(minRetryAfterMs, verdict.until - now)};
 };
 
@@ -105,3 +135,16 @@
 	const verdict = verdicts.get(suspect);
 	return verdict === undefined ? verdicts : verdicts.set(suspect, {...verdict, trial: request});
 };
+
+/**
+Records that another router tests a verdict.
+
+@param verdicts - The verdicts.
+@param suspect - The condemned suspect.
+@param now - The current time in ms.
+@returns The verdicts.
+*/
+export const recordPeerTrial = (verdicts: Verdicts, suspect: Suspect, now: number): Verdicts => {
+	const verdict = verdicts.get(suspect);
+	return verdict === undefined ? verdicts : verdicts.set(suspect, {...verdict, peerTrialUntil: now + peerTrialMs});
+};
