Judge requests whose clients leave, that were sound before, or that met crashes by chance

(1) A client that left while its request tested a verdict ended the test without a result, and the next one began: up to 9 late sends. A test now fails when its endpoint crashes within 1.5 s, and a run that was abandoned is a suspect of a crash that shows in other requests or in a refused connection. (2) A request that was served before it began to crash endpoints hid behind what it shared endpoints with; it is condemned if it explains twice as much, and cleared by its next whole answer. (3) While endpoints crash for other reasons, more than three crashes are asked for. (4) Requests that explain equally much are condemned after a second only, in which sound ones are mostly served.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -13,7 +13,7 @@
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
 import {
-	recordEndpointResponse, recordRequestAbandonment, recordRequestError, recordRequestOutput,
+	recordEndpointResponse, recordRequestAbandonment, recordRequestAnswer, recordRequestError, recordRequestOutput,
 } from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
@@ -109,7 +109,7 @@
 const deliverResponse = (state: EdgeState, request: InFlightRequest, head: ResponseHead, now: number): EdgeStep => {
 	const result = recordResult(state, request, head.status >= 500 ? 'failed' : 'good', now);
 	const recorded = (head.status < 300 ? recordRequestOutput : recordRequestError)(result, request, now);
-	const ended = endRequest(recorded, request, {outcome: head.status < 400 ? 'answered' : 'endpoint-error', status: head.status, events: 0}, now);
+	const ended = endRequest(recordRequestAnswer(recorded, request, now), request, {outcome: head.status < 400 ? 'answered' : 'endpoint-error', status: head.status, events: 0}, now);
 	return {state: ended.state, effects: [{kind: 'deliver', call: request.id}, ...ended.effects]};
 };
 
@@ -258,7 +258,7 @@
 	}
 
 	const {framing} = event;
-	const ended = endRequest(recordResult(state, request, 'good', now), request, {
+	const ended = endRequest(recordRequestAnswer(recordResult(state, request, 'good', now), request, now), request, {
 		outcome: 'answered', status: 200, events: request.events + event.events, fields: {framing},
 	}, now);
 	return {state: ended.state, effects: [{kind: 'count', metric: 'streamsEnded', labels: {service: request.service, framing}}, ...ended.effects]};
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -165,7 +165,7 @@
 export const placeRequest = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const handlers: Readonly<{[Kind in PoisonDecision['kind']]: (decision: PoisonDecision & {kind: Kind}) => EdgeStep}> = {
 		send: () => placeSound(state, request, random, now),
-		try: ({suspect}) => placeSound(startRequestTrial(state, request, suspect), request, random, now),
+		try: ({suspect}) => placeSound(startRequestTrial(state, request, suspect, now), request, random, now),
 		reject: decision => rejectPoison(state, request, decision, now),
 	};
 	const decision = checkPoison(state, request, now);
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -5,8 +5,8 @@
 import type {Fields} from '../log/index.js';
 import {chainAll, keepState} from '../loop/step.js';
 import {
-	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, getSuspectId, getSuspectKind, listSuspects, mergePoisonNews, planVerdictSave,
-	recordAbandonment, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, formatSuspect, getSuspectId, getSuspectKind, listSuspects, mergePoisonNews, planVerdictSave,
+	recordAbandonment, recordAnswer, recordBreak, recordOutput, recordUnreachable, refuteCrash, startTrial, tickPoisonGuard,
 } from '../poison/index.js';
 import type {
 	PoisonDecision, PoisonNews, Suspect, SuspectKind, Suspects, VerdictChange,
@@ -49,10 +49,11 @@
 @param state - The edge state.
 @param request - The request.
 @param suspect - What is condemned.
+@param now - The current time in ms.
 @returns The new state.
 */
-export const startRequestTrial = (state: EdgeState, request: InFlightRequest, suspect: Suspect): EdgeState =>
-	({...state, isPoisonNewsUrgent: true, poison: {...state.poison, verdicts: startTrial(state.poison.verdicts, suspect, request.id)}});
+export const startRequestTrial = (state: EdgeState, request: InFlightRequest, suspect: Suspect, now: number): EdgeState =>
+	({...state, isPoisonNewsUrgent: true, poison: {...state.poison, verdicts: startTrial(state.poison.verdicts, suspect, request.id, now)}});
 
 /**
 Rejects a request that is condemned, or has a condemned part.
@@ -85,7 +86,7 @@
 	recordSuspects(state, request, recordOutput, listSuspects(request), now);
 
 /**
-Records that a request was answered with an error by its endpoint. This says nothing of the prompt, on which the endpoint may not have begun.
+Records that a request was answered with an error. This says nothing of its prompt, on which the endpoint may not have begun.
 
 @param state - The edge state.
 @param request - The request.
@@ -93,7 +94,18 @@
 @returns The new state.
 */
 export const recordRequestError = (state: EdgeState, request: InFlightRequest, now: number): EdgeState =>
-	recordSuspects(state, request, recordOutput, listSuspects(request).filter(suspect => getSuspectKind(suspect) === 'request'), now);
+	recordSuspects(state, request, recordOutput, Set([formatSuspect('request', request.fingerprint)]), now);
+
+/**
+Records that a request was answered completely, be it with an error.
+
+@param state - The edge state.
+@param request - The request.
+@param now - The current time in ms.
+@returns The new state.
+*/
+export const recordRequestAnswer = (state: EdgeState, {fingerprint}: InFlightRequest, now: number): EdgeState =>
+	({...state, poison: {...state.poison, evidence: recordAnswer(state.poison.evidence, formatSuspect('request', fingerprint), now)}});
 
 /**
 Records that a request without output is given up, because its client has disconnected or its deadline has passed.
@@ -130,10 +142,14 @@
 export const recordRequestBreak = (state: EdgeState, event: EdgeEvent & {kind: 'endpoint-failed'}, now: number): EdgeStep => {
 	const request = state.requests.get(event.call);
 	const endpoint = request?.sentTo;
-	if (request === undefined || endpoint === undefined || request.attempt !== event.attempt || event.stage === 'unsent') {
+	if (request === undefined || endpoint === undefined || request.attempt !== event.attempt) {
 		return keepState(state);
 	}
 
+	if (event.stage === 'unsent') {
+		return keepState({...state, poison: {...state.poison, evidence: recordUnreachable(state.poison.evidence, endpoint)}});
+	}
+
 	const suspects = event.events === 0 ? listSuspects(request) : Set<Suspect>();
 	const poison = recordBreak(state.poison, {id: request.id, endpoint, suspects}, now);
 	const logged = createLogEffect('crash-suspected', {
--- a/src/poison/evidence.ts
+++ b/src/poison/evidence.ts
@@ -22,16 +22,15 @@
 	suspects: Suspects;
 	/** When it gave its first output, or was abandoned, in ms. */
 	at: number;
-	/** True for an output, which proves the suspects sound once the endpoint has survived it for a while. */
-	isOutput: boolean;
 }>;
 
 /** What a router has seen and heard of crashes and of outputs. */
 export type Evidence = Readonly<{
 	/** Crashes by incarnation, the latest ones last. */
 	crashes: OrderedMap<string, Crash>;
-	/** Runs of which nothing is proven yet, oldest first. */
+	/** Outputs that are not proven yet, and runs that were abandoned, oldest first. */
 	unproven: readonly Run[];
+	abandoned: readonly Run[];
 	/** Time of the last proven output by suspect, the latest ones last. */
 	provenAt: Readonly<Record<SuspectKind, OrderedMap<Suspect, number>>>;
 	/** Number of proven outputs at this router, by service. */
@@ -41,6 +40,9 @@
 /** Time that an endpoint must survive a run. It may write a few events before it crashes. */
 const probationMs = 500;
 
+/** Time after which a crash is no longer found that an abandoned run has caused. */
+const abandonedTtlMs = 3000;
+
 /** Time for which a crash counts. */
 const crashTtlMs = 600_000;
 
@@ -48,11 +50,12 @@
 const maxCrashes = 64;
 const maxSuspects = 64;
 const maxUnproven = 1024;
+const maxAbandoned = 256;
 const maxProven = 4096;
 
 /** The evidence of a process that has seen no request. */
 export const emptyEvidence: Evidence = {
-	crashes: OrderedMap(), unproven: [], provenAt: {request: OrderedMap(), part: OrderedMap()}, outputCounts: Map(),
+	crashes: OrderedMap(), unproven: [], abandoned: [], provenAt: {request: OrderedMap(), part: OrderedMap()}, outputCounts: Map(),
 };
 
 /**
@@ -102,10 +105,8 @@
 	return proofs.length === 0 ? evidence : {...evidence, provenAt: {request: add('request'), part: add('part')}};
 };
 
-const recordRun = (evidence: Evidence, run: Run): Evidence => ({...evidence, unproven: [...evidence.unproven, run].slice(-maxUnproven)});
-
 /**
-Records the first output of a request.
+Records the first output of a request. It proves its suspects sound once the endpoint has survived it for a while.
 
 @param evidence - The evidence.
 @param endpoint - The endpoint that gave it.
@@ -113,9 +114,19 @@
 @param now - The current time in ms.
 @returns The evidence.
 */
-export const recordOutput = (evidence: Evidence, endpoint: Incarnation, suspects: Suspects, now: number): Evidence => recordRun(evidence, {
-	endpoint, suspects, at: now, isOutput: true,
-});
+export const recordOutput = (evidence: Evidence, endpoint: Incarnation, suspects: Suspects, now: number): Evidence =>
+	({...evidence, unproven: [...evidence.unproven, {endpoint, suspects, at: now}].slice(-maxUnproven)});
+
+/**
+Records that a request was answered completely. If it was proven before, its endpoint need not survive the answer.
+
+@param evidence - The evidence.
+@param request - The request itself as a suspect.
+@param now - The current time in ms.
+@returns The evidence.
+*/
+export const recordAnswer = (evidence: Evidence, request: Suspect, now: number): Evidence =>
+	getProvenAt(evidence, request) === undefined ? evidence : addProofs(evidence, [[request, now]]);
 
 /**
 Records that a request without output was abandoned. Its endpoint may crash on it nevertheless.
@@ -126,9 +137,8 @@
 @param now - The current time in ms.
 @returns The evidence.
 */
-export const recordAbandonment = (evidence: Evidence, endpoint: Incarnation, suspects: Suspects, now: number): Evidence => recordRun(evidence, {
-	endpoint, suspects, at: now, isOutput: false,
-});
+export const recordAbandonment = (evidence: Evidence, endpoint: Incarnation, suspects: Suspects, now: number): Evidence =>
+	({...evidence, abandoned: [...evidence.abandoned, {endpoint, suspects, at: now}].slice(-maxAbandoned)});
 
 /** Keeps the suspects that are in the most other crashes, and of these the ones that have been proven least recently. */
 const capSuspects = (evidence: Evidence, suspects: Suspects): Suspects => {
@@ -176,22 +186,40 @@
 export const addCrash = (evidence: Evidence, crash: Omit<Crash, 'outputsBefore'>): Evidence => {
 	const key = formatIncarnation(crash.endpoint);
 	const known = evidence.crashes.get(key);
-	const isDoubtful = (run: Run) =>
-		Math.abs(run.at - crash.at) <= probationMs && run.endpoint.id === crash.endpoint.id && formatIncarnation(run.endpoint) === key;
-	const doubtful = crash.isRefuted ? [] : evidence.unproven.filter(run => isDoubtful(run));
-	const suspects = crash.suspects.union(...doubtful.map(run => run.suspects));
+	const listDoubtful = (runs: readonly Run[]) => crash.isRefuted
+		? []
+		: runs.filter(run => Math.abs(run.at - crash.at) <= probationMs && run.endpoint.id === crash.endpoint.id && formatIncarnation(run.endpoint) === key);
+	const outputs = listDoubtful(evidence.unproven);
+	const suspects = crash.suspects.union(...[...outputs, ...listDoubtful(evidence.abandoned)].map(run => run.suspects));
 	const merged = mergeCrash(known, {...crash, suspects, outputsBefore: countOutputs(evidence, crash.endpoint.service)});
-	if (merged === known && doubtful.length === 0) {
+	if (merged === known && outputs.length === 0) {
 		return evidence;
 	}
 
 	return {
 		...evidence,
-		unproven: doubtful.length === 0 ? evidence.unproven : evidence.unproven.filter(run => !doubtful.includes(run)),
+		unproven: outputs.length === 0 ? evidence.unproven : evidence.unproven.filter(run => !outputs.includes(run)),
 		crashes: evidence.crashes.set(key, {...merged, suspects: capSuspects(evidence, merged.suspects)}).takeLast(maxCrashes),
 	};
 };
 
+/**
+Records that an endpoint accepts no connection. If a run was abandoned there just before, it may have crashed on it.
+
+@param evidence - The evidence.
+@param endpoint - The endpoint.
+@returns The evidence.
+*/
+export const recordUnreachable = (evidence: Evidence, endpoint: Incarnation): Evidence => {
+	const key = formatIncarnation(endpoint);
+	const run = evidence.abandoned.findLast(each => formatIncarnation(each.endpoint) === key);
+	return run === undefined
+		? evidence
+		: addCrash(evidence, {
+			endpoint, at: run.at, suspects: run.suspects, isRefuted: false,
+		});
+};
+
 /**
 Refutes a crash of an endpoint that responds.
 
@@ -218,12 +246,12 @@
 @returns The evidence.
 */
 export const tickEvidence = (evidence: Evidence, now: number): Evidence => {
-	const settled = evidence.unproven.filter(({at}) => now - at >= probationMs);
-	const proven = settled.filter(({isOutput}) => isOutput);
+	const proven = evidence.unproven.filter(({at}) => now - at >= probationMs);
 	const added = addProofs(evidence, proven.flatMap(({suspects, at}) => suspects.toArray().map(suspect => [suspect, at] as const)));
 	return {
 		...added,
-		unproven: settled.length === 0 ? added.unproven : added.unproven.slice(settled.length),
+		unproven: proven.length === 0 ? added.unproven : added.unproven.slice(proven.length),
+		abandoned: added.abandoned.length === 0 ? added.abandoned : added.abandoned.filter(({at}) => now - at < abandonedTtlMs),
 		outputCounts: proven.reduce((counts, {endpoint}) => counts.update(endpoint.service, 0, count => count + 1), added.outputCounts),
 		crashes: added.crashes.every(({at}) => now - at < crashTtlMs) ? added.crashes : added.crashes.filter(({at}) => now - at < crashTtlMs),
 	};
--- a/src/poison/index.ts
+++ b/src/poison/index.ts
@@ -1,4 +1,6 @@
-export {recordAbandonment, recordOutput, refuteCrash} from './evidence.js';
+export {
+	recordAbandonment, recordAnswer, recordOutput, recordUnreachable, refuteCrash,
+} from './evidence.js';
 export {hasPoisonNews, listPoisonNews, mergePoisonNews} from './news.js';
 export type {PoisonNews} from './news.js';
 export {createPoisonGuard, recordBreak, tickPoisonGuard} from './poison.js';
@@ -7,7 +9,9 @@
 	completeVerdictSave, createVerdictRows, decodeVerdicts, planVerdictSave, verdictTable,
 } from './rows.js';
 export type {VerdictRows} from './rows.js';
-export {getSuspectId, getSuspectKind, listSuspects} from './suspects.js';
+export {
+	formatSuspect, getSuspectId, getSuspectKind, listSuspects,
+} from './suspects.js';
 export type {Suspect, SuspectKind, Suspects} from './suspects.js';
 export {decidePoison, startTrial} from './verdicts.js';
 export type {PoisonDecision} from './verdicts.js';
--- a/src/poison/judge.ts
+++ b/src/poison/judge.ts
@@ -23,15 +23,15 @@
 	isCertain: boolean;
 }>;
 
+/** Evidence that suffices: crashes, their moments, and the fraction of all crashes of the service since the first one. */
+type Threshold = Readonly<{crashes: number; moments: number; fraction: number}>;
+
 /** Time after a crash within which a response of the endpoint may still refute it. */
 const settleMs = 300;
 
 /** Crashes within this time count as one moment, because a rack or a release may end several endpoints at once. */
 const momentMs = 250;
 
-/** Crashes within this time have another cause than a request, which seldom runs at two endpoints in step. */
-const commonCauseMs = 20;
-
 /** Time after its first crash before a part is condemned: the output of sound requests clears it by then. */
 const minSpanMs = 1000;
 
@@ -45,15 +45,12 @@
 /** The same for a part that was proven before, which most of its requests are likely to prove again. */
 const minOtherOutputsOnceProven = 100;
 
-/**
-Evidence that suffices against a part: the number of crashes and of their moments, and the fraction of all crashes
-since the first one that the part explains. A request and its retry are two crashes at one moment.
-*/
+/** Evidence that suffices against a part. A request and its retry are two crashes at one moment. */
 const thresholds = [
 	{crashes: 4, moments: 4, fraction: 0.5},
 	{crashes: 5, moments: 2, fraction: 0.5},
 	{crashes: 8, moments: 8, fraction: 0.2},
-] as const;
+] as const satisfies readonly Threshold[];
 
 /** Crashes that a part must explain beyond those of any single request that has it. */
 const minCrashesOfOtherRequests = 2;
@@ -64,14 +61,21 @@
 /** Number of crashes from which a part without any proven output is a better explanation than parts with some. */
 const minCrashesOfExplanation = 2;
 
-/**
-Number of crashes from which a request is condemned, and with how many moments and which fraction of all crashes it
-is condemned without a test at once. A sound request may meet as many: at the end of a rack, or of another cause.
-*/
+/** Number of crashes from which a request is condemned. */
 const minCrashesOfRequest = 3;
+
+/** The same while endpoints crash for other reasons: a sound request may meet several of these by chance. */
+const unrelatedWindowMs = 10_000;
+const minCrashesAmongUnrelated = [{unrelated: 10, crashes: 5}, {unrelated: 3, crashes: 4}] as const;
+
+/** Time after its last crash before a request is condemned while another one explains as many: a sound one is mostly served by then. */
+const tieSpanMs = 1000;
+
+/** Evidence with which a request is condemned without a test at once. */
 const certainRequest = {crashes: 4, moments: 3, fraction: 0.5} as const;
 
-/** How many times the crashes of the others a request must explain that was proven before. */
+/** Evidence with which a request is condemned that was proven before, and how many times the crashes of the others it must explain. */
+const onceProvenRequest = {crashes: 4, moments: 2, fraction: 0.5} as const;
 const leadOnceProven = 2;
 
 /** Counts the moments at which endpoints crashed; `crashes` are in the order of time. */
@@ -120,36 +124,39 @@
 	return first === undefined ? 0 : crashes.length / all.filter(({at, endpoint}) => at >= first.at && endpoint.service === first.endpoint.service).length;
 };
 
+/** Tells whether the crashes of a suspect are so many, of so many moments, and such a fraction of all since the first one. */
+const hasReached = (threshold: Threshold, suspicion: Suspicion, all: readonly Crash[]): boolean => suspicion.crashes.length >= threshold.crashes
+	&& countMoments(suspicion.crashes) >= threshold.moments && computeFraction(suspicion, all) >= threshold.fraction;
+
 const isSufficient = (evidence: Evidence, part: Suspicion, all: readonly Crash[], requests: readonly Suspicion[], now: number): boolean => {
-	const moments = countMoments(part.crashes);
-	const fraction = computeFraction(part, all);
 	const explained = countExplainedByRequest(part, requests);
 	return now - (part.crashes[0]?.at ?? now) >= minSpanMs
-		&& thresholds.some(threshold => part.crashes.length >= threshold.crashes && moments >= threshold.moments && fraction >= threshold.fraction)
+		&& thresholds.some(threshold => hasReached(threshold, part, all))
 		&& part.crashes.length >= Math.max(explained + minCrashesOfOtherRequests, part.wasProven ? 2 * explained : 0)
 		&& hasServedOthers(evidence, part);
 };
 
-/** Lists the crashes that did not happen together with that of another endpoint. */
-const listSeparate = (crashes: readonly Crash[], all: readonly Crash[]): readonly Crash[] =>
-	crashes.filter(crash => !all.some(other => other !== crash && Math.abs(other.at - crash.at) <= commonCauseMs));
-
-/** Tells whether the crashes of a request are of so many moments, and such a fraction of all, that chance does not explain them. */
-const isBeyondChance = (request: Suspicion, all: readonly Crash[]): boolean =>
-	countMoments(request.crashes) >= certainRequest.moments && computeFraction(request, all) >= certainRequest.fraction;
-
 const countMostCrashes = (suspicions: readonly Suspicion[]): number => Math.max(0, ...suspicions.map(({crashes}) => crashes.length));
 
+/** Returns the number of crashes that suffices against a request, by the number of crashes before its last one that have another cause. */
+const computeMinCrashes = ({suspect, crashes}: Suspicion, all: readonly Crash[]): number => {
+	const last = crashes.at(-1);
+	const unrelated = last === undefined
+		? 0
+		: all.filter(({at, endpoint, suspects}) => at <= last.at && last.at - at < unrelatedWindowMs && endpoint.service === last.endpoint.service && !suspects.has(suspect)).length;
+	return minCrashesAmongUnrelated.find(each => unrelated >= each.unrelated)?.crashes ?? minCrashesOfRequest;
+};
+
 /** Finds the requests that explain the most crashes: of those that were never proven the first ones, of the others all that clearly explain more. */
-const findRequests = (evidence: Evidence, requests: readonly Suspicion[], all: readonly Crash[]): readonly Finding[] => {
+const findRequests = (requests: readonly Suspicion[], all: readonly Crash[], now: number): readonly Finding[] => {
 	const [neverProven, onceProven] = [false, true].map(wasProven => requests.filter(request => request.wasProven === wasProven));
 	const most = countMostCrashes(neverProven!);
-	const winners = most < minCrashesOfRequest ? [] : neverProven!.filter(({crashes}) => crashes.length === most);
-	const isCertain = winners.length === 1 && most >= certainRequest.crashes;
+	const first = neverProven!.filter(({crashes}) => crashes.length === most);
+	const isTie = first.length > 1;
 	return [
-		...winners.map(request => createFinding(request, isCertain && isBeyondChance(request, all))),
-		...onceProven!.map(request => ({...request, crashes: listSeparate(request.crashes, all)}))
-			.filter(request => request.crashes.length >= Math.max(minCrashesOfRequest, leadOnceProven * most) && isBeyondChance(request, all))
+		...first.filter(request => most >= computeMinCrashes(request, all) && (!isTie || now - (request.crashes.at(-1)?.at ?? now) >= tieSpanMs))
+			.map(request => createFinding(request, !isTie && hasReached(certainRequest, request, all))),
+		...onceProven!.filter(request => request.crashes.length >= leadOnceProven * most && hasReached(onceProvenRequest, request, all))
 			.map(request => createFinding(request, false)),
 	];
 };
@@ -190,7 +197,7 @@
 	const withoutPart = crashes.filter(crash => !crash.suspects.some(suspect => getSuspectKind(suspect) === 'part' && condemned.has(suspect)));
 	const suspicions = listSuspicions(evidence, withoutPart);
 	return [
-		...findRequests(evidence, listSuspicions(evidence, unexplained).filter(({kind}) => kind === 'request'), unexplained),
+		...findRequests(listSuspicions(evidence, unexplained).filter(({kind}) => kind === 'request'), unexplained, now),
 		...findParts(evidence, {parts: suspicions.filter(({kind}) => kind === 'part'), requests: suspicions.filter(({kind}) => kind === 'request')}, withoutPart, now),
 	];
 };
--- a/src/poison/poison.test.ts
+++ b/src/poison/poison.test.ts
@@ -4,7 +4,8 @@
 import {getProvenAt} from './evidence.js';
 import {createVerdict} from './verdicts.js';
 import {
-	createPoisonGuard, decidePoison, mergePoisonNews, recordAbandonment, recordBreak, recordOutput, refuteCrash, startTrial, tickPoisonGuard,
+	createPoisonGuard, decidePoison, mergePoisonNews, recordAbandonment, recordBreak, recordOutput, recordUnreachable,
+	refuteCrash, startTrial, tickPoisonGuard,
 } from './index.js';
 import type {PoisonGuard} from './index.js';
 
@@ -59,6 +60,13 @@
 		expect(listSuspected(breakOff(tick(left, 1600), 1700, 'request/a'))).toEqual(['request/a']);
 		expect(getProvenAt(tick(left, 1600).evidence, 'request/x')).toBeUndefined();
 	});
+
+	test('includes one whose client has left, if nothing but a refused connection shows it', () => {
+		const {evidence} = createPoisonGuard();
+		const left = recordAbandonment(evidence, endpoint, Set(['request/x']), 1000);
+		expect(listSuspected({...createPoisonGuard(), evidence: recordUnreachable(left, endpoint)})).toEqual(['request/x']);
+		expect(recordUnreachable(left, second!).crashes.isEmpty()).toBe(true);
+	});
 });
 
 test('a verdict that has ended is tested by one router at a time, and in time by each', () => {
@@ -78,10 +86,23 @@
 
 	test('begins at once if the verdict is uncertain, and one request at a time', () => {
 		expect(decide(verdicts, 10)).toBe('try');
-		const tried = startTrial(verdicts, 'request/x', 2);
+		const tried = startTrial(verdicts, 'request/x', 2, 10);
 		expect(decide(tried, 20)).toBe('reject');
 	});
 
+	test('has failed also if its client left before the endpoint crashed', () => {
+		const guard = {...createPoisonGuard(), verdicts: startTrial(verdicts, 'request/x', 1, 10)};
+		const crashed = recordBreak(guard, {id: 2, endpoint, suspects: Set(['request/x'])}, 100);
+		expect(tickPoisonGuard(crashed, () => false, 200).guard.verdicts.get('request/x')).toMatchObject({at: 100, strikes: 1, trial: undefined});
+	});
+
+	test('ends some time after its request, as the crash may show late', () => {
+		const guard = {...createPoisonGuard(), verdicts: startTrial(verdicts, 'request/x', 2, 10)};
+		const ended = tickPoisonGuard(guard, () => false, 100).guard;
+		expect(decide(ended.verdicts, 1000)).toBe('reject');
+		expect(decide(tickPoisonGuard(ended, () => false, 1600).guard.verdicts, 1600)).toBe('try');
+	});
+
 	test('waits for that of another router', () => {
 		const known = mergePoisonNews({...createPoisonGuard(), verdicts}, {
 			crashes: [], proven: [], verdicts: [], trials: ['request/x'],
--- a/src/poison/poison.ts
+++ b/src/poison/poison.ts
@@ -7,7 +7,7 @@
 import {findCauses} from './judge.js';
 import type {Suspect, Suspects} from './suspects.js';
 import {
-	createVerdict, extendVerdicts, isIdle, maxVerdicts,
+	createVerdict, extendVerdicts, isIdle, maxVerdicts, settleTrial,
 } from './verdicts.js';
 import type {Verdicts} from './verdicts.js';
 
@@ -57,7 +57,7 @@
 	const cleared = guard.verdicts.filter((verdict, suspect) => isCleared(evidence, suspect, verdict.at));
 	const expired = guard.verdicts.filter((verdict, suspect) => !cleared.has(suspect) && isIdle(suspect, now - verdict.until));
 	const kept = guard.verdicts.filter((_, suspect) => !cleared.has(suspect) && !expired.has(suspect))
-		.map(verdict => verdict.trial !== undefined && !isActive(verdict.trial) ? {...verdict, trial: undefined} : verdict);
+		.map((verdict, suspect) => settleTrial(suspect, verdict, evidence, isActive, now));
 	// The crashes behind a verdict that has ended do not lead to another one.
 	const judged: Evidence = expired.isEmpty()
 		? evidence
--- a/src/poison/verdicts.ts
+++ b/src/poison/verdicts.ts
@@ -1,8 +1,17 @@
 import type {Map} from 'immutable';
 import {hashText} from '../random/index.js';
+import type {Evidence} from './evidence.js';
 import {getSuspectKind} from './suspects.js';
 import type {Suspect, SuspectKind, Suspects} from './suspects.js';
 
+/** The test of a verdict by a request. Times in ms. */
+type Trial = Readonly<{
+	request: number;
+	startedAt: number;
+	/** When the request was no longer in progress; undefined while it is. */
+	endedAt: number | undefined;
+}>;
+
 /** The decision to send no request with a suspect to any endpoint. Times in ms. */
 export type Verdict = Readonly<{
 	/** Time of the last crash that led to it. A later proven output lifts it. */
@@ -14,7 +23,7 @@
 	/** True if this router has reached it. */
 	isOwn: boolean;
 	/** The request of this router that is sent to find out. */
-	trial: number | undefined;
+	trial: Trial | undefined;
 	/** Until when such a request of another router is assumed to be in progress. */
 	peerTrialUntil: number;
 }>;
@@ -46,6 +55,9 @@
 /** Time for which one router may test a verdict before it is the turn of the next one, which may have requests to test it with. */
 const testerTurnMs = 1000;
 
+/** Time after a test's request has ended in which an endpoint may still be found to have crashed on it. */
+const trialSettleMs = 1500;
+
 /** Time for which the news of another router's test holds: a few messages. */
 const peerTrialMs = 1000;
 
@@ -84,7 +96,7 @@
 @returns The verdicts.
 */
 export const extendVerdicts = (verdicts: Verdicts, request: number, now: number): Verdicts =>
-	verdicts.map((verdict, suspect) => verdict.trial === request ? createVerdict(suspect, now, verdict.strikes + 1) : verdict);
+	verdicts.map((verdict, suspect) => verdict.trial?.request === request ? createVerdict(suspect, now, verdict.strikes + 1) : verdict);
 
 /** What is done with a request: it is sent, rejected because of a suspect, or sent to find out whether a verdict still holds. */
 export type PoisonDecision =
@@ -110,7 +122,7 @@
 export const decidePoison = (verdicts: Verdicts, request: Readonly<{id: number; suspects: Suspects}>, router: string, routers: readonly string[], now: number): PoisonDecision => {
 	const condemned = request.suspects.toArray().flatMap(suspect => {
 		const verdict = verdicts.get(suspect);
-		return verdict === undefined || verdict.trial === request.id ? [] : [{suspect, verdict}];
+		return verdict === undefined || verdict.trial?.request === request.id ? [] : [{suspect, verdict}];
 	});
 	const [first, ...others] = condemned;
 	if (first === undefined) {
@@ -129,11 +141,38 @@
 @param verdicts - The verdicts.
 @param suspect - The condemned suspect.
 @param request - The number of the request that is sent.
+@param now - The current time in ms.
 @returns The verdicts.
 */
-export const startTrial = (verdicts: Verdicts, suspect: Suspect, request: number): Verdicts => {
+export const startTrial = (verdicts: Verdicts, suspect: Suspect, request: number, now: number): Verdicts => {
 	const verdict = verdicts.get(suspect);
-	return verdict === undefined ? verdicts : verdicts.set(suspect, {...verdict, trial: request});
+	return verdict === undefined ? verdicts : verdicts.set(suspect, {...verdict, trial: {request, startedAt: now, endedAt: undefined}});
+};
+
+/**
+Ends the test of a verdict some time after its request. The client may have disconnected
+before the endpoint crashed, which shows in other requests.
+
+@param suspect - The condemned suspect.
+@param verdict - The verdict.
+@param evidence - The crashes.
+@param isActive - Tells whether a request is still in progress.
+@param now - The current time in ms.
+@returns The verdict; extended if an endpoint has crashed.
+*/
+export const settleTrial = (suspect: Suspect, verdict: Verdict, evidence: Evidence, isActive: (request: number) => boolean, now: number): Verdict => {
+	const {trial} = verdict;
+	if (trial === undefined || isActive(trial.request)) {
+		return verdict;
+	}
+
+	const crash = evidence.crashes.findLast(({at, suspects, isRefuted}) => at >= trial.startedAt && !isRefuted && suspects.has(suspect));
+	if (crash !== undefined) {
+		return createVerdict(suspect, crash.at, verdict.strikes + 1);
+	}
+
+	const endedAt = trial.endedAt ?? now;
+	return {...verdict, trial: now - endedAt < trialSettleMs ? {...trial, endedAt} : undefined};
 };
 
 /**
