--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -9,11 +9,13 @@
 	addSequence, tokensPerBlock, emptyBatch, removeSequence, stepBatch,
 } from './batch.js';
 import type {Batch, EngineProfile} from './batch.js';
-import {createFaultInjector} from './faults.js';
-import type {FaultInjector} from './faults.js';
+import {
+	createFaultInjector, isCrashing, noCrashes, simulateCrash,
+} from './faults.js';
+import type {CrashFaults, FaultInjector} from './faults.js';
 
 /** Faults that the stand-in engine can inject. */
-export type EngineFaults = Readonly<{
+export type EngineFaults = CrashFaults & Readonly<{
 	/** Number of upcoming requests whose connection is closed before the answer is complete. */
 	breakStreams: number;
 	/** Tokens generated for such a request before its connection is closed. */
@@ -148,7 +150,7 @@
 */
 export const startEngine = async (options: EngineOptions): Promise<EngineStandin> => {
 	const faults = createFaultInjector<EngineFaults>({
-		breakStreams: 0, breakAfter: 5, fail: 0, slowness: 1, isFrozen: false,
+		breakStreams: 0, breakAfter: 5, fail: 0, slowness: 1, isFrozen: false, ...noCrashes,
 	});
 	let batch: Batch = emptyBatch;
 	let generations: ReadonlyMap<number, Generation> = new Map();
@@ -304,6 +306,11 @@
 			return;
 		}
 
+		if (isCrashing(faults.get(), url.pathname, rawBody.unwrap().toString())) {
+			simulateCrash(server, faults.get().downMs);
+			return;
+		}
+
 		startGeneration(body, response);
 	}, error => {
 		process.stderr.write(`stand-in engine: ${String(error)}\n`);
--- a/src/standin/faults.ts
+++ b/src/standin/faults.ts
@@ -1,4 +1,5 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {readBody, sendJson} from '../server/index.js';
 
 /** Reads and changes the faults that a stand-in injects while it runs. */
@@ -41,3 +42,42 @@
 		},
 	};
 };
+
+/** Faults by which a request ends the process that runs it. */
+export type CrashFaults = Readonly<{
+	/** Text in the path or the body of the requests that crash the stand-in; empty for none. */
+	crashOn: string;
+	/** Time for which it accepts no connections after a crash, in milliseconds. */
+	downMs: number;
+}>;
+
+/** The faults with which no request crashes the stand-in. */
+export const noCrashes: CrashFaults = {crashOn: '', downMs: 2000};
+
+/**
+Tells whether a request crashes the stand-in.
+
+@param faults - The faults that are injected.
+@param path - The path of the request.
+@param body - Its body.
+@returns True if the path or the body contains the text of the fault.
+*/
+export const isCrashing = ({crashOn}: CrashFaults, path: string, body: string): boolean => crashOn !== '' && (path.includes(crashOn) || body.includes(crashOn));
+
+/**
+Makes a server behave like one whose process ends and starts again: it closes all connections, and each new one for a while.
+
+@param server - The server.
+@param downMs - Time for which it accepts no connections, in milliseconds.
+*/
+export const simulateCrash = (server: Server, downMs: number): void => {
+	const closeSocket = (socket: Socket) => {
+		socket.destroy();
+	};
+
+	server.on('connection', closeSocket);
+	server.closeAllConnections();
+	setTimeout(() => {
+		server.off('connection', closeSocket);
+	}, downMs);
+};
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -5,11 +5,13 @@
 	createHttpServer, listen, readBody, sendJson,
 } from '../server/index.js';
 import type {SocketAddress, ListeningServer} from '../server/index.js';
-import {createFaultInjector} from './faults.js';
-import type {FaultInjector} from './faults.js';
+import {
+	createFaultInjector, isCrashing, noCrashes, simulateCrash,
+} from './faults.js';
+import type {CrashFaults, FaultInjector} from './faults.js';
 
 /** Faults that the stand-in service can inject. */
-export type ServiceFaults = Readonly<{
+export type ServiceFaults = CrashFaults & Readonly<{
 	/** Delay before a call is executed, in milliseconds. */
 	delay: number;
 	/** Number of upcoming calls that are executed, but whose connection is closed without a reply. */
@@ -38,7 +40,9 @@
 @returns The running stand-in.
 */
 export const startService = async (at: SocketAddress): Promise<ServiceStandin> => {
-	const faults = createFaultInjector<ServiceFaults>({delay: 0, loseReplies: 0, fail: 0});
+	const faults = createFaultInjector<ServiceFaults>({
+		delay: 0, loseReplies: 0, fail: 0, ...noCrashes,
+	});
 	let executions: readonly Execution[] = [];
 
 	const server = createHttpServer(async (request, response, url) => {
@@ -63,6 +67,11 @@
 		const digest = createHash('sha256').update(body.unwrap()).digest('hex');
 		const execution: Execution = {path: url.pathname, digest, at: Date.now()};
 		executions = [...executions, execution];
+		if (isCrashing(faults.get(), url.pathname, body.unwrap().toString())) {
+			simulateCrash(server, faults.get().downMs);
+			return;
+		}
+
 		if (loseReplies > 0) {
 			faults.set({loseReplies: loseReplies - 1});
 			request.socket.destroy();
