--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -33,11 +33,17 @@
 	hasPaused: (router: number, since: number) => boolean;
 }>;
 
+/** What endpoints crash on: a prompt part, or a request that comes again. */
+export type CrashCause = 'part' | 'request';
+
 /** A prompt part on which endpoints crash. */
 export const poisonPart = 'bad0';
 
+/** Last segment of the path of a request on which endpoints crash. */
+export const killerSegment = 'kill';
+
 /** Time for which an endpoint is away after such a crash, in ms. */
-const poisonDownMs = 1200;
+const crashDownMs = 1200;
 
 /** Streams without a length and without chunks: one in so many. */
 const unframedOneIn = 6;
@@ -66,8 +72,8 @@
 	senders: Senders;
 	/** Called with each violation that the endpoint sees. */
 	report: (violation: string) => void;
-	/** Called with the id of each request with the poison part that arrives, and again if the endpoint crashes on it. */
-	onPoison: (requestId: string, isCrash: boolean) => void;
+	/** Called with the id of each request that arrives on which endpoints crash, and again if this one crashes on it. */
+	onCrashCause: (cause: CrashCause, requestId: string, isCrash: boolean) => void;
 }>;
 
 /**
@@ -76,7 +82,7 @@
 @param options - Its name, and what it shares with the other endpoints.
 @returns The endpoint.
 */
-export const startEndpoint = async ({name, softwareVersion, store, executions, senders, report, onPoison}: EndpointOptions): Promise<FakeEndpoint> => {
+export const startEndpoint = async ({name, softwareVersion, store, executions, senders, report, onCrashCause}: EndpointOptions): Promise<FakeEndpoint> => {
 	let incarnation = 0;
 	let isDown = false;
 	let isClosed = false;
@@ -149,22 +155,34 @@
 		}
 	};
 
+	const findCrashCause = (incoming: IncomingMessage): CrashCause | undefined => {
+		const parts = String(incoming.headers['prompt-prefix'] ?? '').split(',').slice(0, -1).map(part => part.split(':')[0]);
+		return parts.includes(poisonPart) ? 'part' : (incoming.url?.endsWith(`/${killerSegment}`) === true ? 'request' : undefined);
+	};
+
+	/** Crashes if the request is one on which endpoints crash; returns false otherwise. */
+	const crashOn = (incoming: IncomingMessage): boolean => {
+		const cause = findCrashCause(incoming);
+		if (cause !== undefined) {
+			onCrashCause(cause, String(incoming.headers['attempt-id']), true);
+			crashAndRestart();
+		}
+
+		return cause !== undefined;
+	};
+
 	const serveAct = (incoming: IncomingMessage, response: ServerResponse) => {
 		recordExecution(incoming, true);
 		setTimeout(() => {
-			response.writeHead(200, createHeaders(incoming)).end(String(incoming.headers['attempt-id']));
+			if (!crashOn(incoming)) {
+				response.writeHead(200, createHeaders(incoming)).end(String(incoming.headers['attempt-id']));
+			}
 		}, delaysMs.act);
 	};
 
 	const serveStream = (incoming: IncomingMessage, response: ServerResponse) => {
 		const id = String(incoming.headers['attempt-id']);
 		const start = Number(incoming.headers['last-event-id'] ?? 0);
-		const parts = String(incoming.headers['prompt-prefix'] ?? '').split(',').slice(0, -1).map(part => part.split(':')[0]);
-		const isPoison = parts.includes(poisonPart);
-		if (isPoison) {
-			onPoison(id, false);
-		}
-
 		if (Number(id.split('-').at(-1)) % unframedOneIn === 0) {
 			response.shouldKeepAlive = false;
 			response.useChunkedEncodingByDefault = false;
@@ -179,9 +197,7 @@
 				return;
 			}
 
-			if (isPoison) {
-				onPoison(id, true);
-				crashOnPoison();
+			if (crashOn(incoming)) {
 				return;
 			}
 
@@ -220,6 +236,11 @@
 				report(`${getId()} received ${String(incoming.headers['attempt-id'])} ${Date.now() - drainingSince} ms after registering as draining`);
 			}
 
+			const cause = findCrashCause(incoming);
+			if (cause !== undefined) {
+				onCrashCause(cause, String(incoming.headers['attempt-id']), false);
+			}
+
 			(incoming.url?.startsWith('/act/') === true ? serveAct : serveStream)(incoming, response);
 		});
 	});
@@ -256,7 +277,7 @@
 	};
 
 	/** Closes all connections, unframed streams in the middle of an event and without a reset, and starts anew after a while. */
-	const crashOnPoison = () => {
+	const crashAndRestart = () => {
 		if (isDown || isClosed) {
 			return;
 		}
@@ -279,7 +300,7 @@
 				isDown = false;
 				startAnew();
 			});
-		}, poisonDownMs);
+		}, crashDownMs);
 	};
 
 	return {
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -9,8 +9,10 @@
 import process from 'node:process';
 import {createRandom} from '../../src/random/index.js';
 import type {Random} from '../../src/random/index.js';
-import {eventCount, poisonPart, startEndpoint} from './endpoint.js';
-import type {Execution, FakeEndpoint} from './endpoint.js';
+import {
+	eventCount, killerSegment, poisonPart, startEndpoint,
+} from './endpoint.js';
+import type {CrashCause, Execution, FakeEndpoint} from './endpoint.js';
 import {startProxy} from './proxy.js';
 import type {FaultProxy, ProxyMode} from './proxy.js';
 import {createStore} from './store.js';
@@ -130,10 +132,16 @@
 	remainder: 2, awayMs: 150, minAgeMs: 300, maxAgeMs: 3000,
 } as const;
 
-/** On seeds with this remainder by 4, requests with a prompt part on which endpoints crash come all the time, one of so many. */
-const poison = {
-	remainder: 2, oneIn: 30, crashes: 5, noticeMs: 3000, maxLate: 3,
-} as const;
+/**
+Requests on which endpoints crash, by what causes it. They come all the time on seeds with the given remainder by 4,
+one of so many, and hardly reach endpoints some time after the given number of crashes.
+*/
+const crashRules: Readonly<Record<CrashCause, Readonly<{remainder: number; oneIn: number; crashes: number}>>> = {
+	part: {remainder: 2, oneIn: 30, crashes: 5},
+	request: {remainder: 1, oneIn: 40, crashes: 3},
+};
+const crashNoticeMs = 3000;
+const maxLateCrashes = 3;
 
 /** On seeds with this remainder by 3, an endpoint says in its responses alone that it is leaving, and ends after a while. */
 const leave = {remainder: 1, serveMs: 3500} as const;
@@ -237,6 +245,48 @@
 	];
 };
 
+/** What a client asks for. */
+type Request = Readonly<{
+	isAct: boolean;
+	/** Whether it is the one request of the run that comes again and crashes endpoints. */
+	isKiller: boolean;
+	/** What its id begins with. */
+	idPrefix: string;
+	promptParts: readonly string[];
+}>;
+
+/**
+Picks what the next client asks for.
+
+@param seed - The seed of the run, which determines the request that comes again: an act or a stream.
+@param index - The number of calls so far, which makes the last prompt part unique.
+@param random - Picks the kind.
+@param crashRandom - Picks the prompt and the requests on which endpoints crash.
+@param interrupted - The stream that the client resumes, if any.
+@returns The request.
+*/
+const pickRequest = (seed: number, index: number, random: Random, crashRandom: Random, interrupted: Call | undefined): Request => {
+	const isCausing = (cause: CrashCause) => seed % 4 === crashRules[cause].remainder && interrupted === undefined && crashRandom.pick(crashRules[cause].oneIn) === 0;
+	if (isCausing('request')) {
+		return {
+			isAct: seed % 8 < 4, isKiller: true, idPrefix: `${seed % 8 < 4 ? 'act' : 'crash'}-${killerSegment}`, promptParts: ['a0', 'b0', killerSegment],
+		};
+	}
+
+	const isAct = interrupted === undefined && random.pick(4) === 0;
+	const isPoison = !isAct && isCausing('part');
+	return {
+		isAct,
+		isKiller: false,
+		idPrefix: isAct ? 'act' : (isPoison ? 'crash' : 'chat'),
+		promptParts: [`a${crashRandom.pick(2)}`, ...(isPoison ? [poisonPart] : []), `b${crashRandom.pick(3)}`, `own${index}`],
+	};
+};
+
+const createPromptHeaders = (promptParts: readonly string[], random: Random) => ({
+	'token-counts': `${50 + random.pick(300)},${eventCount}`, model: 'm', 'prompt-prefix': promptParts.map(part => `${part}:10`).join(','),
+});
+
 /**
 Runs one seed: starts three routers and a relay as processes, injects faults that the seed
 determines while clients keep sending requests, and checks that service recovers afterwards.
@@ -247,7 +297,7 @@
 export const runSoak = async (seed: number): Promise<SoakResult> => {
 	const random: Random = createRandom(seed);
 	const startedAt = Date.now();
-	const poisonRandom: Random = createRandom(seed + 3_000_000);
+	const crashRandom: Random = createRandom(seed + 3_000_000);
 	const getNow = () => Date.now() - startedAt;
 	const store = createStore();
 	await new Promise<void>(resolve => {
@@ -264,16 +314,16 @@
 	/** Times at which a router could not act, in ms since the epoch; the router is undefined if that holds for all. */
 	const pauses: Array<Readonly<{router: number | undefined; from: number; until: number}>> = [];
 	const hasPaused = (router: number, since: number) => pauses.some(pause => (pause.router ?? router) === router && pause.until >= since);
-	const poisonArrivals: Array<Readonly<{id: string; at: number}>> = [];
-	const poisonCrashes: number[] = [];
+	const crashArrivals: Array<Readonly<{cause: CrashCause; id: string; at: number}>> = [];
+	const crashes: Array<Readonly<{cause: CrashCause; at: number}>> = [];
 	const faultSpans: Span[] = [];
-	const recordPoison = (id: string, isCrash: boolean) => {
+	const recordCrashCause = (cause: CrashCause, id: string, isCrash: boolean) => {
 		if (isCrash) {
-			poisonCrashes.push(Date.now());
+			crashes.push({cause, at: Date.now()});
 			// As after any other crash, the streams that ran there may be truncated.
 			faultSpans.push({from: getNow(), until: getNow() + 100});
 		} else {
-			poisonArrivals.push({id, at: Date.now()});
+			crashArrivals.push({cause, id, at: Date.now()});
 		}
 	};
 
@@ -282,7 +332,7 @@
 	const endpoints: readonly FakeEndpoint[] = await Promise.all(Object.entries({
 		a: 'v1', b: 'v1', c: 'v2', d: 'v2',
 	}).map(async ([name, version]) => startEndpoint({
-		name, softwareVersion: version, store, executions, report, senders: {findRouter, hasPaused}, onPoison: recordPoison,
+		name, softwareVersion: version, store, executions, report, senders: {findRouter, hasPaused}, onCrashCause: recordCrashCause,
 	})));
 	const relayPorts = await Promise.all([findPort(), findPort()]);
 	const relaySettings = path.join(folder, `relay-${seed}.ini`);
@@ -302,14 +352,12 @@
 
 	let isLoading = true;
 	const sendCall = (interrupted?: Call) => {
-		const isAct = interrupted === undefined && random.pick(4) === 0;
-		const isPoison = seed % 4 === poison.remainder && interrupted === undefined && !isAct && poisonRandom.pick(poison.oneIn) === 0;
-		const sharedParts = [`a${poisonRandom.pick(2)}`, ...(isPoison ? [poisonPart] : []), `b${poisonRandom.pick(3)}`];
-		const organisation = interrupted?.organisation ?? (random.pick(2) === 0 ? 'rich' : 'poor');
+		const {isAct, isKiller, idPrefix, promptParts} = pickRequest(seed, calls.length, random, crashRandom, interrupted);
+		const organisation = interrupted?.organisation ?? (isKiller || random.pick(2) === 0 ? 'rich' : 'poor');
 		const index = random.pick(routers.length);
 		const router = routers[index]!;
 		const call: Call = {
-			id: `${isAct ? 'act' : (isPoison ? 'poison' : 'chat')}-${seed}-${calls.length}`,
+			id: `${idPrefix}-${seed}-${calls.length}`,
 			router: index,
 			organisation,
 			sentAt: getNow(),
@@ -333,12 +381,12 @@
 		};
 
 		const outgoing = request({
-			agent: router.agent, host: '127.0.0.1', port: router.ports[0], path: isAct ? '/act/x' : '/chat/x', method: 'POST', headers: {
+			agent: router.agent, host: '127.0.0.1', port: router.ports[0], path: `/${isAct ? 'act' : 'chat'}/${isKiller ? killerSegment : 'x'}`, method: 'POST', headers: {
 				host: 'h',
 				'attempt-id': call.id,
 				'request-deadline-ms': '2500',
 				authorization: `Token key-${organisation}`,
-				...(!isAct && {'token-counts': `${50 + random.pick(300)},${eventCount}`, model: 'm', 'prompt-prefix': [...sharedParts, `own${calls.length}`].map(part => `${part}:10`).join(',')}),
+				...(!isAct && createPromptHeaders(promptParts, random)),
 				...(call.resumed !== undefined && {'last-event-id': String(call.resumed.lastEvent), resumes: call.resumed.origin.id}),
 			},
 		}, incoming => {
@@ -354,7 +402,7 @@
 			incoming.on('close', recordEnd);
 		});
 		outgoing.on('error', recordEnd);
-		if (isAct && calls.length % slowBodies.oneIn === 0) {
+		if (isAct && !isKiller && calls.length % slowBodies.oneIn === 0) {
 			outgoing.write('first part');
 			setTimeout(() => {
 				outgoing.end('second part');
@@ -388,7 +436,7 @@
 
 	/** Records that a router cannot act for a time; it counts as back only some seconds later. */
 	const recordPause = (router: number | undefined, durationMs: number) => {
-		pauses.push({router, from: Date.now(), until: Date.now() + durationMs + poison.noticeMs});
+		pauses.push({router, from: Date.now(), until: Date.now() + durationMs + crashNoticeMs});
 	};
 
 	const restartRouter = (router: Router) => {
@@ -498,7 +546,8 @@
 		endpoints[index]!.crash();
 	};
 
-	await Promise.all([seed % 3 === restore.remainder ? restoreStore() : undefined, seed % 3 === leave.remainder ? leaveEndpoint() : undefined, ...scheduled.map(async ({at, kind, index, durationMs}) => {
+	const seeded = [seed % 3 === restore.remainder ? restoreStore() : undefined, seed % 3 === leave.remainder ? leaveEndpoint() : undefined];
+	await Promise.all([...seeded, ...scheduled.map(async ({at, kind, index, durationMs}) => {
 		await wait(at);
 		await faultActions[kind]!(index, durationMs);
 	})]);
@@ -510,20 +559,28 @@
 	const loadEndedAt = getNow();
 	await wait(2700);
 
-	const crashedAt = poisonCrashes[poison.crashes - 1] ?? Number.POSITIVE_INFINITY;
-	// Until routers know the part, it may end all endpoints of a version at once.
+	const findCondemnedAt = (cause: CrashCause) => crashes.filter(crash => crash.cause === cause)[crashRules[cause].crashes - 1]?.at ?? Number.POSITIVE_INFINITY;
+	// Until routers know the cause, it may end all endpoints of a version at once.
 	const isAmidCrashes = (call: Call) => {
 		const sentAt = startedAt + call.sentAt;
-		return sentAt > (poisonCrashes[0] ?? Number.POSITIVE_INFINITY) - 1000 && sentAt < Math.min(crashedAt, poisonCrashes.at(-1) ?? 0) + (2 * poison.noticeMs);
+		const knownAt = Math.min(findCondemnedAt('part'), findCondemnedAt('request'), crashes.at(-1)?.at ?? 0);
+		return sentAt > (crashes[0]?.at ?? Number.POSITIVE_INFINITY) - 1000 && sentAt < knownAt + (2 * crashNoticeMs);
+	};
+
+	const findLateCrashCauses = (cause: CrashCause): readonly string[] => {
+		const {crashes: count} = crashRules[cause];
+		const since = findCondemnedAt(cause);
+		const late = crashArrivals.filter(arrival => arrival.cause === cause && arrival.at > since + crashNoticeMs && !hasPaused(findRouter(arrival.id)!, since));
+		return late.length <= maxLateCrashes
+			? []
+			: [`${late.length} requests that crash endpoints (${cause}) reached them later than ${crashNoticeMs} ms after crash ${count} of ${crashes.length}`];
 	};
 
 	const [resumed, begun] = [true, false].map(isResumed => calls.filter(call =>
 		call.id.startsWith('chat') && (call.resumed !== undefined) === isResumed && !isAmidCrashes(call)));
 	const countShare = (group: readonly Call[]) => group.filter(call => countDelivered(call) > 0).length / Math.max(1, group.length);
 	const isResumable = resumed!.length < minResumed || countShare(resumed!) >= countShare(begun!) / 2;
-	const latePoison = poisonArrivals.filter(({id, at}) => at > crashedAt + poison.noticeMs && !hasPaused(findRouter(id)!, crashedAt));
-	const latePoisonText = `${latePoison.length} requests with part ${poisonPart} reached endpoints later than ${poison.noticeMs} ms after crash ${poison.crashes} of ${poisonCrashes.length}`;
-	const recentCalls = calls.filter(call => !call.id.startsWith('poison') && call.sentAt > loadEndedAt - 1000 && call.organisation === 'rich');
+	const recentCalls = calls.filter(call => !call.id.startsWith('crash') && !call.id.includes(killerSegment) && call.sentAt > loadEndedAt - 1000 && call.organisation === 'rich');
 	const recentServedCount = recentCalls.filter(call => call.status === 200 && call.isComplete).length;
 	const isServing = recentServedCount >= recentCalls.length / 2;
 	[...routers.map(router => router.child), relay].forEach(child => {
@@ -542,7 +599,8 @@
 		violations: [
 			...violations,
 			...findViolations(calls, executions, shutdowns, faultSpans),
-			...(latePoison.length <= poison.maxLate ? [] : [latePoisonText]),
+			...findLateCrashCauses('part'),
+			...findLateCrashCauses('request'),
 			...(isResumable ? [] : [`of ${resumed!.length} resumed streams a share of ${countShare(resumed!).toFixed(2)} went on, of new ones ${countShare(begun!).toFixed(2)} began`]),
 			...(isServing ? [] : [`after the faults, ${recentServedCount} of the last ${recentCalls.length} requests were served`]),
 		],
