--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -213,6 +213,60 @@
 	});
 });
 
+describe('what is known of an endpoint is kept while its entry is away', () => {
+	type Act = (edge: EdgeHarness, id: string) => EdgeHarness;
+	const listOthers: Act = (edge, id) => edge.post({kind: 'endpoints-listed', entries: ['e1', 'e2'].filter(each => each !== id).map(each => createEntry(each))});
+	const removals: ReadonlyArray<readonly [string, Act]> = [
+		['a change', (edge, id) => edge.post({kind: 'endpoint-changed', id, listing: undefined})],
+		['a list without it', listOthers],
+		['an outage of the registry', (edge, id) => listOthers(edge.post({kind: 'registry-lost'}), id).post({kind: 'registry-regained'}).advance(2001)],
+		['an older copy of the registry', (edge, id) => listOthers(edge.post({kind: 'registry-restored'}), id).advance(2001)],
+		['an entry of a former incarnation', (edge, id) => edge.post({kind: 'endpoint-changed', id, listing: createEntry(id, {startedAt: 0})})],
+		['an entry of a newer endpoint at its address', (edge, id) => edge
+			.post({kind: 'endpoint-changed', id: 'e3', listing: createEntry('e3', {address: createEntry(id).address, startedAt: 2})})
+			.post({kind: 'endpoint-changed', id: 'e3', listing: undefined})],
+	];
+	const bringBack: Act = (edge, id) => edge.post({kind: 'endpoint-changed', id, listing: createEntry(id)});
+	const statements: ReadonlyArray<readonly [string, Partial<ResponseHead>]> = [
+		['pushback', {status: 503, hasNotRun: true, pushbackMs: succeed(10_000)}],
+		['a rate limit', {rateLimit: succeed(0)}],
+	];
+	const cases = removals.flatMap(([removal, remove]) => statements.map(([statement, fields]) => ({
+		removal, remove, statement, fields,
+	})));
+
+	const startRequest = () => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		return {edge, id: edge.getSentTo()};
+	};
+
+	const listTargets = (edge: EdgeHarness) => Array.from({length: 6}, (_, index) => edge.sendRequest(10 + index, 'act').getSentTo());
+
+	test.each(cases)('$statement from before $removal', ({remove, fields}) => {
+		const {edge, id} = startRequest();
+		const targets = listTargets(bringBack(remove(edge.respond(1, 1, fields), id), id));
+		expect(targets).not.toContain(id);
+		expect(targets[0]).not.toBe('');
+	});
+
+	test.each(cases)('$statement from after $removal', ({remove, fields}) => {
+		const {edge, id} = startRequest();
+		const targets = listTargets(bringBack(remove(edge, id).respond(1, 1, fields), id));
+		expect(targets).not.toContain(id);
+		expect(targets[0]).not.toBe('');
+	});
+
+	test.each(removals)('its requests and failures: %s', (_, remove) => {
+		const {edge, id} = startRequest();
+		edge.sendRequest(2, 'act').sendRequest(3, 'act').sendRequest(4, 'act');
+		const {open} = edge.state.registry.endpoints.get(id)!;
+		remove(edge, id);
+		const [call] = edge.sentTo.findEntry((endpoint, key) => endpoint.id === id && key !== '1/1')!;
+		edge.failAttempt(Number(call.split('/')[0]), 1);
+		expect(bringBack(edge, id).state.registry.endpoints.get(id)).toMatchObject({open: open - 1, failures: 1});
+	});
+});
+
 describe('an endpoint that has said that it is leaving', () => {
 	const startLeaving = (fields: Partial<ResponseHead> = {}) => {
 		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
