Leave an endpoint alone beyond a minute if it asks for that

Cause: Retry-After of a 503 was cut to 60 s, after which the router sent the endpoint requests again. Clients are still asked to come back within a minute, by when other endpoints may have come. Measured: platform.test.ts, Retry-After 61 gave 60 s before; handle.test.ts, 'while the only endpoint wants no request'.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -213,6 +213,12 @@
 	});
 });
 
+test.each([[59_000, 59], [3_600_000, 60]])('while the only endpoint wants no request for %d ms, clients are asked to come back in %d s', (pushbackMs, retryAfter) => {
+	const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'act').respond(1, 1, {status: 503, hasNotRun: true, pushbackMs: succeed(pushbackMs)});
+	edge.advance(500).sendRequest(2, 'act');
+	expect(edge.done.find(effect => effect.kind === 'refuse')?.fault).toMatchObject({kind: 'overloaded', retryAfter: Math.min(retryAfter, (pushbackMs - 500) / 1000)});
+});
+
 describe('what is known of an endpoint is kept while its entry is away', () => {
 	type Act = (edge: EdgeHarness, id: string) => EdgeHarness;
 	const listOthers: Act = (edge, id) => edge.post({kind: 'endpoints-listed', entries: ['e1', 'e2'].filter(each => each !== id).map(each => createEntry(each))});
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -98,11 +98,14 @@
 const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
 	endpoint.service === request.service && (request.streamVersion === undefined || endpoint.softwareVersion === request.streamVersion);
 
+/** Longest time after which a client is asked to retry, in ms: until then, other endpoints may have come. */
+const maxLimitedRetryMs = 60_000;
+
 /** Rejects a request that its endpoints do not take in time. */
 const rejectLimited = (state: EdgeState, request: InFlightRequest, sendAt: number, random: number, now: number): EdgeStep => {
 	const isKnown = Number.isFinite(sendAt);
 	const detail = `no endpoint of service ${request.service} takes a further request${isKnown ? ` for ${Math.round(sendAt - now)} ms` : ''}`;
-	const retryAfter = Math.max(suggestRetryAfter(request.expiresAt - now, random), isKnown ? Math.round(sendAt - now) / 1000 : 0);
+	const retryAfter = Math.max(suggestRetryAfter(request.expiresAt - now, random), isKnown ? Math.round(Math.min(maxLimitedRetryMs, sendAt - now)) / 1000 : 0);
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -160,7 +160,8 @@
 	test.each<[number, string | undefined, number | undefined]>([
 		[503, '1.5', 1500],
 		[503, '0', 0],
-		[503, '99999999', 60_000],
+		[503, '61', 61_000],
+		[503, '99999999', 86_400_000],
 		[503, undefined, undefined],
 		[429, '1.5', undefined],
 	])('with status %i and Retry-After %j keeps requests away for %j ms', (status, text, expected) => {
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -203,8 +203,8 @@
 
 type IncomingResponse = Readonly<{statusCode?: number; headers: IncomingHttpHeaders; rawHeaders: readonly string[]}>;
 
-/** Longest time for which an endpoint can keep requests away, in ms. */
-const maxPushbackMs = 60_000;
+/** Longest time for which an endpoint can keep requests away, in ms: a day, as a router seldom runs longer. */
+const maxPushbackMs = 86_400_000;
 
 const decodePushback = (headers: IncomingHttpHeaders): Result<number | undefined> => {
 	const seconds = decodeDecimal(headers, headerNames.pushback);
