Read a date, and seconds in other forms, in an endpoint's Retry-After

Cause: a date, a fraction without its first or last digits, more than nine digits or decimals counted as unreadable, and so as 1 s of rest, after which the router sent the endpoint requests again. Change: a date counts from the Date of the same response, or from the current time without one; all decimal numbers are read. What cannot be read (a sign, an exponent, a unit) still counts as 1 s, and the log names the header.

--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -206,9 +206,25 @@
 /** Longest time for which an endpoint can keep requests away, in ms: a day, as a router seldom runs longer. */
 const maxPushbackMs = 86_400_000;
 
+const secondsPattern = /^(?:\d+\.?\d*|\.\d+)$/v;
+
+/** The date form of HTTP, as in RFC 9110, 5.6.7. */
+const datePattern = /^[A-Z][a-z]{2}, \d{2} [A-Z][a-z]{2} \d{4} \d{2}:\d{2}:\d{2} GMT$/v;
+
+const parseDate = (text: string | undefined): number => text !== undefined && datePattern.test(text) ? Date.parse(text) : Number.NaN;
+
+/** Decodes seconds, or a date as seen by the endpoint's clock. */
 const decodePushback = (headers: IncomingHttpHeaders): Result<number | undefined> => {
-	const seconds = decodeDecimal(headers, headerNames.pushback);
-	return seconds.ok ? succeed(seconds.val === undefined ? undefined : Math.min(maxPushbackMs, seconds.val * 1000)) : seconds;
+	const text = readHeader(headers, headerNames.pushback)?.trim();
+	if (text === undefined) {
+		return succeed(undefined);
+	}
+
+	const sentAt = parseDate(readHeader(headers, 'date'));
+	const duration = secondsPattern.test(text) ? Number(text) * 1000 : parseDate(text) - (Number.isNaN(sentAt) ? Date.now() : sentAt);
+	return Number.isNaN(duration)
+		? fail(createFault('bad-request', `${headerNames.pushback}: "${text}" is neither seconds nor a date`))
+		: succeed(Math.min(maxPushbackMs, Math.max(0, duration)));
 };
 
 /** Status of an endpoint that turns a request away. */
