Return requests to an endpoint one by one after a rest

Cause: at the end of the time for which an endpoint wanted no requests, each router sent all that had waited at once, and all routers did so at the same moment. The endpoint turned 50 to 129 more requests away and asked for the next rest. Change: src/pushback. After a rest a router has one request open at the endpoint, and more with each response: one more up to half of what it ran as it asked, half a request a round above. Ten seconds later nothing is limited. Routers return one after the other, within a quarter of the rest and 1.5 s, in an order that differs by endpoint.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -1,3 +1,4 @@
+import {recordPushbackSuccess} from '../pushback/index.js';
 import {spendRetry} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
@@ -132,6 +133,14 @@
 	effects: [{kind: 'relay', call: request.id}],
 });
 
+/** Records that an endpoint responds, and takes requests again if it did not turn this one away. */
+const recordResponse = (state: EdgeState, request: InFlightRequest, {hasNotRun, status}: ResponseHead): EdgeState => {
+	const recorded = recordEndpointResponse(state, request);
+	return hasNotRun || status >= 500
+		? recorded
+		: updateKnownEndpoint(recorded, request.sentTo, endpoint => ({...endpoint, pushback: recordPushbackSuccess(endpoint.pushback, request.sentAt)}));
+};
+
 /**
 Handles a complete response of an endpoint, or the head of a stream.
 
@@ -145,7 +154,7 @@
 		return keepState(state);
 	}
 
-	const recorded = recordEndpointResponse(state, request);
+	const recorded = recordResponse(state, request, event.head);
 	const step = event.head.hasNotRun
 		? receiveRefusal(recorded, request, event, now)
 		: (event.head.isStream && event.head.status === 200
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -1,3 +1,4 @@
+import {recordPushbackClose} from '../pushback/index.js';
 import {chargeTokens} from '../quota/index.js';
 import {updateEndpoint} from '../registry/index.js';
 import type {Endpoint, Incarnation} from '../registry/index.js';
@@ -74,7 +75,10 @@
 @returns The new state.
 */
 export const closeAttempt = (state: EdgeState, request: InFlightRequest): EdgeState => updateKnownEndpoint(state, getActiveEndpoint(request), endpoint => ({
-	...endpoint, open: Math.max(0, endpoint.open - 1), pending: Math.max(0, endpoint.pending - request.pending),
+	...endpoint,
+	open: Math.max(0, endpoint.open - 1),
+	pending: Math.max(0, endpoint.pending - request.pending),
+	pushback: recordPushbackClose(endpoint.pushback, request.sentAt),
 }));
 
 /**
--- a/src/edge/limits.ts
+++ b/src/edge/limits.ts
@@ -1,4 +1,5 @@
 import {listLiveRouters} from '../quota/index.js';
+import {computeReturnDelay, extendPushback} from '../pushback/index.js';
 import {adoptStatement, setShare} from '../rate-limit/index.js';
 import type {RateLimitStatement} from '../rate-limit/index.js';
 import {findKnown, updateEndpoints} from '../registry/index.js';
@@ -78,8 +79,10 @@
 		return keepState(state);
 	}
 
+	const getReturnTime = (endpoint: Endpoint) => now + duration + computeReturnDelay(duration, endpoint.idHash, state.quota.router, state.liveRouters);
 	return {
-		state: updateKnownEndpoint(state, incarnation, endpoint => ({...endpoint, pushedBackUntil: Math.max(endpoint.pushedBackUntil, now + duration)})),
+		// The request that was turned away is still open.
+		state: updateKnownEndpoint(state, incarnation, endpoint => ({...endpoint, pushback: extendPushback(endpoint.pushback, getReturnTime(endpoint), endpoint.open - 1)})),
 		effects: [createLogEffect('pushback', {endpoint: incarnation.id, duration, reason: pushbackMs.ok ? undefined : pushbackMs.val.detail})],
 	};
 };
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -6,6 +6,7 @@
 import {
 	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, pickNext, predictLimitedSendAt, suggestRetryAfter,
 } from '../queue/index.js';
+import {recordPushbackSend} from '../pushback/index.js';
 import type {PoisonDecision} from '../poison/index.js';
 import type {Dispatch, LimitedQuery} from '../queue/index.js';
 import {spendCredit} from '../rate-limit/index.js';
@@ -49,6 +50,7 @@
 		pending: current.pending + newTokens,
 		sentSinceReport: current.sentSinceReport + 1,
 		rateLimit: spendCredit(current.rateLimit, now),
+		pushback: recordPushbackSend(current.pushback),
 		promptPartsSentAt: recordPromptParts(current, request, now),
 	}));
 	return {
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,6 +1,7 @@
 import type {Service} from '../routing-config/index.js';
 import type {ModelRequest} from '../in-flight/index.js';
 import type {EndpointLoads} from '../gossip/index.js';
+import {hasRoom, isAtRest} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {canSend, computeNextSendAt, computeRate} from '../rate-limit/index.js';
 import {decaySlowness} from '../registry/index.js';
@@ -195,16 +196,16 @@
 
 	const untried = keepMatching(endpoints, endpoint => !query.triedEndpoints.includes(endpoint.id));
 	const healthy = keepMatching(untried, endpoint => endpoint.ejectedUntil <= query.now);
-	const permitted = healthy.filter(endpoint => endpoint.pushedBackUntil <= query.now && canSend(endpoint.rateLimit, query.now));
+	const permitted = healthy.filter(endpoint => !isAtRest(endpoint.pushback, query.now) && canSend(endpoint.rateLimit, query.now));
 	if (permitted.length === 0) {
 		return {
 			kind: 'limited',
-			nextSendAt: Math.min(...healthy.map(endpoint => Math.max(endpoint.pushedBackUntil, computeNextSendAt(endpoint.rateLimit, query.now)))),
+			nextSendAt: Math.min(...healthy.map(endpoint => Math.max(endpoint.pushback?.until ?? 0, computeNextSendAt(endpoint.rateLimit, query.now)))),
 			requestsPerSecond: healthy.reduce((sum, endpoint) => sum + computeRate(endpoint.rateLimit, query.now), 0),
 		};
 	}
 
-	const available = permitted.filter(endpoint => endpoint.open < query.connections && !isFull(endpoint, query.peers, query.now));
+	const available = permitted.filter(endpoint => endpoint.open < query.connections && hasRoom(endpoint.pushback, query.now) && !isFull(endpoint, query.peers, query.now));
 	const affinity = pickAffinityPart(query.modelRequest);
 	const affinityEndpoints = affinity === undefined ? [] : pickAffinityEndpoints(affinity, available);
 	const affinityBonusMs = computeAffinityBonusMs(query);
--- /dev/null
+++ b/src/pushback/index.ts
@@ -0,0 +1,4 @@
+export {
+	computeReturnDelay, extendPushback, hasRoom, isAtRest, recordPushbackClose, recordPushbackSend, recordPushbackSuccess,
+} from './pushback.js';
+export type {Pushback} from './pushback.js';
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,4 +1,5 @@
 import {Map, OrderedMap} from 'immutable';
+import type {Pushback} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {unlimited} from '../rate-limit/index.js';
 import type {RateLimit} from '../rate-limit/index.js';
@@ -35,8 +36,8 @@
 	load: Readonly<{running: number; waiting: number; slots: number; at: number}> | undefined;
 	/** Its rate limit, and this router's share. */
 	rateLimit: RateLimit;
-	/** Until when it wants no requests of this router, as it stated with a rejection, in ms. */
-	pushedBackUntil: number;
+	/** The rest that it last asked this router for, if any. */
+	pushback: Pushback | undefined;
 	/** Requests sent since that report. */
 	sentSinceReport: number;
 	/** When this router last sent it each prompt part, in ms. */
@@ -97,7 +98,7 @@
 	pending: 0,
 	load: undefined,
 	rateLimit: unlimited,
-	pushedBackUntil: 0,
+	pushback: undefined,
 	sentSinceReport: 0,
 	promptPartsSentAt: Map(),
 	lastResponseAt: 0,
