Tell clients different times at which the endpoints' rest is over

Cause: while all endpoints of a service want no requests, rejected clients were told the moment at which the first one does, all the same, and those whose own request an endpoint had turned away were told 0.2 to 0.8 s, at which nothing would be served. Change: both get the rest's end, spread over half of what is left of it and 1.5 s at most; a minute at most without the spread. Measured: pushback.test.ts, 'clients that are turned away meanwhile': failed before (first at 0.22 s of 2 s of rest), passes.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -9,7 +9,7 @@
 import {decaySlowness} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
-	abortResponse, canHaveRun, closeAttempt, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
+	abortResponse, canHaveRun, closeAttempt, computeRetryAfter, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
@@ -95,13 +95,19 @@
 	? `another incarnation now serves the address of endpoint ${request.triedEndpoints.at(-1) ?? ''}`
 	: `endpoint ${request.triedEndpoints.at(-1) ?? ''} did not run the request: status ${head.status}`;
 
+/** Computes the time for which no endpoint of a service wants a request, in ms; 0 if one does. */
+const computeRestMs = ({registry}: EdgeState, service: string, now: number): number => {
+	const endpoints = registry.endpoints.valueSeq().filter(endpoint => endpoint.service === service);
+	return Math.max(0, (endpoints.map(({pushback}) => pushback?.until ?? 0).min() ?? 0) - now);
+};
+
 /** Handles a response which says that the endpoint did not run the request. */
 const receiveRefusal = (state: EdgeState, request: InFlightRequest, event: ResponseEvent, now: number): EdgeStep => {
 	const closed = recordResult(closeAttempt(state, request), request, event.head.isOtherIncarnation ? 'unreachable' : 'refused', now);
 	const detail = describeRefusal(event.head, request);
 	const fault = request.hasPossiblyRun
 		? createFault('endpoint-failed', detail)
-		: createFault('overloaded', detail, suggestRetryAfter(request.expiresAt - now, event.random));
+		: createFault('overloaded', detail, computeRetryAfter(request, computeRestMs(closed, request.service, now), event.random, now));
 	return retryRequest(closed, {...request, phase: 'queued'}, {
 		hasReachedEndpoint: true, fault, random: event.random, now,
 	});
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -1,4 +1,5 @@
 import {recordPushbackClose} from '../pushback/index.js';
+import {spreadRetryAfter, suggestRetryAfter} from '../queue/index.js';
 import {chargeTokens} from '../quota/index.js';
 import {updateEndpoint} from '../registry/index.js';
 import type {Endpoint, Incarnation} from '../registry/index.js';
@@ -22,6 +23,21 @@
 	kind: 'log', level: 'routine', event, fields,
 });
 
+/** Longest time after which a client is asked to retry, in ms: until then, other endpoints may have come. */
+const maxRoomAfterMs = 60_000;
+
+/**
+Determines when the client of a rejected request retries.
+
+@param request - The request.
+@param roomAfterMs - Time after which an endpoint takes requests again, in ms; 0 if that is not known.
+@param random - A random number in [0, 1).
+@param now - The current time in ms.
+@returns Seconds.
+*/
+export const computeRetryAfter = (request: InFlightRequest, roomAfterMs: number, random: number, now: number): number =>
+	Math.max(suggestRetryAfter(request.expiresAt - now, random), spreadRetryAfter(Math.min(maxRoomAfterMs, roomAfterMs), random));
+
 /**
 Tells whether a request may be retried after it may have run.
 
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -208,14 +208,14 @@
 		edge.respond(1, 1, {...rejection, pushbackMs: succeed(2500)});
 		expect(edge.listEffects()).toContain('refuse overloaded');
 		edge.sendRequest(2, 'act');
-		expect(edge.done.find(effect => effect.kind === 'refuse')?.fault).toMatchObject({kind: 'overloaded', retryAfter: 2.5});
+		expect(edge.done.find(effect => effect.kind === 'refuse')?.fault).toMatchObject({kind: 'overloaded', retryAfter: 3.125});
 	});
 });
 
-test.each([[59_000, 59], [3_600_000, 60]])('while the only endpoint wants no request for %d ms, clients are asked to come back in %d s', (pushbackMs, retryAfter) => {
+test.each([[59_500, 59.75], [3_600_000, 60.75]])('while the only endpoint wants no request for %d ms, clients are asked to come back in %d s', (pushbackMs, retryAfter) => {
 	const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'act').respond(1, 1, {status: 503, hasNotRun: true, pushbackMs: succeed(pushbackMs)});
 	edge.advance(500).sendRequest(2, 'act');
-	expect(edge.done.find(effect => effect.kind === 'refuse')?.fault).toMatchObject({kind: 'overloaded', retryAfter: Math.min(retryAfter, (pushbackMs - 500) / 1000)});
+	expect(edge.done.find(effect => effect.kind === 'refuse')?.fault).toMatchObject({kind: 'overloaded', retryAfter});
 });
 
 describe('what is known of an endpoint is kept while its entry is away', () => {
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -12,7 +12,9 @@
 import {spendCredit} from '../rate-limit/index.js';
 import {decaySlowness, getIncarnation} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
-import {updateKnownEndpoint, putRequest, rejectRequest} from './common.js';
+import {
+	computeRetryAfter, updateKnownEndpoint, putRequest, rejectRequest,
+} from './common.js';
 import {checkPoison, rejectPoison, startRequestTrial} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
@@ -100,14 +102,11 @@
 const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
 	endpoint.service === request.service && (request.streamVersion === undefined || endpoint.softwareVersion === request.streamVersion);
 
-/** Longest time after which a client is asked to retry, in ms: until then, other endpoints may have come. */
-const maxLimitedRetryMs = 60_000;
-
 /** Rejects a request that its endpoints do not take in time. */
 const rejectLimited = (state: EdgeState, request: InFlightRequest, sendAt: number, random: number, now: number): EdgeStep => {
 	const isKnown = Number.isFinite(sendAt);
 	const detail = `no endpoint of service ${request.service} takes a further request${isKnown ? ` for ${Math.round(sendAt - now)} ms` : ''}`;
-	const retryAfter = Math.max(suggestRetryAfter(request.expiresAt - now, random), isKnown ? Math.round(Math.min(maxLimitedRetryMs, sendAt - now)) / 1000 : 0);
+	const retryAfter = computeRetryAfter(request, isKnown ? sendAt - now : 0, random, now);
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
--- a/src/edge/pushback.test.ts
+++ b/src/edge/pushback.test.ts
@@ -56,3 +56,15 @@
 		});
 	});
 });
+
+test('clients that are turned away meanwhile are told different times at which it is over', () => {
+	[1, 2, 3].forEach(seed => {
+		const {arrivals, outcomes} = playLoad({...load, endpoints: 1}, seed, 5000);
+		const endsAt = Math.min(...arrivals.flatMap(arrival => arrival.restMs === undefined ? [] : [arrival.at + arrival.restMs]));
+		const returnTimes = outcomes.filter(({kind, at}) => kind === 'refused' && at < endsAt).map(({at, retryAfter}) => at + (retryAfter! * 1000));
+		expect(returnTimes.length, `seed ${seed}`).toBeGreaterThan(100);
+		expect(Math.min(...returnTimes), `seed ${seed}`).toBeGreaterThanOrEqual(endsAt);
+		const counts = returnTimes.map(time => returnTimes.filter(other => other >= time && other < time + 100).length);
+		expect(Math.max(...counts), `seed ${seed}`).toBeLessThan(returnTimes.length / 4);
+	});
+});
--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -1,5 +1,5 @@
 export {
-	decideDispatch, decideLimitedDispatch, decideAdmission, hasWaitedTooLong, orderQueue, pickNext, predictLimitedSendAt, suggestRetryAfter,
+	decideDispatch, decideLimitedDispatch, decideAdmission, hasWaitedTooLong, orderQueue, pickNext, predictLimitedSendAt, spreadRetryAfter, suggestRetryAfter,
 } from './queue.js';
 export type {
 	Dispatch, DispatchQuery, LimitedQuery, AdmissionDecision,
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -175,3 +175,20 @@
 	const max = Math.min(retryAfterBoundsSeconds.max, Math.max(retryAfterBoundsSeconds.min, remainingMs / 4000));
 	return Math.round((retryAfterBoundsSeconds.min + ((max - retryAfterBoundsSeconds.min) * random)) * 1000) / 1000;
 };
+
+/** Fraction of the time until there is room over which the return of clients is spread, and its limit in ms. */
+const spreadFraction = 1 / 2;
+const maxSpreadMs = 1500;
+
+/**
+Determines when a client retries that was rejected because there is no room for a known time.
+
+Load pattern: all endpoints of a service want no requests until the same moment. Clients that
+all return at that moment would overload them again.
+
+@param roomAfterMs - Time after which there is room, in ms.
+@param random - A random number in [0, 1).
+@returns Seconds, no fewer than until then.
+*/
+export const spreadRetryAfter = (roomAfterMs: number, random: number): number =>
+	Math.ceil(roomAfterMs + (Math.min(maxSpreadMs, roomAfterMs * spreadFraction) * random)) / 1000;
