The soak plays endpoints that ask their routers for a rest

Cause: no endpoint of the soak turned requests away, so nothing showed whether rests are kept by real processes amid restarts, stores that come back older and entries that change. Change: on even seeds, one of 50 requests is answered 503, not run, with Retry-After of 0.8 to 2.5 s. A run fails if more than two requests of that router come between 0.5 s later and the end; a router that was killed, paused or stopped is excused.

--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -1,6 +1,8 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import type {Random} from '../../src/random/index.js';
+import {createRestWatch} from './rest.js';
 import type {FakeStore} from './store.js';
 
 /** What the endpoints recorded about one request. */
@@ -70,6 +72,8 @@
 	/** The executions by request id, shared by all endpoints. */
 	executions: Map<string, Execution>;
 	senders: Senders;
+	/** Picks the requests that it turns away to have a rest; undefined for none. */
+	restRandom: Random | undefined;
 	/** Called with each violation that the endpoint sees. */
 	report: (violation: string) => void;
 	/** Called with the id of each request that arrives on which endpoints crash, and again if this one crashes on it. */
@@ -82,7 +86,7 @@
 @param options - Its name, and what it shares with the other endpoints.
 @returns The endpoint.
 */
-export const startEndpoint = async ({name, softwareVersion, store, executions, senders, report, onCrashCause}: EndpointOptions): Promise<FakeEndpoint> => {
+export const startEndpoint = async ({name, softwareVersion, store, executions, senders, restRandom, report, onCrashCause}: EndpointOptions): Promise<FakeEndpoint> => {
 	let incarnation = 0;
 	let isDown = false;
 	let isClosed = false;
@@ -96,6 +100,11 @@
 	/** Sockets of unframed streams in progress. */
 	const unframed = new Set<Socket>();
 	const getId = () => `${name}-${incarnation}`;
+	const rests = createRestWatch({
+		...senders, random: restRandom, report(violation) {
+			report(`${getId()} ${violation}`);
+		},
+	});
 
 	const register = (state: 'ready' | 'draining') => {
 		store.put('servers', getId(), {
@@ -241,6 +250,12 @@
 				onCrashCause(cause, String(incoming.headers['attempt-id']), false);
 			}
 
+			const restMs = rests.receive(String(incoming.headers['attempt-id']));
+			if (restMs !== undefined) {
+				response.writeHead(503, {...createHeaders(incoming), 'not-executed': '1', 'retry-after': String(restMs / 1000)}).end();
+				return;
+			}
+
 			(incoming.url?.startsWith('/act/') === true ? serveAct : serveStream)(incoming, response);
 		});
 	});
@@ -271,6 +286,7 @@
 		incarnation += 1;
 		isLeaving = false;
 		toldAt = new Map();
+		rests.clear();
 		setRateLimit(rateLimit?.requestsPerSecond);
 		drainingSince = Number.POSITIVE_INFINITY;
 		register('ready');
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -143,6 +143,9 @@
 const crashNoticeMs = 3000;
 const maxLateCrashes = 3;
 
+/** On seeds with this remainder, endpoints turn requests away at random and ask their routers for a rest. */
+const rests = {oneIn: 2, remainder: 0} as const;
+
 /** On seeds with this remainder by 3, an endpoint says in its responses alone that it is leaving, and ends after a while. */
 const leave = {remainder: 1, serveMs: 3500} as const;
 
@@ -298,6 +301,7 @@
 	const random: Random = createRandom(seed);
 	const startedAt = Date.now();
 	const crashRandom: Random = createRandom(seed + 3_000_000);
+	const restRandom: Random = createRandom(seed + 5_000_000);
 	const getNow = () => Date.now() - startedAt;
 	const store = createStore();
 	await new Promise<void>(resolve => {
@@ -332,7 +336,14 @@
 	const endpoints: readonly FakeEndpoint[] = await Promise.all(Object.entries({
 		a: 'v1', b: 'v1', c: 'v2', d: 'v2',
 	}).map(async ([name, version]) => startEndpoint({
-		name, softwareVersion: version, store, executions, report, senders: {findRouter, hasPaused}, onCrashCause: recordCrashCause,
+		name,
+		softwareVersion: version,
+		store,
+		executions,
+		report,
+		senders: {findRouter, hasPaused},
+		onCrashCause: recordCrashCause,
+		restRandom: seed % rests.oneIn === rests.remainder ? restRandom : undefined,
 	})));
 	const relayPorts = await Promise.all([findPort(), findPort()]);
 	const relaySettings = path.join(folder, `relay-${seed}.ini`);
