--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -10,12 +10,12 @@
 } from './batch.js';
 import type {Batch, EngineProfile} from './batch.js';
 import {
-	createFaultInjector, isCrashing, noCrashes, simulateCrash,
+	createFaultInjector, isCrashing, noCrashes, noRest, rejectForRest, simulateCrash,
 } from './faults.js';
-import type {CrashFaults, FaultInjector} from './faults.js';
+import type {CrashFaults, FaultInjector, RestFaults} from './faults.js';
 
 /** Faults that the stand-in engine can inject. */
-export type EngineFaults = CrashFaults & Readonly<{
+export type EngineFaults = CrashFaults & RestFaults & Readonly<{
 	/** Number of upcoming requests whose connection is closed before the answer is complete. */
 	breakStreams: number;
 	/** Tokens generated for such a request before its connection is closed. */
@@ -150,7 +150,7 @@
 */
 export const startEngine = async (options: EngineOptions): Promise<EngineStandin> => {
 	const faults = createFaultInjector<EngineFaults>({
-		breakStreams: 0, breakAfter: 5, fail: 0, slowness: 1, isFrozen: false, ...noCrashes,
+		breakStreams: 0, breakAfter: 5, fail: 0, slowness: 1, isFrozen: false, ...noCrashes, ...noRest,
 	});
 	let batch: Batch = emptyBatch;
 	let generations: ReadonlyMap<number, Generation> = new Map();
@@ -299,6 +299,10 @@
 
 		const rawBody = await readBody(request, maxBodyBytes);
 		const body = JSON.parse(rawBody.unwrap().toString()) as ChatBody;
+		if (rejectForRest(faults, response)) {
+			return;
+		}
+
 		const {fail} = faults.get();
 		if (fail > 0) {
 			faults.set({fail: fail - 1});
--- a/src/standin/faults.ts
+++ b/src/standin/faults.ts
@@ -81,3 +81,32 @@
 		server.off('connection', closeSocket);
 	}, downMs);
 };
+
+/** Faults by which the stand-in turns requests away and asks for a rest. */
+export type RestFaults = Readonly<{
+	/** Number of upcoming requests that are answered with status 503 and `Retry-After`, and not executed. */
+	turnAway: number;
+	/** Value of that header. */
+	retryAfter: string;
+}>;
+
+/** The faults with which no request is turned away. */
+export const noRest: RestFaults = {turnAway: 0, retryAfter: '3'};
+
+/**
+Turns a request away if the fault is injected.
+
+@param faults - The faults of the stand-in, of which one is used up.
+@param response - The response to the request.
+@returns True if it was turned away.
+*/
+export const rejectForRest = (faults: FaultInjector<RestFaults>, response: ServerResponse): boolean => {
+	const {turnAway, retryAfter} = faults.get();
+	if (turnAway <= 0) {
+		return false;
+	}
+
+	faults.set({turnAway: turnAway - 1});
+	sendJson(response, 503, {error: 'unavailable'}, {'retry-after': retryAfter});
+	return true;
+};
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -6,12 +6,12 @@
 } from '../server/index.js';
 import type {SocketAddress, ListeningServer} from '../server/index.js';
 import {
-	createFaultInjector, isCrashing, noCrashes, simulateCrash,
+	createFaultInjector, isCrashing, noCrashes, noRest, rejectForRest, simulateCrash,
 } from './faults.js';
-import type {CrashFaults, FaultInjector} from './faults.js';
+import type {CrashFaults, FaultInjector, RestFaults} from './faults.js';
 
 /** Faults that the stand-in service can inject. */
-export type ServiceFaults = CrashFaults & Readonly<{
+export type ServiceFaults = CrashFaults & RestFaults & Readonly<{
 	/** Delay before a call is executed, in milliseconds. */
 	delay: number;
 	/** Number of upcoming calls that are executed, but whose connection is closed without a reply. */
@@ -41,7 +41,7 @@
 */
 export const startService = async (at: SocketAddress): Promise<ServiceStandin> => {
 	const faults = createFaultInjector<ServiceFaults>({
-		delay: 0, loseReplies: 0, fail: 0, ...noCrashes,
+		delay: 0, loseReplies: 0, fail: 0, ...noCrashes, ...noRest,
 	});
 	let executions: readonly Execution[] = [];
 
@@ -56,6 +56,10 @@
 		}
 
 		const body = await readBody(request, maxBodyBytes);
+		if (rejectForRest(faults, response)) {
+			return;
+		}
+
 		const {delay, fail, loseReplies} = faults.get();
 		if (fail > 0) {
 			faults.set({fail: fail - 1});
--- a/src/standin/standin.test.ts
+++ b/src/standin/standin.test.ts
@@ -38,3 +38,19 @@
 	await expect(post(engine, '/v1/chat/completions', createChat('kill'))).rejects.toThrow('fetch failed');
 	await expect.poll(async () => post(engine, '/v1/chat/completions', createChat('sound'))).toBe(200);
 });
+
+test('a service and an engine turn requests away and ask for a rest', async () => {
+	const service = await startService(at);
+	const engine = await startEngine({at, model: 'm', size: defaultEngineProfile});
+	started.push(service, engine);
+	const faults = {turnAway: 1, retryAfter: '1.5'};
+	service.faults.set(faults);
+	engine.faults.set(faults);
+	const rejections = await Promise.all([
+		fetch(`http://${service.address}/acts/1`, {method: 'POST', body: 'a'}),
+		fetch(`http://${engine.address}/v1/chat/completions`, {method: 'POST', body: createChat('a')}),
+	]);
+	expect(rejections.map(({status, headers}) => [status, headers.get('retry-after')])).toEqual([[503, '1.5'], [503, '1.5']]);
+	expect(service.executions()).toEqual([]);
+	expect([await post(service, '/acts/1', 'a'), await post(engine, '/v1/chat/completions', createChat('a'))]).toEqual([201, 200]);
+});
