Read saved verdicts while live peers are not heard

Cause: a router that is cut off from its peers, but not from the store, read the verdicts only as it started. It sent a request that the others had condemned until it had seen three crashes itself. Change: while not all of a few live peers are heard, or fewer than half as many as send to a router of many, it reads the saved verdicts each second. Rows of its own verdicts no longer replace what it knows to be saved.

--- a/src/edge/crashing-requests.test.ts
+++ b/src/edge/crashing-requests.test.ts
@@ -52,6 +52,10 @@
 			...loadOf(read), rollAt: 9000, storeAwayAt: 3000, storeAwayMs: 30_000,
 		}],
 		['and a router is cut off from the others', {...loadOf(read), cutAt: killFrom, cutMs: 3000}],
+		['and a router is cut off from the others all the time', {...loadOf(read), cutAt: 0, cutMs: killUntil}],
+		['every four seconds, and a router is cut off from the others all the time', {
+			...loadOf(createKiller('read', {perSecond: 0.25, until: 80_000})), cutAt: 0, cutMs: 80_000,
+		}],
 		['and messages between routers are lost', {...loadOf(read), lostMessages: 0.2}],
 		['whose clients leave', loadOf(createKiller('read', {leavingFraction: 0.8}))],
 		['that was sound before', loadOf(createKiller('read', {from: 0, sickAt: killFrom}))],
@@ -123,9 +127,12 @@
 		expect(late.every(({reason, retryAfter}) => reason === 'request-condemned' && retryAfter !== undefined && retryAfter > 0)).toBe(true);
 	});
 
-	test('ends once it is sound', () => {
+	test.each<[string, Partial<Load>]>([
+		['', {}],
+		[', also at a router that is cut off from the others', {cutAt: 0, cutMs: 80_000}],
+	])('ends once it is sound%s', (_, fields) => {
 		const until = 80_000;
-		const {sends, states} = playLoad(loadOf(createKiller('read', {mendedAt: 10_000, until})), 1, until);
+		const {sends, states} = playLoad({...loadOf(createKiller('read', {mendedAt: 10_000, until})), ...fields}, 1, until);
 		expect(sends.filter(({killer, at}) => killer !== undefined && at >= 50_000).length).toBeGreaterThan(50);
 		expect(states.every(({poison}) => poison.verdicts.isEmpty())).toBe(true);
 	});
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -113,6 +113,18 @@
 		loop.post({kind: 'store-replied', reply, random: random()});
 	};
 
+	/** Reads the saved verdicts; resolves to false if they cannot be read. */
+	const readVerdicts = async (): Promise<boolean> => {
+		const reply = await store.read(verdictTable);
+		if (reply.kind === 'done') {
+			loop.post({kind: 'verdicts-read', rows: reply.rows, storeTime: reply.now});
+			return true;
+		}
+
+		log.write('failure', 'verdicts-unread', {reason: 'reason' in reply ? reply.reason : reply.kind});
+		return false;
+	};
+
 	const effectHandlers: Readonly<{[Kind in EdgeEffect['kind']]: (effect: EdgeEffect & {kind: Kind}) => void}> = {
 		send: proxy.send,
 		abort(effect) {
@@ -160,6 +172,9 @@
 				loop.post({kind: 'origins-saved', isDone: reply.kind === 'done'});
 			});
 		},
+		'read-verdicts'() {
+			runInBackground(readVerdicts);
+		},
 		'save-verdicts'(effect) {
 			runInBackground(async () => {
 				const reply = await store.transact(effect.writes);
@@ -383,19 +398,16 @@
 		logFeed(tables.endpoints, event);
 		(registryHandlers[event.kind] as (event: FeedEvent) => void)(event);
 	}));
-	const readVerdicts = async (): Promise<void> => {
-		const reply = await store.read(verdictTable);
-		if (reply.kind === 'done') {
-			loop.post({kind: 'verdicts-read', rows: reply.rows, storeTime: reply.now});
+	const readFirstVerdicts = async (): Promise<void> => {
+		if (await readVerdicts()) {
 			return;
 		}
 
-		log.write('failure', 'verdicts-unread', {reason: 'reason' in reply ? reply.reason : reply.kind});
 		await sleep(verdictRetryMs);
-		return readVerdicts();
+		return readFirstVerdicts();
 	};
 
-	runInBackground(readVerdicts);
+	runInBackground(readFirstVerdicts);
 	runInBackground(async () => periodic(tickIntervalMs).observe(() => {
 		lagMs = clock() - lastTickAt - tickIntervalMs;
 		lastTickAt = clock();
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -1,6 +1,6 @@
 import {selectNewerConfig} from '../routing-config/index.js';
 import {
-	encodeLoads, removeStalePeers, recordPeerLoads, sumLoads,
+	encodeLoads, maxGossipPeers, removeStalePeers, recordPeerLoads, sumLoads,
 } from '../gossip/index.js';
 import type {RequestPhase} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
@@ -22,7 +22,7 @@
 import type {EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
 import {
-	receivePoisonNews, receiveSavedVerdicts, receiveVerdictSave, recordRequestBreak, rejectWaitingPoison, resetVerdictRows, saveVerdicts, updateVerdicts,
+	readVerdicts, receivePoisonNews, receiveSavedVerdicts, receiveVerdictSave, recordRequestBreak, rejectWaitingPoison, resetVerdictRows, saveVerdicts, updateVerdicts,
 } from './poison.js';
 import {failOverUnresponsive} from './unresponsive.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -64,9 +64,6 @@
 /** Interval at which these messages also tell of crashes, which takes far more bytes. The next one does if there is news. */
 const poisonIntervalMs = 400;
 
-/** Limit of peers that receive load messages, so that traffic per router does not grow with the fleet. The choice is stable while the peers are alive. */
-const maxGossipPeers = 16;
-
 const sendGossip = (state: EdgeState, now: number): EdgeStep => {
 	if (now - state.gossipSentAt < gossipIntervalMs) {
 		return keepState(state);
@@ -104,7 +101,8 @@
 	const judged = chain(updated, current => updateVerdicts(current, now));
 	const cleared = chain(judged, current => rejectWaitingPoison(current, now));
 	const saved = chain(cleared, current => saveVerdicts(current, now));
-	return chain(saved, current => failOverUnresponsive(updateShares(current, now), random, now));
+	const read = chain(saved, current => readVerdicts(current, now));
+	return chain(read, current => failOverUnresponsive(updateShares(current, now), random, now));
 };
 
 const receiveTick: Handler<'tick'> = (state, event, now) => {
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -84,6 +84,7 @@
 	| Readonly<{kind: 'read-origin'; call: number; key: string; delayMs: number}>
 	| Readonly<{kind: 'save-origins'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'save-verdicts'; writes: readonly StoreWrite[]}>
+	| Readonly<{kind: 'read-verdicts'}>
 	/** Sends a load message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
 	| Readonly<{kind: 'log'; level: Level; event: string; fields: Fields}>
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -3,6 +3,7 @@
 import type {ErrorKind} from '../errors/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import type {Fields} from '../log/index.js';
+import {isMissingPeers} from '../gossip/index.js';
 import {chainAll, keepState} from '../loop/step.js';
 import {
 	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, formatSuspect, getSuspectId, getSuspectKind, listSuspects, mergePoisonNews, planVerdictSave,
@@ -220,7 +221,8 @@
 */
 export const receiveSavedVerdicts = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-read'}, now: number): EdgeStep => {
 	const {verdicts, faults} = decodeVerdicts(event.rows, event.storeTime);
-	const saved = state.verdictRows.saved.merge(verdicts.map(({suspect, ageMs}) => [suspect, now - ageMs] as const));
+	const others = verdicts.filter(({suspect}) => state.poison.verdicts.get(suspect)?.isOwn !== true);
+	const saved = state.verdictRows.saved.merge(others.map(({suspect, ageMs}) => [suspect, now - ageMs] as const));
 	const known = receivePoisonNews({...state, verdictRows: {...state.verdictRows, saved}}, {
 		crashes: [], proven: [], verdicts, trials: [],
 	}, 'store', now);
@@ -235,6 +237,21 @@
 	};
 };
 
+/** Interval at which saved verdicts are read while peers are not heard, in ms. */
+const verdictReadIntervalMs = 1000;
+
+/**
+Reads the saved verdicts if live peers are not heard, which may know of some.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const readVerdicts = (state: EdgeState, now: number): EdgeStep =>
+	now - state.verdictsReadAt >= verdictReadIntervalMs && isMissingPeers(state.peers.size, state.quota.peers.count(({isLive}) => isLive))
+		? {state: {...state, verdictsReadAt: now}, effects: [{kind: 'read-verdicts'}]}
+		: keepState(state);
+
 /**
 Rejects the waiting requests that are condemned, or have a condemned part.
 
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -36,6 +36,8 @@
 	/** Prompt parts on which endpoints crash. */
 	poison: PoisonGuard;
 	verdictRows: VerdictRows;
+	/** When the saved verdicts were last asked for because peers are not heard, in ms. */
+	verdictsReadAt: number;
 	/** Requests without a final response, by number. */
 	requests: Map<number, InFlightRequest>;
 	/** Load that peers reported, by router, and its totals by endpoint. */
@@ -89,6 +91,7 @@
 	retryBudget: createRetryBudget(),
 	poison: createPoisonGuard(),
 	verdictRows: createVerdictRows(),
+	verdictsReadAt: 0,
 	requests: Map(),
 	peers: Map(),
 	peerLoadTotals: Map(),
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -21,6 +21,19 @@
 /** The last message of each peer by router id, and when it arrived, in ms. */
 export type PeerLoads = Map<string, Readonly<{at: number; loads: EndpointLoads}>>;
 
+/** Limit of peers that receive load messages, so that traffic per router does not grow with the fleet. The choice is stable while the peers are alive. */
+export const maxGossipPeers = 16;
+
+/**
+Tells whether messages of peers are missing, as they are if the network between them is cut.
+
+@param heardCount - Number of peers with a recent message.
+@param liveCount - Number of peers that live.
+@returns True if not all of a few peers are heard, or fewer of many than send their messages to a router in all likelihood.
+*/
+export const isMissingPeers = (heardCount: number, liveCount: number): boolean =>
+	heardCount < (liveCount <= maxGossipPeers ? liveCount : maxGossipPeers / 2);
+
 /** Time after which a peer's message is ignored; long enough to lose several messages in a row. */
 const peerTtlMs = 500;
 
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -1,5 +1,5 @@
 export {
-	encodeLoads, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
+	encodeLoads, isMissingPeers, maxGossipPeers, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
 } from './gossip.js';
 export type {
 	EndpointLoads, EndpointLoad, PeerLoads, PeerMessage,
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -386,6 +386,13 @@
 				post(router, {kind: 'verdicts-saved', isDone});
 			});
 		},
+		'read-verdicts'(_effect, router) {
+			schedule(messageDelayMs, () => {
+				if (!isStoreAway()) {
+					post(router, {kind: 'verdicts-read', rows: [...rows.values()], storeTime: now + storeTimeOffset});
+				}
+			});
+		},
 		refuse({call, fault}) {
 			const each = calls.get(call)!;
 			refusals.push({
