Count a stream against the return after a rest until its response begins

Cause: after a rest, a router has few requests open at the endpoint, and more with each response. A stream counted until its end, so where an endpoint ran few requests as it asked, streams went there one at a time for up to ten seconds. Change: a stream takes up room until its response begins. Measured: handle.test.ts, 'streams in progress do not keep further ones': failed before, passes; pushback.test.ts passes.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -1,4 +1,4 @@
-import {recordPushbackSuccess} from '../pushback/index.js';
+import {recordPushbackClose, recordPushbackSuccess} from '../pushback/index.js';
 import {spendRetry} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
@@ -135,7 +135,11 @@
 };
 
 const beginStream = (state: EdgeState, request: InFlightRequest, now: number): EdgeStep => ({
-	state: putRequest(state, {...request, phase: 'streaming', phaseAt: now}),
+	state: updateKnownEndpoint(
+		putRequest(state, {...request, phase: 'streaming', phaseAt: now}),
+		request.sentTo,
+		endpoint => ({...endpoint, pushback: recordPushbackClose(endpoint.pushback, request.sentAt)}),
+	),
 	effects: [{kind: 'relay', call: request.id}],
 });
 
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -94,7 +94,8 @@
 	...endpoint,
 	open: Math.max(0, endpoint.open - 1),
 	pending: Math.max(0, endpoint.pending - request.pending),
-	pushback: recordPushbackClose(endpoint.pushback, request.sentAt),
+	// A stream has taken up no room there since its response began.
+	pushback: request.phase === 'streaming' ? endpoint.pushback : recordPushbackClose(endpoint.pushback, request.sentAt),
 }));
 
 /**
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -212,6 +212,17 @@
 	});
 });
 
+test('streams in progress do not keep further ones from an endpoint that has had a rest', () => {
+	const edge = new EdgeHarness().start([createEntry('e1', {slots: 100})]).sendRequest(1, 'stream').respond(1, 1, {status: 503, hasNotRun: true, pushbackMs: succeed(1000)});
+	expect(edge.advance(1000).getSentTo()).toBe('e1');
+	edge.respond(1, 2, streamHead);
+	const targets = [2, 3, 4].map(id => {
+		const target = edge.sendRequest(id, 'stream').getSentTo();
+		return target === '' ? target : edge.respond(id, 1, streamHead) && target;
+	});
+	expect(targets).toEqual(['e1', 'e1', 'e1']);
+});
+
 test.each([[59_500, 59.75], [3_600_000, 60.75]])('while the only endpoint wants no request for %d ms, clients are asked to come back in %d s', (pushbackMs, retryAfter) => {
 	const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'act').respond(1, 1, {status: 503, hasNotRun: true, pushbackMs: succeed(pushbackMs)});
 	edge.advance(500).sendRequest(2, 'act');
--- a/src/pushback/pushback.ts
+++ b/src/pushback/pushback.ts
@@ -8,7 +8,7 @@
 export type Pushback = Readonly<{
 	/** When the rest ends for this router, in ms. */
 	until: number;
-	/** This router's requests sent since then that have not ended. */
+	/** This router's requests sent since then whose responses have not begun. */
 	open: number;
 	/** Limit of these. */
 	window: number;
@@ -81,7 +81,7 @@
 export const recordPushbackSend = (pushback: Pushback | undefined): Pushback | undefined => pushback && {...pushback, open: pushback.open + 1};
 
 /**
-Records the end of a request. One that was sent before the rest does not count.
+Records the end of a request, or the beginning of its response. One that was sent before the rest does not count.
 
 @param pushback - What the endpoint asked for, if anything.
 @param sentAt - When the request was sent, in ms.
