Test that a rest is known although the client has left

A 503 that comes after the client has left counts like any other, and the proxy reports its head from a cancelled request, as it does that an endpoint leaves.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -203,6 +203,13 @@
 		expect(edge.sendRequest(3, 'act').getSentTo()).toBe('');
 	});
 
+	test('gets none either if the client has left before it says so', () => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const busy = edge.getSentTo();
+		edge.post({kind: 'caller-left', call: 1, events: 0}).respond(1, 1, rejection);
+		expect(Array.from({length: 6}, (_, index) => edge.sendRequest(10 + index, 'safe').getSentTo())).not.toContain(busy);
+	});
+
 	test('and is the only one: requests that cannot wait so long are rejected at once, with that time', () => {
 		const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'act');
 		edge.respond(1, 1, {...rejection, pushbackMs: succeed(2500)});
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -327,14 +327,18 @@
 describe('what a response states of its endpoint', () => {
 	const leavingHead = `${signedHead}Server-Leaving: 1\r\nContent-Length: 5\r\n`;
 
-	/** Sends one request, which is cancelled after a time if one is given, and returns the endpoints that were stated to be leaving. */
-	const listLeaving = async (respond: (socket: Socket) => void, cancelAfterMs?: number): Promise<readonly string[]> => {
+	const busyHead = 'HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: call-1\r\nRetry-After: 3\r\nContent-Length: 5\r\n';
+
+	type Statement = Readonly<{endpoint: string; isLeaving: boolean; pushbackMs: number | undefined}>;
+
+	/** Sends one request, which is cancelled after a time if one is given, and returns what its responses stated. */
+	const listStatements = async (respond: (socket: Socket) => void, cancelAfterMs?: number): Promise<readonly Statement[]> => {
 		const endpoint = await startEndpoint(respond, true);
-		const leaving: string[] = [];
+		const statements: Statement[] = [];
 		const proxy = openHttpProxy({
 			post(event) {
-				if (event.kind === 'response-began' && event.head.isLeaving) {
-					leaving.push(event.endpoint.id);
+				if (event.kind === 'response-began') {
+					statements.push({endpoint: event.endpoint.id, isLeaving: event.head.isLeaving, pushbackMs: event.head.pushbackMs.unwrap()});
 				}
 			},
 			isClosing: () => false,
@@ -348,24 +352,29 @@
 			}, cancelAfterMs);
 		}
 
-		await expect.poll(() => leaving.length).toBeGreaterThan(0);
+		await expect.poll(() => statements.length).toBeGreaterThan(0);
 		proxy.close();
 		client.destroy();
-		return leaving;
+		return statements;
 	};
 
-	test('is known before its body has come', async () => {
-		expect(await listLeaving(socket => {
-			socket.write(`${leavingHead}\r\nwho`);
-		})).toEqual(['i-1']);
+	const cases: ReadonlyArray<readonly [string, string, Statement]> = [
+		['that it is leaving', leavingHead, {endpoint: 'i-1', isLeaving: true, pushbackMs: undefined}],
+		['that it wants no further request for a time', busyHead, {endpoint: 'i-1', isLeaving: false, pushbackMs: 3000}],
+	];
+
+	test.each(cases)('is known before its body has come: %s', async (_, head, statement) => {
+		expect(await listStatements(socket => {
+			socket.write(`${head}\r\nwho`);
+		})).toEqual([statement]);
 	});
 
-	test('is known although its request was cancelled', async () => {
-		expect(await listLeaving(socket => {
+	test.each(cases)('is known although its request was cancelled: %s', async (_, head, statement) => {
+		expect(await listStatements(socket => {
 			socket.once('end', () => {
-				socket.write(`${leavingHead}\r\nwhole`);
+				socket.write(`${head}\r\nwhole`);
 			});
-		}, 50)).toEqual(['i-1']);
+		}, 50)).toEqual([statement]);
 	});
 });
 
