One update of the evidence, one lookup of an endpoint, and comments that name requests

Two comments still spoke of prompt parts alone, a test's name used another word for the timeout, and one of handle.test.ts hid an effect in an expression. No behaviour, bound or assertion changes.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -225,7 +225,11 @@
 	edge.respond(1, 2, streamHead);
 	const targets = [2, 3, 4].map(id => {
 		const target = edge.sendRequest(id, 'stream').getSentTo();
-		return target === '' ? target : edge.respond(id, 1, streamHead) && target;
+		if (target !== '') {
+			edge.respond(id, 1, streamHead);
+		}
+
+		return target;
 	});
 	expect(targets).toEqual(['e1', 'e1', 'e1']);
 });
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -49,7 +49,7 @@
 	/** The store was asked where a stream began. */
 	| Readonly<{kind: 'origin-read'; call: number; reply: StoreReply; random: number}>
 	| Readonly<{kind: 'origins-saved'; isDone: boolean}>
-	/** The verdicts on prompt parts that outlast processes were read, at the given time of the store's clock. */
+	/** The verdicts that outlast processes were read, at the given time of the store's clock. */
 	| Readonly<{kind: 'verdicts-read'; rows: readonly StoredRow[]; storeTime: number}>
 	| Readonly<{kind: 'verdicts-saved'; isDone: boolean}>
 	/** A peer reported its requests in flight, and rate limits of endpoints. */
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -10,7 +10,7 @@
 	recordAbandonment, recordAnswer, recordBreak, recordOutput, recordUnreachable, refuteCrash, startTrial, tickPoisonGuard,
 } from '../poison/index.js';
 import type {
-	PoisonDecision, PoisonNews, Suspect, SuspectKind, Suspects, VerdictChange,
+	Evidence, PoisonDecision, PoisonNews, Suspect, SuspectKind, Suspects, VerdictChange,
 } from '../poison/index.js';
 import {createLogEffect, rejectRequest} from './common.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
@@ -71,9 +71,11 @@
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault(errorKind, detail, Math.ceil(retryAfterMs / 1000)), now);
 };
 
-const recordSuspects = (state: EdgeState, request: InFlightRequest, record: typeof recordOutput, suspects: Suspects, now: number): EdgeState => request.sentTo === undefined
-	? state
-	: {...state, poison: {...state.poison, evidence: record(state.poison.evidence, request.sentTo, suspects, now)}};
+const updateEvidence = (state: EdgeState, update: (evidence: Evidence) => Evidence): EdgeState =>
+	({...state, poison: {...state.poison, evidence: update(state.poison.evidence)}});
+
+const recordSuspects = (state: EdgeState, {sentTo}: InFlightRequest, record: typeof recordOutput, suspects: Suspects, now: number): EdgeState =>
+	sentTo === undefined ? state : updateEvidence(state, evidence => record(evidence, sentTo, suspects, now));
 
 /**
 Records the first output of a request.
@@ -106,7 +108,7 @@
 @returns The new state.
 */
 export const recordRequestAnswer = (state: EdgeState, {fingerprint}: InFlightRequest, now: number): EdgeState =>
-	({...state, poison: {...state.poison, evidence: recordAnswer(state.poison.evidence, formatSuspect('request', fingerprint), now)}});
+	updateEvidence(state, evidence => recordAnswer(evidence, formatSuspect('request', fingerprint), now));
 
 /**
 Records that a request without output is given up, because its client has disconnected or its deadline has passed.
@@ -128,9 +130,8 @@
 @param request - The request.
 @returns The new state.
 */
-export const recordEndpointResponse = (state: EdgeState, request: InFlightRequest): EdgeState => request.sentTo === undefined
-	? state
-	: {...state, poison: {...state.poison, evidence: refuteCrash(state.poison.evidence, request.sentTo, request.sentAt)}};
+export const recordEndpointResponse = (state: EdgeState, {sentTo, sentAt}: InFlightRequest): EdgeState =>
+	sentTo === undefined ? state : updateEvidence(state, evidence => refuteCrash(evidence, sentTo, sentAt));
 
 /**
 Records that the connection of a request broke off at its endpoint.
@@ -148,7 +149,7 @@
 	}
 
 	if (event.stage === 'unsent') {
-		return keepState({...state, poison: {...state.poison, evidence: recordUnreachable(state.poison.evidence, endpoint)}});
+		return keepState(updateEvidence(state, evidence => recordUnreachable(evidence, endpoint)));
 	}
 
 	const suspects = event.events === 0 ? listSuspects(request) : Set<Suspect>();
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -33,7 +33,7 @@
 	quota: LocalQuota;
 	/** Retry credits of this router, by service. */
 	retryBudget: RetryBudget;
-	/** Prompt parts on which endpoints crash. */
+	/** Requests and prompt parts on which endpoints crash. */
 	poison: PoisonGuard;
 	verdictRows: VerdictRows;
 	/** When the saved verdicts were last asked for because peers are not heard, in ms. */
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -279,7 +279,7 @@
 		expect(await store.read('t')).toEqual({kind: 'lost', reason: 'the store came back from an older copy between two pages'});
 	});
 
-	test('takes a reply without end for lost, without the time limit', async () => {
+	test('takes a reply without end for lost, without waiting for the timeout', async () => {
 		vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
 		let countWritten = () => 0;
 		const server = createServer((incoming, response) => {
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -359,14 +359,14 @@
 @returns The registry.
 */
 export const updateEndpoint = (registry: Registry, incarnation: Incarnation, update: (endpoint: Endpoint) => Endpoint): Registry => {
-	const endpoint = findKnown(registry, incarnation);
-	if (endpoint === undefined) {
-		return registry;
+	const listed = findIncarnation(registry, incarnation);
+	if (listed !== undefined) {
+		return {...registry, endpoints: registry.endpoints.set(incarnation.id, update(listed))};
 	}
 
-	return findIncarnation(registry, incarnation) === undefined
-		? {...registry, removed: registry.removed.set(formatIncarnation(incarnation), update(endpoint))}
-		: {...registry, endpoints: registry.endpoints.set(incarnation.id, update(endpoint))};
+	const key = formatIncarnation(incarnation);
+	const removed = registry.removed.get(key);
+	return removed === undefined ? registry : {...registry, removed: registry.removed.set(key, update(removed))};
 };
 
 /**
