End a stream that has begun only with its events or a visible break

Clients of other operators found an error's text in their stream. Here the process ended: a whole answer of the next endpoint after events were sent led to a second response head, which Node rejects with an exception that nothing caught (ERR_HTTP_HEADERS_SENT, loop's perform).

Cause: handlers had to remember to look at the number of delivered events, and only rejections did. Now a whole response can be sent only to an UnansweredRequest, and the response to a client is either open or a stream, whose type has no head. A whole answer after events fails the attempt.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -2,14 +2,15 @@
 import {spendRetry} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
-import type {ResponseHead, InFlightRequest} from '../in-flight/index.js';
+import {isUnanswered} from '../in-flight/index.js';
+import type {ResponseHead, InFlightRequest, UnansweredRequest} from '../in-flight/index.js';
 import {chain, keepState} from '../loop/step.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {recordOrigin} from '../stream-origin/index.js';
 import {decaySlowness} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
-	abortResponse, canHaveRun, closeAttempt, computeRetryAfter, endRequest, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
+	abortResponse, canHaveRun, closeAttempt, computeRetryAfter, endRequest, identifyUnanswered, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
 import type {EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
@@ -113,20 +114,15 @@
 	});
 };
 
-const deliverResponse = (state: EdgeState, request: InFlightRequest, head: ResponseHead, now: number): EdgeStep => {
+const deliverResponse = (state: EdgeState, request: UnansweredRequest, head: ResponseHead, now: number): EdgeStep => {
 	const result = recordResult(state, request, head.status >= 500 ? 'failed' : 'good', now);
 	const recorded = (head.status < 300 ? recordRequestOutput : recordRequestError)(result, request, now);
 	const ended = endRequest(recordRequestAnswer(recorded, request, now), request, {outcome: head.status < 400 ? 'answered' : 'endpoint-error', status: head.status, events: 0}, now);
-	return {state: ended.state, effects: [{kind: 'deliver', call: request.id}, ...ended.effects]};
+	return {state: ended.state, effects: [{kind: 'deliver', call: identifyUnanswered(request)}, ...ended.effects]};
 };
 
-const receiveResponse = (state: EdgeState, request: InFlightRequest, event: ResponseEvent, now: number): EdgeStep => {
-	const {head, random} = event;
-	const shouldRetry = head.status >= 500 && isRetryable(request.route) && request.triedEndpoints.length < request.route.maxAttempts;
-	if (!shouldRetry) {
-		return deliverResponse(state, request, head, now);
-	}
-
+/** Handles a response that its client does not get: it is retried, or fails. */
+const discardResponse = (state: EdgeState, request: InFlightRequest, {head, random}: ResponseEvent, now: number): EdgeStep => {
 	const closed = recordResult(closeAttempt(recordRequestError(state, request, now), request), request, 'failed', now);
 	const fault = createFault('endpoint-failed', `endpoint ${request.triedEndpoints.at(-1) ?? ''} responded with status ${head.status}`);
 	return retryRequest(closed, {...request, phase: 'queued', hasPossiblyRun: true}, {
@@ -134,6 +130,13 @@
 	});
 };
 
+const receiveResponse = (state: EdgeState, request: InFlightRequest, event: ResponseEvent, now: number): EdgeStep => {
+	const {status} = event.head;
+	const shouldRetry = status >= 500 && isRetryable(request.route) && request.triedEndpoints.length < request.route.maxAttempts;
+	// A whole response cannot follow the events that a client has received.
+	return shouldRetry || !isUnanswered(request) ? discardResponse(state, request, event, now) : deliverResponse(state, request, event.head, now);
+};
+
 const beginStream = (state: EdgeState, request: InFlightRequest, now: number): EdgeStep => ({
 	state: updateKnownEndpoint(
 		putRequest(state, {...request, phase: 'streaming', phaseAt: now}),
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -3,13 +3,14 @@
 import {chargeTokens} from '../quota/index.js';
 import {updateEndpoint} from '../registry/index.js';
 import type {Endpoint, Incarnation} from '../registry/index.js';
-import type {InFlightRequest} from '../in-flight/index.js';
+import {isUnanswered} from '../in-flight/index.js';
+import type {InFlightRequest, UnansweredRequest} from '../in-flight/index.js';
 import type {Route} from '../routing-config/index.js';
 import {errorResponses} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
 import type {Fields} from '../log/index.js';
 import {keepState} from '../loop/step.js';
-import type {EdgeEffect} from './messages.js';
+import type {EdgeEffect, UnansweredCall} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /**
@@ -112,6 +113,14 @@
 	return canHaveRun(request) ? (request.head.modelRequest?.promptTokens ?? 0) + (events * tokensPerEvent) : 0;
 };
 
+/**
+Identifies a request to which a whole response can be sent.
+
+@param request - The request, of which its client has received nothing.
+@returns Its number.
+*/
+export const identifyUnanswered = (request: Pick<UnansweredRequest, 'id' | 'phase' | 'events'>): UnansweredCall => request.id as UnansweredCall;
+
 /** How a request ended, for metrics and the log. */
 export type RequestOutcome = Readonly<{outcome: string; status: number; events: number; fields?: Readonly<Record<string, string | number | undefined>>}>;
 
@@ -189,7 +198,7 @@
 @returns The new state and the effects.
 */
 export const rejectRequest = (state: EdgeState, request: InFlightRequest, fault: Fault, now: number): EdgeStep => {
-	if (request.events > 0) {
+	if (!isUnanswered(request)) {
 		return abortResponse(state, request, {
 			outcome: 'cut', status: 0, events: request.events, fields: {reason: fault.detail},
 		}, now);
@@ -200,6 +209,6 @@
 	}, now);
 	return {
 		state: ended.state,
-		effects: [{kind: 'abort', call: request.id}, {kind: 'refuse', call: request.id, fault}, ...ended.effects],
+		effects: [{kind: 'abort', call: request.id}, {kind: 'refuse', call: identifyUnanswered(request), fault}, ...ended.effects],
 	};
 };
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -441,6 +441,22 @@
 		expect(edge.listEffects().some(each => each.startsWith('refuse'))).toBe(false);
 	});
 
+	test.each<[string, Partial<ResponseHead>]>([
+		['500', {status: 500}],
+		['502', {status: 502}],
+		['400', {status: 400}],
+		['404', {status: 404}],
+		['503 that may have run', {status: 503}],
+		['503 that was not run', {status: 503, hasNotRun: true}],
+		['200 without a stream', {}],
+		['204', {status: 204}],
+		['500 whose body is a stream', {status: 500, isStream: true}],
+	])('is cut, not answered again, if the next endpoint answers %s', (_, head) => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'stream').respond(1, 1, streamHead);
+		edge.failAttempt(1, 1, {stage: 'streaming', events: 3, lastEventId: '3'}).respond(1, 2, head);
+		expect(edge.listEffects()).toEqual(['abort', 'cut']);
+	});
+
 	test('is cut if its route does not allow resumption', () => {
 		const edge = new EdgeHarness().start().sendRequest(1, 'whole').respond(1, 1, streamHead);
 		edge.failAttempt(1, 1, {stage: 'streaming', events: 3, lastEventId: '3'});
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -13,6 +13,8 @@
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {findBufferExcess} from './buffer-limits.js';
+import {openClientResponse} from './client-response.js';
+import type {ClientResponse, StreamResponse} from './client-response.js';
 import {canEndAfter, createEventSplitter} from './event-stream.js';
 import type {CompleteEvents, EventSplitter} from './event-stream.js';
 import type {
@@ -35,11 +37,14 @@
 	readonly head: RequestHead;
 	readonly hostHeader: string;
 	readonly body: Buffer;
-	readonly response: ServerResponse;
+	client: ClientResponse;
 	/** The in-flight request to the endpoint. */
 	upstream: Upstream | undefined;
 };
 
+/** A response of an endpoint whose head has been read. */
+type EndpointResponse = Readonly<{head: ResponseHead; incoming: IncomingMessage}>;
+
 type Upstream = {
 	readonly attempt: number;
 	readonly endpoint: Incarnation;
@@ -50,7 +55,7 @@
 	isConnected: boolean;
 	/** Bytes received on the connection before the request was sent. */
 	initialBytesRead: number;
-	response: Readonly<{head: ResponseHead; incoming: IncomingMessage}> | undefined;
+	response: EndpointResponse | undefined;
 	/** Body of a response that is not a stream. */
 	readonly body: ByteBuffer;
 	/** True if the request asks for the rest of a stream, which may be empty. */
@@ -85,6 +90,15 @@
 	random: () => number;
 }>;
 
+/** Returns an error response with raw headers. */
+const formatErrorResponse = (fault: Fault, shouldClose: boolean): Readonly<{status: number; headers: readonly string[]; body: Buffer}> => {
+	const {status, headers, problem} = createErrorResponse(fault);
+	const body = Buffer.from(JSON.stringify(problem));
+	return {
+		status, body, headers: [...Object.entries(headers).flat(), 'content-length', String(body.length), ...(shouldClose ? ['connection', 'close'] : [])],
+	};
+};
+
 /**
 Writes an error response to a client, and leaves it open.
 
@@ -93,9 +107,8 @@
 @param shouldClose - True to ask the client to close its connection.
 */
 export const writeErrorResponse = (response: ServerResponse, fault: Fault, shouldClose: boolean): void => {
-	const {status, headers, problem} = createErrorResponse(fault);
-	const body = JSON.stringify(problem);
-	response.writeHead(status, {...headers, 'content-length': Buffer.byteLength(body), ...(shouldClose && {connection: 'close'})});
+	const {status, headers, body} = formatErrorResponse(fault, shouldClose);
+	response.writeHead(status, [...headers]);
 	response.write(body);
 };
 
@@ -423,25 +436,24 @@
 	};
 
 	/** Sends the head together with the first event, so that a stream without events can be retried at another endpoint. */
-	const sendStreamHead = (activeRequest: ActiveRequest, upstream: Upstream): void => {
-		if (activeRequest.response.headersSent || upstream.response === undefined) {
-			return;
+	const beginClientStream = (activeRequest: ActiveRequest, head: ResponseHead): StreamResponse => {
+		const {client} = activeRequest;
+		if (client.state === 'streaming') {
+			return client;
 		}
 
-		const {head} = upstream.response;
-		activeRequest.response.writeHead(head.status, formatHeaders(head, options.isClosing()));
-		activeRequest.response.on('drain', () => {
-			activeRequest.upstream?.response?.incoming.resume();
-		});
+		const stream = client.begin(head.status, formatHeaders(head, options.isClosing()));
+		activeRequest.client = stream;
+		return stream;
 	};
 
-	const forwardEvents = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, events: CompleteEvents): void => {
+	const forwardEvents = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, {head, incoming}: EndpointResponse, events: CompleteEvents): void => {
 		const isFirst = upstream.eventCount === 0;
-		sendStreamHead(activeRequest, upstream);
+		const stream = beginClientStream(activeRequest, head);
 		upstream.eventCount += events.count;
 		upstream.lastEventId = events.lastEventId ?? upstream.lastEventId;
-		if (!activeRequest.response.write(events.bytes)) {
-			upstream.response?.incoming.pause();
+		if (!stream.write(events.bytes)) {
+			incoming.pause();
 		}
 
 		if (isFirst) {
@@ -449,11 +461,11 @@
 		}
 	};
 
-	const receiveChunk = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, chunk: Buffer): void => {
+	const receiveChunk = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, response: EndpointResponse, chunk: Buffer): void => {
 		const {events, hasGrown} = upstream.splitter.add(chunk);
 		const excess = findBufferExcess('event', upstream.splitter.getPartialEvent().length, hasGrown ? countBufferedBytes : () => 0);
 		if (events !== undefined) {
-			forwardEvents(requestId, activeRequest, upstream, events);
+			forwardEvents(requestId, activeRequest, upstream, response, events);
 		}
 
 		if (excess !== undefined) {
@@ -461,7 +473,7 @@
 		}
 	};
 
-	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, incoming: IncomingMessage): void => {
+	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, {head, incoming}: EndpointResponse): void => {
 		const framing = getFraming(activeRequest.head.method, incoming);
 		const reason = findBreak(upstream, framing);
 		if (reason !== undefined) {
@@ -471,8 +483,7 @@
 
 		upstream.isFinished = true;
 		removeRequest(requestId);
-		sendStreamHead(activeRequest, upstream);
-		activeRequest.response.end(upstream.splitter.getPartialEvent());
+		beginClientStream(activeRequest, head).end(upstream.splitter.getPartialEvent());
 		post({
 			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing,
 		});
@@ -489,14 +500,14 @@
 		const {incoming} = response;
 		incoming.on('data', (chunk: Buffer) => {
 			if (!upstream.isFinished) {
-				receiveChunk(requestId, activeRequest, upstream, chunk);
+				receiveChunk(requestId, activeRequest, upstream, response, chunk);
 			}
 		});
 		incoming.on('end', () => {
 			if (incoming.complete) {
 				awaitCompletion(upstream, () => {
 					if (!upstream.isFinished) {
-						endStream(requestId, activeRequest, upstream, incoming);
+						endStream(requestId, activeRequest, upstream, response);
 					}
 				}, () => {
 					failAttempt(requestId, upstream, 'streaming', 'connection reset at the end of the stream');
@@ -513,7 +524,13 @@
 	return {
 		accept(requestId, head, hostHeader, body, response) {
 			activeRequests.set(requestId, {
-				head, hostHeader, body, response, upstream: undefined,
+				head,
+				hostHeader,
+				body,
+				client: openClientResponse(response, () => {
+					activeRequests.get(requestId)?.upstream?.response?.incoming.resume();
+				}),
+				upstream: undefined,
 			});
 			response.on('close', () => {
 				if (!response.writableFinished && activeRequests.has(requestId)) {
@@ -536,25 +553,20 @@
 				return;
 			}
 
+			const {head} = upstream.response;
 			const body = upstream.body.getBytes();
-			activeRequest.response.writeHead(upstream.response.head.status, [...formatHeaders(upstream.response.head, options.isClosing()), 'Content-Length', String(body.length)]);
-			activeRequest.response.end(body);
+			answerOrBreak(activeRequest.client, head.status, [...formatHeaders(head, options.isClosing()), 'Content-Length', String(body.length)], body);
 		},
 		streamResponse,
 		reject(requestId, fault) {
 			const activeRequest = removeRequest(requestId);
 			if (activeRequest !== undefined) {
-				sendErrorResponse(activeRequest.response, fault, options.isClosing());
+				const {status, headers, body} = formatErrorResponse(fault, options.isClosing());
+				answerOrBreak(activeRequest.client, status, headers, body);
 			}
 		},
 		closeClient(requestId) {
-			const response = removeRequest(requestId)?.response;
-			if (response?.socket && !response.writableNeedDrain) {
-				// Events written just before are still in the socket's buffer.
-				response.socket.destroySoon();
-			} else {
-				response?.destroy();
-			}
+			removeRequest(requestId)?.client.break();
 		},
 		closeIdleConnections(address) {
 			Object.values(agents.get(address)?.freeSockets ?? {}).flatMap(sockets => sockets ?? []).forEach(socket => {
@@ -569,5 +581,14 @@
 	};
 };
 
+/** Sends a whole response, or breaks a stream that has begun, which nothing but its own events can follow. */
+const answerOrBreak = (client: ClientResponse, status: number, headers: readonly string[], body: Buffer): void => {
+	if (client.state === 'open') {
+		client.answer(status, headers, body);
+	} else {
+		client.break();
+	}
+};
+
 /** Returns the raw headers of a response to a client. */
 const formatHeaders = (head: ResponseHead, isClosing: boolean): string[] => [...head.forwardedHeaders, ...(isClosing ? ['Connection', 'close'] : [])];
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -61,6 +61,11 @@
 	/** All requests have ended during shutdown: the tokens held are returned to the budgets. */
 	| Readonly<{kind: 'leave-wanted'; random: number}>;
 
+declare const unanswered: unique symbol;
+
+/** Number of a request whose client has received nothing; see `identifyUnanswered`. */
+export type UnansweredCall = number & Readonly<{[unanswered]: true}>;
+
 /** Effects that the edge router carries out. */
 export type EdgeEffect =
 	/** Sends a request to an endpoint, to which at most `maxConnections` may be open. */
@@ -72,11 +77,11 @@
 	/** Closes idle connections to an address, since they may be dead. */
 	| Readonly<{kind: 'forget'; address: string}>
 	/** Sends the client the response that was read completely. */
-	| Readonly<{kind: 'deliver'; call: number}>
+	| Readonly<{kind: 'deliver'; call: UnansweredCall}>
 	/** Forwards the events of the current stream to the client. */
 	| Readonly<{kind: 'relay'; call: number}>
 	/** Sends the client an error response. */
-	| Readonly<{kind: 'refuse'; call: number; fault: Fault}>
+	| Readonly<{kind: 'refuse'; call: UnansweredCall; fault: Fault}>
 	/** Closes the client's connection in the middle of a response. */
 	| Readonly<{kind: 'cut'; call: number}>
 	| Readonly<{kind: 'store'; call: QuotaStoreCall}>
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -8,7 +8,7 @@
 import {computeFingerprint, createInFlightRequest} from '../in-flight/index.js';
 import type {RequestHead, InFlightRequest} from '../in-flight/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
-import {putRequest} from './common.js';
+import {identifyUnanswered, putRequest} from './common.js';
 import {checkPoison, rejectPoison} from './poison.js';
 import {locateStream} from './resume.js';
 import type {EdgeEvent} from './messages.js';
@@ -62,7 +62,7 @@
 const rejectArrival = (state: EdgeState, event: ArrivalEvent, fault: Fault): EdgeStep => ({
 	state,
 	effects: [
-		{kind: 'refuse', call: event.call, fault},
+		{kind: 'refuse', call: identifyUnanswered({id: event.call, phase: 'granting', events: 0}), fault},
 		{kind: 'count', metric: 'calls', labels: {route: '', outcome: fault.kind}},
 		{
 			kind: 'log', level: 'failure', event: 'call-ended', fields: {
--- a/src/in-flight/index.ts
+++ b/src/in-flight/index.ts
@@ -1,5 +1,5 @@
 export {computeFingerprint, digestBody} from './fingerprint.js';
-export {createInFlightRequest} from './request.js';
+export {createInFlightRequest, isUnanswered} from './request.js';
 export type {
-	ResponseHead, RequestHead, InFlightRequest, RequestPhase, ForwardingMetadata, ModelRequest,
+	ResponseHead, RequestHead, InFlightRequest, RequestPhase, ForwardingMetadata, ModelRequest, UnansweredRequest,
 } from './request.js';
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -136,6 +136,17 @@
 	lastEventId: string | undefined;
 }>;
 
+/** A request whose client has received nothing. Only such a request can be given a whole response. */
+export type UnansweredRequest = InFlightRequest & Readonly<{phase: Exclude<RequestPhase, 'streaming'>; events: 0}>;
+
+/**
+Tells whether the client of a request has received nothing.
+
+@param request - The request.
+@returns False once events of a stream have been sent, or are being sent.
+*/
+export const isUnanswered = (request: InFlightRequest): request is UnansweredRequest => request.phase !== 'streaming' && request.events === 0;
+
 /**
 Creates a request that has just been admitted.
 
--- a/test/edge-system.ts
+++ b/test/edge-system.ts
@@ -1,23 +1,25 @@
 import type {Buffer} from 'node:buffer';
-import {createServer, get} from 'node:http';
-import type {Server} from 'node:http';
+import {createServer, get, Server} from 'node:http';
 import {createServer as createSocketServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Server as SocketServer} from 'node:net';
 import {afterEach, expect} from 'vitest';
 import {startEdge} from '../src/edge/edge.js';
 import {edgeSettings} from '../src/edge/settings.js';
 import {createStore} from './soak/store.js';
 
-const servers: Server[] = [];
+const servers: Array<Server | SocketServer> = [];
 
 afterEach(() => {
 	servers.splice(0).forEach(server => {
-		server.closeAllConnections();
+		if (server instanceof Server) {
+			server.closeAllConnections();
+		}
+
 		server.close();
 	});
 });
 
-const listen = async (server: Server): Promise<number> => new Promise(resolve => {
+const listen = async (server: Server | SocketServer): Promise<number> => new Promise(resolve => {
 	servers.push(server);
 	server.listen(0, '127.0.0.1', () => {
 		resolve((server.address() as AddressInfo).port);
@@ -33,28 +35,33 @@
 	});
 });
 
+/** Options of a system of one router. */
+type SystemOptions = Readonly<{
+	/** The endpoints of the only service, and their software versions; ids are i-1, i-2, and so on. */
+	endpoints: ReadonlyArray<Readonly<{server: Server | SocketServer; softwareVersion?: string}>>;
+	/** Fields of the only route, in the platform's terms, that differ from an unsafe route. */
+	route?: Readonly<Record<string, unknown>>;
+}>;
+
 /**
-Starts a router with a store and an endpoint that answers every request in the same way.
+Starts a router with a store and endpoints.
 
-@param responseBody - Body of the endpoint's responses.
-@returns The router, and the port at which it takes requests.
+@param options - The endpoints and the route.
+@returns The router, the port at which it takes requests, and its store.
 */
-export const startSystem = async (responseBody: Buffer) => {
+export const startRouter = async ({endpoints, route}: SystemOptions) => {
 	const store = createStore();
 	const storePort = await listen(store.server);
-	const endpointPort = await listen(createServer((incoming, response) => {
-		incoming.resume();
-		incoming.on('end', () => {
-			response.writeHead(200, {'response-seal': 's', 'attempt-id': String(incoming.headers['attempt-id'])}).end(responseBody);
+	const endpointPorts = await Promise.all(endpoints.map(async ({server}) => listen(server)));
+	endpoints.forEach(({softwareVersion = 'v1'}, index) => {
+		store.put('servers', `i-${index + 1}`, {
+			service: 's', address: `127.0.0.1:${endpointPorts[index]}`, zone: 'z', version: softwareVersion, slots: 64, state: 'ready', born: 1,
 		});
-	}));
-	store.put('servers', 'i-1', {
-		service: 's', address: `127.0.0.1:${endpointPort}`, zone: 'z', version: 'v1', slots: 64, state: 'ready', born: 1,
 	});
 	store.put('op', 'config', {
 		version: 1,
 		routes: [{
-			name: 'r', host: 'h', prefix: '/', kind: 'unsafe', timeoutMs: 6000, targetLatencyMs: 500, priority: 1, service: 's', anonymous: true,
+			name: 'r', host: 'h', prefix: '/', kind: 'unsafe', timeoutMs: 6000, targetLatencyMs: 500, priority: 1, service: 's', anonymous: true, ...route,
 		}],
 		services: [{name: 's', maxConnections: 200}],
 		limits: {
@@ -77,5 +84,22 @@
 		});
 	});
 	await expect.poll(isReady).toBe(true);
-	return {edge, port: callers};
+	return {edge, port: callers, store};
 };
+
+/**
+Starts a router with a store and an endpoint that answers every request in the same way.
+
+@param responseBody - Body of the endpoint's responses.
+@returns The router, the port at which it takes requests, and its store.
+*/
+export const startSystem = async (responseBody: Buffer) => startRouter({
+	endpoints: [{
+		server: createServer((incoming, response) => {
+			incoming.resume();
+			incoming.on('end', () => {
+				response.writeHead(200, {'response-seal': 's', 'attempt-id': String(incoming.headers['attempt-id'])}).end(responseBody);
+			});
+		}),
+	}],
+});
