Keep an ordinary answer out of a stream that has begun, in galena-router

A streaming request that the next endpoint answered with an ordinary body, such as a 400, got the error's text as an event, and then a second head.

Cause: an agent sends bodies and events as the same kind of chunk, and the router took all chunks of a streaming request for events. A chunk says now whether it is part of a body; such an answer is delivered if nothing was sent, and fails the attempt otherwise. Agents of before send no mark, and are read as before.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -155,10 +155,21 @@
 		const credit = createCredit();
 		running.set(attempt.attempt, {abort, credit});
 		let sequence = 0;
+		const push = (data: Uint8Array, isBody: boolean) => {
+			sendToRouter(attempt.router, {
+				chunks: [{
+					attemptId: attempt.attempt, sequence, data: new Uint8Array(data), isBody,
+				}],
+			});
+			sequence += 1;
+		};
+
 		const result = await endpoint.run(buildEndpointRequest(dispatch, options.kind), {
-			push(data) {
-				sendToRouter(attempt.router, {chunks: [{attemptId: attempt.attempt, sequence, data: new Uint8Array(data)}]});
-				sequence += 1;
+			pushEvent(data) {
+				push(data, false);
+			},
+			pushBody(data) {
+				push(data, true);
 			},
 			credit,
 			signal: abort.signal,
--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -33,7 +33,9 @@
 
 /** Sends a request to an endpoint that writes raw bytes. */
 const runAgainst = async (respond: (socket: Socket) => void, request = plainRequest): Promise<EndpointResult> =>
-	callAgainst(respond, async client => client.run(request, {push: () => undefined, credit: createCredit(), signal: new AbortController().signal}));
+	callAgainst(respond, async client => client.run(request, {
+		pushEvent: () => undefined, pushBody: () => undefined, credit: createCredit(), signal: new AbortController().signal,
+	}));
 
 const filler = Buffer.alloc(60_000, 'x');
 
@@ -79,9 +81,11 @@
 	const run = async (path: string) => {
 		let body = '';
 		await client.run({...plainRequest, path}, {
-			push(bytes) {
+			pushEvent: () => undefined,
+			pushBody(bytes) {
 				body += String(bytes);
-			}, credit: createCredit(), signal: new AbortController().signal,
+			},
+			credit: createCredit(), signal: new AbortController().signal,
 		});
 		return body;
 	};
--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -46,7 +46,10 @@
 
 /** Receives an endpoint's response, subject to flow control. */
 export type ResponseSink = Readonly<{
-	push: (data: Uint8Array) => void;
+	/** Takes the data of one event of a stream. */
+	pushEvent: (data: Uint8Array) => void;
+	/** Takes a part of a response that is not a stream. */
+	pushBody: (data: Uint8Array) => void;
 	credit: Credit;
 	signal: AbortSignal;
 }>;
@@ -156,7 +159,7 @@
 				if (recorded.shouldForward) {
 					const bytes = Buffer.from(data);
 					await sink.credit.take(bytes.byteLength);
-					sink.push(bytes);
+					sink.pushEvent(bytes);
 				}
 			}
 
@@ -199,7 +202,7 @@
 	const chunks = splitChunks(body);
 	for (const chunk of chunks) {
 		await sink.credit.take(chunk.byteLength);
-		sink.push(chunk);
+		sink.pushBody(chunk);
 	}
 
 	const usage = request.isChat ? readUsage(parseJson(body.toString('utf8'))) : undefined;
--- a/src/router/response-forwarder.test.ts
+++ b/src/router/response-forwarder.test.ts
@@ -74,6 +74,37 @@
 
 const aboveCreditThresholdBytes = 40_000;
 
+const createErrorEnd = (attempt: string, chunkCount: number) => create(EndSchema, {
+	attemptId: attempt, outcome: 'done', chunkCount, tokens: 0, contentType: 'application/json', status: 400,
+});
+
+const createBodyChunk = (attempt: string, text: string) => create(ChunkSchema, {
+	attemptId: attempt, sequence: 0, data: Buffer.from(text), isBody: true,
+});
+
+describe('an ordinary response to a streaming request', () => {
+	test('is the answer if no event has been sent', () => {
+		const fixture = createFixture();
+		fixture.forwarder.receiveChunk(createBodyChunk('r.1', 'the error text'));
+		fixture.forwarder.receiveEnd('a', createErrorEnd('r.1', 1));
+		expect(fixture.getWritten()).toBe('');
+		expect(fixture.getEnds()).toMatchObject([{outcome: 'done', answer: {status: 400, body: Buffer.from('the error text')}}]);
+	});
+
+	test('is no part of a stream that another endpoint began', () => {
+		const fixture = createFixture();
+		fixture.forwarder.receiveChunk(createChunk('r.1', 0, createDelta('begun')));
+		fixture.pending.attempt = 'r.2';
+		fixture.pending.delivery = {nextSequence: 0, uncreditedBytes: 0};
+		fixture.forwarder.registerAttempt('r.2', fixture.pending);
+		fixture.forwarder.receiveChunk(createBodyChunk('r.2', 'the error text'));
+		fixture.forwarder.receiveEnd('a', createErrorEnd('r.2', 1));
+		expect(fixture.getWritten()).not.toContain('the error text');
+		expect(fixture.getEnds()).toMatchObject([{outcome: 'failed', delivered: 1}]);
+		expect(fixture.getEnds()[0]).not.toHaveProperty('answer');
+	});
+});
+
 describe('the response forwarder', () => {
 	test('returns credit to the agent while the client reads fast enough', () => {
 		const fixture = createFixture();
--- a/src/router/response-forwarder.ts
+++ b/src/router/response-forwarder.ts
@@ -54,8 +54,8 @@
 		}
 	};
 
-	const deliverChunk = (pending: PendingRequest, data: Uint8Array): boolean => {
-		if (pending.checked.spec.isStream) {
+	const deliverChunk = (pending: PendingRequest, {data, isBody}: Chunk): boolean => {
+		if (pending.checked.spec.isStream && !isBody) {
 			return forwardEvent(pending, Buffer.from(data).toString('utf8'));
 		}
 
@@ -78,15 +78,16 @@
 				ports.post({kind: 'attempt-began', attempt: chunk.attemptId});
 			}
 
-			recordWrite(pending, chunk.data.byteLength, deliverChunk(pending, chunk.data));
+			recordWrite(pending, chunk.data.byteLength, deliverChunk(pending, chunk));
 		},
 		receiveEnd(agent, end) {
 			const pending = pendingByAttempt.get(end.attemptId);
 			pendingByAttempt.delete(end.attemptId);
 			const isComplete = pending === undefined || pending.delivery.nextSequence === end.chunkCount;
-			const outcome = (end.outcome === 'done' && !isComplete ? 'failed' : end.outcome) as AttemptOutcome;
-			// The endpoint may answer a streaming request with an ordinary body, such as an error.
+			// The endpoint may answer a streaming request with an ordinary body, such as an error, which cannot follow events.
 			const isBuffered = pending !== undefined && (!pending.checked.spec.isStream || end.contentType !== 'text/event-stream');
+			const isDeliverable = isComplete && !(isBuffered && pending.hasSentHead);
+			const outcome = (end.outcome === 'done' && !isDeliverable ? 'failed' : end.outcome) as AttemptOutcome;
 			ports.post({
 				kind: 'attempt-ended',
 				attempt: end.attemptId,
