Take a refusal for proof only if it can be no copy of an earlier one

Clients were told 'not run' for requests that an endpoint had run, or these ran at a second endpoint too.

Cause: a response counted for a request if it named it or named none, also where the same request had been refused on that connection before. Now a connection remembers what was refused on it; a second refusal of the same request there, or a response without an id on a used connection, is a failed attempt that may have run. A request sent once more avoids connections that refused it.

--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -3,6 +3,7 @@
 import type {
 	ClientRequest, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {createByteBuffer} from '../byte-buffer/index.js';
 import type {ByteBuffer} from '../byte-buffer/index.js';
 import {createErrorResponse} from '../errors/index.js';
@@ -20,6 +21,7 @@
 import type {
 	EdgeEffect, EdgeEvent, FailureStage, Framing,
 } from './messages.js';
+import {createRefusalHistory} from './refusal-history.js';
 
 /** Time within which a request must have a connection, new or freed by another request, in ms. Well above a round trip, and below the retransmission of a lost SYN, which takes seconds. */
 const connectTimeoutMs = 500;
@@ -144,15 +146,6 @@
 	return headers['transfer-encoding'] === undefined ? (headers['content-length'] === undefined ? 'close' : 'length') : 'chunked';
 };
 
-/** Returns why a head is not that of the endpoint's response to a request; undefined if it is. */
-const findInvalidHead = (head: ResponseHead, key: string): string | undefined => {
-	if (head.key !== undefined && head.key !== key) {
-		return `response is for request ${head.key}`;
-	}
-
-	return head.status < 300 && !head.isSigned ? 'response is not signed' : undefined;
-};
-
 /** Returns how a stream shows that it was broken off although its body has ended normally; undefined if it does not. */
 const findBreak = (upstream: Upstream, framing: Framing): string | undefined => {
 	if (!canEndAfter(upstream.splitter.getPartialEvent())) {
@@ -172,6 +165,7 @@
 	const {post, random} = options;
 	const activeRequests = new Map<number, ActiveRequest>();
 	const agents = new Map<string, Agent>();
+	const refusals = createRefusalHistory();
 
 	const getAgent = (address: string, maxConnections: number): Agent => {
 		const existing = agents.get(address);
@@ -187,6 +181,33 @@
 		return agent;
 	};
 
+	/**
+	Selects the connections that a request may use. It uses none that has carried a refusal of it: whether another
+	refusal there is a copy of that one could not be told.
+	*/
+	const selectAgent = ({endpoint, maxConnections}: SendEffect, key: string): Agent | false => {
+		const agent = getAgent(endpoint.address, maxConnections);
+		const idle = Object.values(agent.freeSockets).flatMap(sockets => sockets ?? []);
+		return idle.some(socket => refusals.has(socket, key)) ? false : agent;
+	};
+
+	/** Returns why a head cannot count as that of the endpoint's response to a request; undefined if it can. */
+	const findInvalidHead = (head: ResponseHead, {key, initialBytesRead}: Upstream, socket: Socket): string | undefined => {
+		if (head.key !== undefined && head.key !== key) {
+			return `response is for request ${head.key}`;
+		}
+
+		if (head.key === undefined && initialBytesRead > 0) {
+			return 'response does not name its request, and its connection has carried others';
+		}
+
+		if (head.hasNotRun && refusals.has(socket, key)) {
+			return 'refusal may be a copy of an earlier one on its connection';
+		}
+
+		return head.status < 300 && !head.isSigned ? 'response is not signed' : undefined;
+	};
+
 	/** Called only when memory has grown: counting for each chunk would take long if the chunks are small. */
 	const countBufferedBytes = (): number => [...activeRequests.values()].flatMap(({upstream}) => upstream ?? [])
 		.reduce((sum, {body, splitter}) => sum + body.countMemory() + splitter.countMemory(), 0);
@@ -287,11 +308,15 @@
 	const receiveResponseHead = (requestId: number, upstream: Upstream, incoming: IncomingMessage): void => {
 		const activeRequest = activeRequests.get(requestId);
 		const head = decodeResponse(incoming);
-		const reason = findInvalidHead(head, upstream.key);
+		const reason = findInvalidHead(head, upstream, incoming.socket);
 		if (reason === undefined) {
 			post({kind: 'response-began', endpoint: upstream.endpoint, head});
 		}
 
+		if (head.hasNotRun && !refusals.record(incoming.socket, upstream.key)) {
+			upstream.outgoing.shouldKeepAlive = false;
+		}
+
 		if (activeRequest === undefined || upstream.isFinished) {
 			incoming.on('error', () => undefined);
 			upstream.outgoing.destroy();
@@ -342,7 +367,7 @@
 
 		const {host, port} = parseAddress(effect.endpoint.address);
 		const outgoing = request({
-			agent: getAgent(effect.endpoint.address, effect.maxConnections),
+			agent: selectAgent(effect, activeRequest.head.key),
 			host,
 			port,
 			method: activeRequest.head.method,
