Keep in the store which software versions are in use, for routers that start

Streams were joined from two versions after all routers had been killed at once: a router that had just started took the versions that it saw for all there had been, and continued the stream of a client that names no earlier request at the newer one.

Cause: the versions of the last half minute were known to processes only. The table 'versions' keeps them now; a version with a row and no endpoint counts as having just left, and until the table is read a stream without a record is rejected as not run. With the table, such a stream goes on at once if there was one version, where it was rejected for 30 s after a start before.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -26,7 +26,7 @@
 import type {AdmissionDecision} from '../queue/index.js';
 import {verdictTable} from '../poison/index.js';
 import type {StoredRow} from '../store/index.js';
-import {locateOrigin} from '../stream-origin/index.js';
+import {locateOrigin, versionTable} from '../stream-origin/index.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
 import type {FeedEvent} from './table-feed.js';
@@ -62,8 +62,8 @@
 /** Maximum time that a stopping process waits for the store to take back its budget reservations, in ms. */
 const budgetReleaseTimeoutMs = 1000;
 
-/** Delay before verdicts are read again after a failure, in ms. */
-const verdictRetryMs = 300;
+/** Delay before rows that a process needs once are read again after a failure, in ms. */
+const readRetryMs = 300;
 
 /** Interval at which a stopping process checks for remaining requests and reservations, in ms. */
 const drainPollIntervalMs = 50;
@@ -125,6 +125,18 @@
 		return false;
 	};
 
+	/** Reads the software versions that were in use lately; resolves to false if they cannot be read. */
+	const readVersions = async (): Promise<boolean> => {
+		const reply = await store.read(versionTable);
+		if (reply.kind === 'done') {
+			loop.post({kind: 'versions-read', rows: reply.rows});
+			return true;
+		}
+
+		log.write('failure', 'versions-unread', {reason: 'reason' in reply ? reply.reason : reply.kind});
+		return false;
+	};
+
 	const effectHandlers: Readonly<{[Kind in EdgeEffect['kind']]: (effect: EdgeEffect & {kind: Kind}) => void}> = {
 		send: proxy.send,
 		abort(effect) {
@@ -172,6 +184,12 @@
 				loop.post({kind: 'origins-saved', isDone: reply.kind === 'done'});
 			});
 		},
+		'save-versions'(effect) {
+			runInBackground(async () => {
+				const reply = await store.transact(effect.writes);
+				loop.post({kind: 'versions-saved', isDone: reply.kind === 'done'});
+			});
+		},
 		'read-verdicts'() {
 			runInBackground(readVerdicts);
 		},
@@ -398,16 +416,17 @@
 		logFeed(tables.endpoints, event);
 		(registryHandlers[event.kind] as (event: FeedEvent) => void)(event);
 	}));
-	const readFirstVerdicts = async (): Promise<void> => {
-		if (await readVerdicts()) {
+	const retryRead = async (read: () => Promise<boolean>): Promise<void> => {
+		if (await read()) {
 			return;
 		}
 
-		await sleep(verdictRetryMs);
-		return readFirstVerdicts();
+		await sleep(readRetryMs);
+		return retryRead(read);
 	};
 
-	runInBackground(readFirstVerdicts);
+	runInBackground(async () => retryRead(readVerdicts));
+	runInBackground(async () => retryRead(readVersions));
 	runInBackground(async () => periodic(tickIntervalMs).observe(() => {
 		lagMs = clock() - lastTickAt - tickIntervalMs;
 		lastTickAt = clock();
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -572,6 +572,60 @@
 		expect(retired.advance(80).post(reply).listEffects()).toContain('refuse stream-not-resumable');
 	});
 
+	const createVersionRows = (...softwareVersions: readonly string[]): EdgeEvent => ({
+		kind: 'versions-read', rows: softwareVersions.map(softwareVersion => ({
+			table: 'versions', key: softwareVersion, version: 1, value: JSON.stringify({service: 's', softwareVersion}),
+		})),
+	});
+	const listSaved = (edge: EdgeHarness) => edge.effects.flatMap(effect => effect.kind === 'save-versions' ? effect.writes : [])
+		.map(({value}) => value === undefined ? 'removed' : (JSON.parse(value) as {softwareVersion: string}).softwareVersion);
+
+	describe.each([['names no earlier request', undefined], ['names an earlier request that is not recorded', 'c9']])('at a router that has just started, by a client that %s', (_, resumedKey) => {
+		const newer = [createEntry('e1', {softwareVersion: 'v2'}), createEntry('e2', {softwareVersion: 'v2'})];
+		const resume = (prepare: (edge: EdgeHarness) => EdgeHarness): EdgeHarness => {
+			const edge = prepare(new EdgeHarness().start(newer)).sendRequest(1, 'stream', {resumeAfter: '3', resumedKey});
+			return resumedKey === undefined
+				? edge
+				: edge.advance(80).post({
+					kind: 'origin-read', call: 1, random: 0.5, reply: createReply(),
+				});
+		};
+
+		test('is rejected until it is known which versions had begun streams', () => {
+			expect(resume(edge => edge).listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
+		});
+
+		test('is rejected if another version was in use before all routers were killed', () => {
+			const edge = resume(current => current.post(createVersionRows('v1', 'v2')));
+			expect(edge.listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
+			expect(edge.advance(30_000).sendRequest(2, 'stream', {resumeAfter: '3'}).getSentTo()).not.toBe('');
+		});
+
+		test('goes on at once if there was no other version', () => {
+			expect(resume(edge => edge.post(createVersionRows('v2'))).getSentTo()).not.toBe('');
+			expect(resume(edge => edge.post(createVersionRows())).getSentTo()).not.toBe('');
+		});
+
+		test('is rejected while the store is away', () => {
+			expect(resume(edge => edge.post(createVersionRows('v2')).post({kind: 'registry-lost'})).listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
+		});
+	});
+
+	test('is saved as being in use when it comes, again after a failed save or when an older copy of the store has come back, and removed long after it has left', () => {
+		const edge = new EdgeHarness().start(oneOfEach).advance(20);
+		expect(listSaved(edge)).toEqual([]);
+		expect(listSaved(edge.post(createVersionRows('v1')).advance(20))).toEqual(['v1', 'v2']);
+		expect(listSaved(edge.post({kind: 'versions-saved', isDone: false}).advance(20))).toEqual([]);
+		expect(listSaved(edge.advance(300))).toEqual(['v1', 'v2']);
+		expect(listSaved(edge.post({kind: 'versions-saved', isDone: true}).advance(20))).toEqual([]);
+		expect(listSaved(edge.post({kind: 'registry-restored'}).advance(20))).toEqual(['v1', 'v2']);
+		edge.post({kind: 'versions-saved', isDone: true}).advance(5000).post({kind: 'endpoint-changed', id: 'e1', listing: undefined});
+		expect(listSaved(edge.advance(59_000))).toEqual([]);
+		expect(listSaved(edge.advance(2000))).toEqual(['removed']);
+		expect(listSaved(edge.post({kind: 'versions-saved', isDone: true}).advance(20))).toEqual([]);
+		expect(listSaved(edge.post({kind: 'endpoint-changed', id: 'e1', listing: createEntry('e1')}).advance(20))).toEqual(['v1']);
+	});
+
 	test('is saved once it has begun, and again after a failed save', () => {
 		const {edge, first} = startStream(oneOfEach);
 		const writes = [{
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -17,7 +17,9 @@
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
 } from './attempt.js';
 import {expireTokenWait, applyTokenEvent} from './reserve.js';
-import {expireLocating, receiveOrigin, saveOrigins} from './resume.js';
+import {
+	expireLocating, receiveOrigin, receiveVersions, receiveVersionSave, resetVersions, saveOrigins, saveVersions,
+} from './resume.js';
 import {receivePeerLimits, updateShares} from './limits.js';
 import type {EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
@@ -110,7 +112,7 @@
 	const settled = chain(expired, current => now - current.quota.tickedAtMs < tokenSyncIntervalMs ? keepState(current) : applyTokenEvent(current, {kind: 'tick'}, event.random, now));
 	const checked = chain(settled, current => checkEndpoints(current, event.random, now));
 	const gossiped = chain(checked, current => sendGossip(current, now));
-	const saved = chain(gossiped, current => saveOrigins(current, now));
+	const saved = chain(chain(gossiped, current => saveOrigins(current, now)), current => saveVersions(current, now));
 	return chain(saved, current => placeWaiting(current, event.random, now));
 };
 
@@ -135,10 +137,12 @@
 	'endpoints-listed': (state, event, now) => setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, event.entries, now), now),
 	'endpoint-changed': (state, event, now) => setRegistry(state, updateEntry(state.registry, event.id, event.listing, now), now),
 	'registry-lost': state => keepState({...state, registry: markUnavailable(state.registry)}),
-	'registry-restored': (state, _event, now) => keepState(resetVerdictRows({...state, registry: markRestored(state.registry, now)})),
+	'registry-restored': (state, _event, now) => keepState(resetVersions(resetVerdictRows({...state, registry: markRestored(state.registry, now)}))),
 	'registry-regained': (state, _event, now) => keepState({...state, registry: markAvailable(state.registry, now)}),
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	'origin-read': receiveOrigin,
+	'versions-read': receiveVersions,
+	'versions-saved': receiveVersionSave,
 	'verdicts-read': receiveSavedVerdicts,
 	'verdicts-saved': receiveVerdictSave,
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, state.liveRouters.length, now)}),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -49,6 +49,9 @@
 	/** The store was asked where a stream began. */
 	| Readonly<{kind: 'origin-read'; call: number; reply: StoreReply; random: number}>
 	| Readonly<{kind: 'origins-saved'; isDone: boolean}>
+	/** The software versions that were in use lately were read. */
+	| Readonly<{kind: 'versions-read'; rows: readonly StoredRow[]}>
+	| Readonly<{kind: 'versions-saved'; isDone: boolean}>
 	/** The verdicts that outlast processes were read, at the given time of the store's clock. */
 	| Readonly<{kind: 'verdicts-read'; rows: readonly StoredRow[]; storeTime: number}>
 	| Readonly<{kind: 'verdicts-saved'; isDone: boolean}>
@@ -88,6 +91,7 @@
 	/** Asks the store, after a delay, where the stream of the given key began. */
 	| Readonly<{kind: 'read-origin'; call: number; key: string; delayMs: number}>
 	| Readonly<{kind: 'save-origins'; writes: readonly StoreWrite[]}>
+	| Readonly<{kind: 'save-versions'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'save-verdicts'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'read-verdicts'}>
 	/** Sends a load message to peers. */
--- a/src/edge/resume.ts
+++ b/src/edge/resume.ts
@@ -3,7 +3,7 @@
 import {keepState} from '../loop/step.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {
-	decodeOrigin, findOrigin, findSoleVersion, planSave, retentionMs,
+	completeVersionSave, decodeOrigin, findOrigin, findSoleVersion, planSave, planVersionSave, recordSavedVersions, resetSavedVersions, retentionMs,
 } from '../stream-origin/index.js';
 import type {StreamOrigin} from '../stream-origin/index.js';
 import {applyToRequest, putRequest, rejectRequest} from './common.js';
@@ -43,21 +43,21 @@
 	return reserveForRequest(putRequest(state, located), located, random, now);
 };
 
+/**
+Tells whether all versions that a service has had lately are known: from the store, or because this process has
+watched the registry for long enough. Without the store, it is not known which ones have come.
+*/
+const isVersionHistoryKnown = ({registry, registryReadAt, savedVersions}: EdgeState, now: number): boolean =>
+	!registry.isUnavailable && registryReadAt !== undefined && (savedVersions.isRead || now - registryReadAt >= retentionMs);
+
 /** Continues a stream whose origin is not recorded if its service has only one version, and rejects it otherwise. */
 const continueAtSoleVersion = (state: EdgeState, request: InFlightRequest, reason: string, random: number, now: number): EdgeStep => {
-	const softwareVersion = findSoleVersion(state.registry, state.retiredVersions, request.service, now);
+	const softwareVersion = isVersionHistoryKnown(state, now) ? findSoleVersion(state.registry, state.retiredVersions, request.service, now) : undefined;
 	return softwareVersion === undefined
 		? countResumption(rejectResumption(state, request, reason, random, now), request, 'none')
 		: countResumption(continueStream(state, request, {service: request.service, softwareVersion}, random, now), request, 'sole-version');
 };
 
-/**
-Tells whether all versions that a service has had lately are known. A process that has just started does not know
-which ones have left, and without the store which ones have come.
-*/
-const isVersionHistoryKnown = (state: EdgeState, now: number): boolean =>
-	!state.registry.isUnavailable && state.registryReadAt !== undefined && now - state.registryReadAt >= retentionMs;
-
 /**
 Sends a new request on; if its client resumes a stream, first finds out where that began.
 
@@ -73,9 +73,8 @@
 		return reserveForRequest(state, request, random, now);
 	}
 
-	// A client that names no earlier request knows of one version only.
 	if (resumedKey === undefined) {
-		return continueAtSoleVersion(state, request, 'the request names no earlier one, and its service has several versions', random, now);
+		return continueAtSoleVersion(state, request, 'the request names no earlier one, and its service has or may have had several versions', random, now);
 	}
 
 	const origin = findOrigin(state.origins, resumedKey);
@@ -89,11 +88,6 @@
 		: countResumption(continueStream(state, request, origin, random, now), request, 'own');
 };
 
-const continueUnrecorded = (state: EdgeState, request: InFlightRequest, reason: string, random: number, now: number): EdgeStep =>
-	isVersionHistoryKnown(state, now)
-		? continueAtSoleVersion(state, request, reason, random, now)
-		: countResumption(rejectResumption(state, request, reason, random, now), request, 'none');
-
 /**
 Handles the store's reply to the question where a stream began.
 
@@ -119,7 +113,7 @@
 	}
 
 	return origin === undefined
-		? continueUnrecorded(state, request, `where the stream ${resumedKey} began is not known: ${'reason' in reply ? reply.reason : 'no readable record'}`, random, now)
+		? continueAtSoleVersion(state, request, `where the stream ${resumedKey} began is not known: ${'reason' in reply ? reply.reason : 'no readable record'}`, random, now)
 		: countResumption(continueStream(state, request, origin, random, now), request, 'store');
 });
 
@@ -133,7 +127,7 @@
 @returns The new state and the effects.
 */
 export const expireLocating = (state: EdgeState, call: number, random: number, now: number): EdgeStep => applyToRequest(state, call, request =>
-	continueUnrecorded(state, request, `the store does not say where the stream ${request.head.resumedKey} began`, random, now));
+	continueAtSoleVersion(state, request, `the store does not say where the stream ${request.head.resumedKey} began`, random, now));
 
 /**
 Saves the origins of streams that began lately.
@@ -146,3 +140,54 @@
 	const {origins, writes} = planSave(state.origins, now);
 	return {state: {...state, origins}, effects: writes.length === 0 ? [] : [{kind: 'save-origins', writes}]};
 };
+
+/**
+Adds the software versions that were read from the store.
+
+@param state - The edge state.
+@param event - The rows.
+@param now - The current time in ms.
+@returns The new state, and effects that log unreadable rows.
+*/
+export const receiveVersions = (state: EdgeState, {rows}: EdgeEvent & {kind: 'versions-read'}, now: number): EdgeStep => {
+	const {versions, retired, unreadable} = recordSavedVersions(state.savedVersions, state.retiredVersions, rows, now);
+	return {
+		state: {...state, savedVersions: versions, retiredVersions: retired},
+		effects: unreadable.map(key => ({
+			kind: 'log', level: 'failure', event: 'version-unreadable', fields: {key},
+		})),
+	};
+};
+
+/**
+Saves the software versions that have come into use.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const saveVersions = (state: EdgeState, now: number): EdgeStep => {
+	const {versions, retired, writes} = planVersionSave(state.savedVersions, {
+		registry: state.registry, retired: state.retiredVersions, removesRows: state.liveRouters[0] === state.quota.router, now,
+	});
+	return {state: {...state, savedVersions: versions, retiredVersions: retired}, effects: writes.length === 0 ? [] : [{kind: 'save-versions', writes}]};
+};
+
+/**
+Ends a save of software versions.
+
+@param state - The edge state.
+@param event - Whether the save is done.
+@param now - The current time in ms.
+@returns The new state.
+*/
+export const receiveVersionSave = (state: EdgeState, event: EdgeEvent & {kind: 'versions-saved'}, now: number): EdgeStep =>
+	keepState({...state, savedVersions: completeVersionSave(state.savedVersions, event.isDone, now)});
+
+/**
+Forgets which software versions are saved, after the store has come back from an older copy.
+
+@param state - The edge state.
+@returns The new state.
+*/
+export const resetVersions = (state: EdgeState): EdgeState => ({...state, savedVersions: resetSavedVersions(state.savedVersions)});
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -11,8 +11,8 @@
 import type {PoisonGuard, VerdictRows} from '../poison/index.js';
 import {emptyRegistry} from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
-import {createStreamOrigins} from '../stream-origin/index.js';
-import type {RetiredVersions, StreamOrigins} from '../stream-origin/index.js';
+import {createSavedVersions, createStreamOrigins} from '../stream-origin/index.js';
+import type {RetiredVersions, SavedVersions, StreamOrigins} from '../stream-origin/index.js';
 import type {EdgeEffect} from './messages.js';
 
 /** The state of an edge router. */
@@ -27,6 +27,8 @@
 	registryReadAt: number | undefined;
 	/** Software versions whose endpoints left the registry. */
 	retiredVersions: RetiredVersions;
+	/** Software versions that the store knows to have been in use lately. */
+	savedVersions: SavedVersions;
 	/** Origins of the streams that this router began. */
 	origins: StreamOrigins;
 	/** Tokens that this router holds of the budgets. */
@@ -86,6 +88,7 @@
 	registry: emptyRegistry,
 	registryReadAt: undefined,
 	retiredVersions: Map(),
+	savedVersions: createSavedVersions(),
 	origins: createStreamOrigins(),
 	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress),
 	retryBudget: createRetryBudget(),
--- /dev/null
+++ b/src/stream-origin/saved-versions.ts
@@ -0,0 +1,141 @@
+import {hash} from 'node:crypto';
+import {Map, Set} from 'immutable';
+import type {Registry} from '../registry/index.js';
+import type {RowKey, StoredRow, StoreWrite} from '../store/index.js';
+import {decodeOrigin} from './origins.js';
+import type {StreamOrigin} from './origins.js';
+import {retentionMs} from './versions.js';
+import type {RetiredVersions} from './versions.js';
+
+/**
+Software versions of services that are saved in the store, so that a process that starts knows which versions
+may have begun a stream, also if all routers have just been killed.
+*/
+export type SavedVersions = Readonly<{
+	/** True once the rows have been read. */
+	isRead: boolean;
+	/** Row keys of the versions in use that are known to be saved. */
+	saved: Set<string>;
+	/** Writes of the save in progress. */
+	saving: readonly StoreWrite[];
+	/** When the next save may begin, in ms. */
+	nextSaveAt: number;
+}>;
+
+/** Table of the versions. */
+export const versionTable = 'versions';
+
+/** Delay after a failed save, in ms. */
+const retryDelayMs = 300;
+
+/** Time after which the row of a version without endpoints is removed, in ms: all routers then agree that no stream of it can be resumed. */
+const removalDelayMs = 2 * retentionMs;
+
+/** Limit of the store for the entries of a transaction. */
+const maxRowsPerSave = 100;
+
+/**
+Creates the saved versions of a process that has read none.
+
+@returns The saved versions.
+*/
+export const createSavedVersions = (): SavedVersions => ({
+	isRead: false, saved: Set(), saving: [], nextSaveAt: 0,
+});
+
+const locateVersion = ({service, softwareVersion}: StreamOrigin): RowKey => ({
+	table: versionTable, key: hash('sha256', JSON.stringify([service, softwareVersion]), 'base64url'),
+});
+
+const listPresent = (registry: Registry): ReadonlyArray<StreamOrigin & RowKey> => registry.endpoints.valueSeq().toArray()
+	.map(({service, softwareVersion}) => ({service, softwareVersion, ...locateVersion({service, softwareVersion})}));
+
+/** Saved and retired versions after the rows were read, and the keys of rows that cannot be read. */
+type ReadVersions = Readonly<{versions: SavedVersions; retired: RetiredVersions; unreadable: readonly string[]}>;
+
+/**
+Adds the versions that were read from the store. When their last endpoints left is not known: it may have been just now.
+
+@param versions - The saved versions.
+@param retired - The versions that left the registry.
+@param rows - The rows.
+@param now - The current time in ms.
+@returns Both, updated, and the keys of rows that cannot be read.
+*/
+export const recordSavedVersions = (versions: SavedVersions, retired: RetiredVersions, rows: readonly StoredRow[], now: number): ReadVersions => {
+	const decoded = rows.map(({key, value}) => ({key, origin: decodeOrigin(value)}));
+	return {
+		versions: {...versions, isRead: true, saved: versions.saved.union(decoded.flatMap(({key, origin}) => origin === undefined ? [] : [key]))},
+		retired: decoded.reduce((known, {origin}) => origin === undefined ? known : known.setIn([origin.service, origin.softwareVersion], now), retired),
+		unreadable: decoded.filter(({origin}) => origin === undefined).map(({key}) => key),
+	};
+};
+
+/** Finds the retired versions whose rows are no longer needed. */
+const listExpired = (registry: Registry, retired: RetiredVersions, now: number): readonly StreamOrigin[] => retired.entrySeq().toArray()
+	.flatMap(([service, versions]) => versions.entrySeq().toArray()
+		.filter(([, leftAt]) => now - leftAt >= removalDelayMs)
+		.map(([softwareVersion]) => ({service, softwareVersion})))
+	.filter(({service, softwareVersion}) => !registry.endpoints.some(endpoint => endpoint.service === service && endpoint.softwareVersion === softwareVersion));
+
+/** What a save of versions depends on. */
+type SaveQuery = Readonly<{
+	registry: Registry;
+	retired: RetiredVersions;
+	/** True for the one router that removes rows. */
+	removesRows: boolean;
+	now: number;
+}>;
+
+/**
+Begins a save of the versions that have come into use, and removes those long out of use.
+
+@param versions - The saved versions.
+@param query - The versions in use and retired.
+@returns The saved versions, the retired ones without those whose rows are removed, and the writes; none if there is nothing to save, or a save is in progress.
+*/
+export const planVersionSave = (versions: SavedVersions, query: SaveQuery): Readonly<{versions: SavedVersions; retired: RetiredVersions; writes: readonly StoreWrite[]}> => {
+	const {registry, retired, removesRows, now} = query;
+	if (!versions.isRead || versions.saving.length > 0 || now < versions.nextSaveAt) {
+		return {versions, retired, writes: []};
+	}
+
+	const present = Map(listPresent(registry).map(each => [each.key, each] as const));
+	// A version that has left is saved again if it returns: its row may have been removed.
+	const saved = versions.saved.intersect(present.keySeq());
+	const unsaved = present.deleteAll(saved).valueSeq().toArray();
+	const expired = listExpired(registry, retired, now);
+	const writes: readonly StoreWrite[] = [
+		...unsaved.map(({
+			table, key, service, softwareVersion,
+		}) => ({
+			table, key, version: undefined, value: JSON.stringify({service, softwareVersion}),
+		})),
+		...(removesRows ? expired.map(origin => ({...locateVersion(origin), version: undefined, value: undefined})) : []),
+	].slice(0, maxRowsPerSave);
+	return {
+		versions: {...versions, saved, saving: writes},
+		retired: expired.reduce((known, {service, softwareVersion}) => known.deleteIn([service, softwareVersion]), retired),
+		writes,
+	};
+};
+
+/**
+Ends the save in progress.
+
+@param versions - The saved versions.
+@param isDone - False if the save failed or its outcome is unknown; it is repeated then.
+@param now - The current time in ms.
+@returns The saved versions.
+*/
+export const completeVersionSave = (versions: SavedVersions, isDone: boolean, now: number): SavedVersions => isDone
+	? {...versions, saved: versions.saved.union(versions.saving.filter(({value}) => value !== undefined).map(({key}) => key)), saving: []}
+	: {...versions, saving: [], nextSaveAt: now + retryDelayMs};
+
+/**
+Forgets what is saved, after the store has come back from an older copy: all is saved again.
+
+@param versions - The saved versions.
+@returns The saved versions.
+*/
+export const resetSavedVersions = (versions: SavedVersions): SavedVersions => ({...versions, saved: Set()});
