Prefer endpoints that have a prompt's shared parts, whichever router sent them

Cause: a router knew only what it had sent itself, and preferred two endpoints by rank for each part even if another one, or only one of them, had it. Routers tell each other now, in their load messages, of the larger parts that they send. An endpoint that has the parts is preferred; ranks decide only on parts that nobody is known to have, the first rank before the second.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -642,6 +642,38 @@
 	});
 });
 
+test('prompt parts that one router has sent to an endpoint are known to its peers', () => {
+	const entries = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'].map(id => createEntry(id, {slots: 64}));
+	const plain = createConfig(1, routes);
+	const config = {...plain, services: plain.services.set('s', {name: 's', maxConnections: 100, engine: {slots: 64, capacity: 500_000, tokensPerEvent: 4}})};
+	const sendPrompt = (edge: EdgeHarness, id: number): string => edge.sendRequest(id, 'stream', {
+		modelRequest: {
+			model: 'm', promptTokens: 5000, maxOutputTokens: 10, parts: [{id: 'group', tokens: 500}, {id: `session-${id}`, tokens: 4000}, {id: `own-${id}`, tokens: 500}],
+		},
+	}).getSentTo();
+	const first = new EdgeHarness().start(entries, config);
+	const second = new EdgeHarness().start(entries, config);
+	const ids = Array.from({length: 30}, (_, index) => index + 1);
+	const places = ids.map(id => {
+		const place = sendPrompt(first, id);
+		first.respond(id, 1, streamHead).post({kind: 'stream-began', call: id, attempt: 1}).post({
+			kind: 'stream-ended', call: id, attempt: 1, events: 1, framing: 'chunked',
+		});
+		const told = first.advance(100).effects.flatMap(effect => effect.kind === 'tell-peers' ? [effect.message] : []);
+		told.forEach(message => {
+			second.post({kind: 'peer-heard', ...parseLoads(message).unwrap()});
+		});
+		return place;
+	});
+	second.now = first.now + 500;
+	expect(new Set(places).size).toBeGreaterThan(2);
+	expect(ids.map(id => {
+		const place = sendPrompt(second, id);
+		second.respond(id, 1, streamHead).post({kind: 'stream-began', call: id, attempt: 1});
+		return place;
+	})).toEqual(places);
+});
+
 describe('deadlines and time-outs', () => {
 	test('the timeout of its route counts from the head of a request, however slowly its body arrived', () => {
 		const edge = new EdgeHarness().start().advance(5000).sendRequest(1, 'act', {}, 3000);
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -2,13 +2,15 @@
 import {
 	encodeLoads, maxGossipPeers, removeStalePeers, recordPeerLoads, sumLoads,
 } from '../gossip/index.js';
+import type {PromptNews} from '../gossip/index.js';
 import type {RequestPhase} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {hashText} from '../random/index.js';
 import {hasPoisonNews, listPoisonNews} from '../poison/index.js';
 import {
-	updateEntry, removeMissing, markUnavailable, markAvailable, markRestored, replaceEntries,
+	updateEntry, removeMissing, markUnavailable, markAvailable, markRestored, recordPromptParts, replaceEntries,
 } from '../registry/index.js';
+import type {Registry} from '../registry/index.js';
 import {completeSave} from '../stream-origin/index.js';
 import {createLogEffect} from './common.js';
 import {receivePeerLeaving, receiveStatements, setRegistry} from './endpoints.js';
@@ -79,10 +81,10 @@
 		.slice(0, maxGossipPeers);
 	const peers = removeStalePeers(state.peers, now);
 	const isPoisonDue = (state.isPoisonNewsUrgent || now - state.poisonToldAt >= poisonIntervalMs) && hasPoisonNews(state.poison);
-	const message = encodeLoads(state.quota.router, state.registry, isPoisonDue ? listPoisonNews(state.poison, now) : undefined, now);
+	const message = encodeLoads(state.quota.router, state.registry, isPoisonDue ? listPoisonNews(state.poison, now) : undefined, state.promptNews, now);
 	return {
 		state: {
-			...state, gossipSentAt: now, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, isPoisonNewsUrgent: false, peers, peerLoadTotals: sumLoads(peers),
+			...state, gossipSentAt: now, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, isPoisonNewsUrgent: false, promptNews: [], peers, peerLoadTotals: sumLoads(peers),
 		},
 		effects: [{kind: 'tell-peers', addresses, message}],
 	};
@@ -116,12 +118,20 @@
 	return chain(saved, current => placeWaiting(current, event.random, now));
 };
 
+/** Records the prompt parts that a peer has sent to endpoints. */
+const recordPromptNews = (registry: Registry, news: readonly PromptNews[], now: number): Registry => news.reduce((current, {endpoint: id, startedAt, part}) => {
+	const endpoint = current.endpoints.get(id);
+	return endpoint?.startedAt === startedAt
+		? {...current, endpoints: current.endpoints.set(id, recordPromptParts(endpoint, [part], now))}
+		: current;
+}, registry);
+
 const receivePeerMessage: Handler<'peer-heard'> = (state, event, now) => chain(
 	chain(
 		receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
 		current => receivePeerLeaving(current, event.leaving, now),
 	),
-	current => receivePoisonNews(current, event.poison, 'peer', now),
+	current => receivePoisonNews({...current, registry: recordPromptNews(current.registry, event.promptNews, now)}, event.poison, 'peer', now),
 );
 
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Handler<Kind>}> = {
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -1,4 +1,5 @@
 import {createFault} from '../errors/index.js';
+import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {chooseEndpoint, computeConnectionShare} from '../placement/index.js';
@@ -10,7 +11,7 @@
 import type {PoisonDecision} from '../poison/index.js';
 import type {Dispatch, LimitedQuery} from '../queue/index.js';
 import {spendCredit} from '../rate-limit/index.js';
-import {decaySlowness, getIncarnation} from '../registry/index.js';
+import {decaySlowness, getIncarnation, recordPromptParts} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
 	computeRetryAfter, updateKnownEndpoint, putRequest, rejectRequest,
@@ -18,14 +19,6 @@
 import {checkPoison, rejectPoison, startRequestTrial} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
-/** Limit of prompt parts remembered per endpoint; above it the older half is evicted. */
-const maxPromptParts = 2000;
-
-const recordPromptParts = (endpoint: Endpoint, request: InFlightRequest, now: number): Endpoint['promptPartsSentAt'] => {
-	const parts = (request.head.modelRequest?.parts ?? []).reduce((known, part) => known.set(part.id, now), endpoint.promptPartsSentAt);
-	return parts.size <= maxPromptParts ? parts : parts.sortBy(at => -at).take(maxPromptParts / 2);
-};
-
 const computeConnections = (state: EdgeState, request: InFlightRequest): number => {
 	const service = state.config?.services.get(request.service);
 	return service === undefined ? 0 : computeConnectionShare(service.maxConnections, state.liveRouters.length);
@@ -46,14 +39,15 @@
 		sentTo: getIncarnation(endpoint),
 		sentVersion: endpoint.softwareVersion,
 	};
-	const updated = updateKnownEndpoint(putRequest(state, sent), endpoint, current => ({
-		...current,
+	const parts = request.head.modelRequest?.parts ?? [];
+	const told: EdgeState = {...putRequest(state, sent), promptNews: addPromptNews(state.promptNews, endpoint, parts)};
+	const updated = updateKnownEndpoint(told, endpoint, current => ({
+		...recordPromptParts(current, parts.map(({id}) => id), now),
 		open: current.open + 1,
 		pending: current.pending + newTokens,
 		sentSinceReport: current.sentSinceReport + 1,
 		rateLimit: spendCredit(current.rateLimit, now),
 		pushback: recordPushbackSend(current.pushback),
-		promptPartsSentAt: recordPromptParts(current, request, now),
 	}));
 	return {
 		state: updated,
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -2,7 +2,7 @@
 import {createRetryBudget} from '../retry-budget/index.js';
 import type {RetryBudget, RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
-import type {EndpointLoads, PeerLoads} from '../gossip/index.js';
+import type {EndpointLoads, PeerLoads, PromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import type {Step} from '../loop/loop.js';
 import {createLocalQuota} from '../quota/index.js';
@@ -49,6 +49,8 @@
 	liveRouters: readonly string[];
 	/** Time of the last load message to peers, in ms. */
 	gossipSentAt: number;
+	/** Prompt parts that were sent to endpoints since that message. */
+	promptNews: readonly PromptNews[];
 	/** Time of the last such message that told of crashes, in ms, and whether the next one must. */
 	poisonToldAt: number;
 	isPoisonNewsUrgent: boolean;
@@ -100,6 +102,7 @@
 	peerLoadTotals: Map(),
 	liveRouters: [options.router],
 	gossipSentAt: 0,
+	promptNews: [],
 	poisonToldAt: 0,
 	isPoisonNewsUrgent: false,
 	endpointsCheckedAt: 0,
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -1,8 +1,10 @@
 import {Map} from 'immutable';
 import {describe, expect, test} from 'vitest';
+import {emptyRegistry} from '../registry/index.js';
 import {
-	removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
+	addPromptNews, encodeLoads, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
 } from './index.js';
+import type {PromptNews} from './index.js';
 
 const parseMessage = (router: string, loads: ReadonlyArray<readonly [string, number, number]>) => parseLoads(JSON.stringify({router, loads})).unwrap();
 
@@ -29,3 +31,22 @@
 		expect(parseLoads(text).err).toBe(true);
 	});
 });
+
+describe('news of prompt parts', () => {
+	const endpoint = {
+		id: 'i-1', startedAt: 5, address: 'a:1', service: 's',
+	};
+
+	test('tell of the large parts that other requests may share', () => {
+		const news = addPromptNews([], endpoint, [{id: 'group', tokens: 2000}, {id: 'small', tokens: 20}, {id: 'own', tokens: 3000}]);
+		expect(news).toEqual([{endpoint: 'i-1', startedAt: 5, part: 'group'}]);
+		expect(parseLoads(encodeLoads('a', emptyRegistry, undefined, news, 0)).unwrap().promptNews).toEqual(news);
+	});
+
+	test('are bounded, and lost first where they are oldest', () => {
+		const news = Array.from({length: 300}).reduce<readonly PromptNews[]>((known, _, index) =>
+			addPromptNews(known, endpoint, [{id: `p${index}`, tokens: 500}, {id: 'own', tokens: 1}]), []);
+		expect(news).toHaveLength(100);
+		expect(news.at(-1)?.part).toBe('p299');
+	});
+});
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -61,10 +61,34 @@
 	proven: z.array(z.tuple([z.string(), z.number().nonnegative()])).default([]),
 	/** Condemned suspect, age and remaining time of the verdict in ms, and strikes. */
 	verdicts: z.array(z.tuple([z.string(), z.number().nonnegative(), z.number(), z.number().int().nonnegative()])).default([]),
-	/** Suspects whose verdicts a request of the sender tests. Older routers do not send them. */
+	/** Suspects whose verdicts a request of the sender tests. Older routers send neither these nor what follows. */
 	trials: z.array(z.string()).default([]),
+	/** Endpoint, its start time, and a prompt part that the sender has sent to it. */
+	parts: z.array(z.tuple([z.string(), z.number(), z.string()])).default([]),
 });
 
+/** A prompt part that was sent to an endpoint, which has it in its cache then. */
+export type PromptNews = Readonly<{endpoint: string; startedAt: number; part: string}>;
+
+/** Parts with fewer tokens are not told to peers: they are read again in little time. */
+const minToldTokens = 128;
+
+/** Limit of parts told in one message. */
+const maxPromptNews = 100;
+
+/**
+Adds the parts of a prompt that other requests may share.
+
+@param news - The parts that are to be told.
+@param endpoint - The endpoint that the prompt is sent to.
+@param parts - The parts of the prompt in order.
+@returns The parts that are to be told, the latest ones last.
+*/
+export const addPromptNews = (news: readonly PromptNews[], {id, startedAt}: Incarnation, parts: ReadonlyArray<Readonly<{id: string; tokens: number}>>): readonly PromptNews[] => {
+	const told = parts.slice(0, -1).filter(({tokens}) => tokens >= minToldTokens).map(({id: part}) => ({endpoint: id, startedAt, part}));
+	return told.length === 0 ? news : [...news, ...told].slice(-maxPromptNews);
+};
+
 /** What a peer reports of the endpoints. */
 export type PeerMessage = Readonly<{
 	router: string;
@@ -75,6 +99,8 @@
 	leaving: readonly Incarnation[];
 	/** Requests and prompt parts on which endpoints crash. */
 	poison: PoisonNews;
+	/** Prompt parts that the peer has just sent to endpoints. */
+	promptNews: readonly PromptNews[];
 }>;
 
 type EncodedPoison = Pick<z.infer<typeof messageSchema>, 'crashes' | 'proven' | 'verdicts' | 'trials'>;
@@ -103,16 +129,18 @@
 @param router - The router's id.
 @param registry - The endpoints known to the router.
 @param poison - What the router knows of requests and prompt parts on which endpoints crash; undefined if that is not due.
+@param promptNews - Prompt parts that the router has sent to endpoints since its last message.
 @param now - The current time in ms.
 @returns The message.
 */
-export const encodeLoads = (router: string, registry: Registry, poison: PoisonNews | undefined, now: number): string => JSON.stringify({
+export const encodeLoads = (router: string, registry: Registry, poison: PoisonNews | undefined, promptNews: readonly PromptNews[], now: number): string => JSON.stringify({
 	router,
 	loads: registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
 	limits: listStatements(registry.endpoints.valueSeq().toArray().map(endpoint => [endpoint, endpoint.rateLimit]), now)
 		.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt]),
 	leaving: listLeaving(registry, now).map(each => encodeIncarnation(each)),
 	...(poison !== undefined && encodePoison(poison)),
+	...(promptNews.length > 0 && {parts: promptNews.map(({endpoint, startedAt, part}) => [endpoint, startedAt, part])}),
 });
 
 /**
@@ -133,6 +161,7 @@
 				})),
 				leaving: parsed.data.leaving.map(each => decodeIncarnation(each)),
 				poison: decodePoison(parsed.data),
+				promptNews: parsed.data.parts.map(([endpoint, startedAt, part]) => ({endpoint, startedAt, part})),
 			})
 			: fail(createValidationFault(parsed.error, 'message'));
 	} catch (error) {
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -1,6 +1,6 @@
 export {
-	encodeLoads, isMissingPeers, maxGossipPeers, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
+	addPromptNews, encodeLoads, isMissingPeers, maxGossipPeers, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
 } from './gossip.js';
 export type {
-	EndpointLoads, EndpointLoad, PeerLoads, PeerMessage,
+	EndpointLoads, EndpointLoad, PeerLoads, PeerMessage, PromptNews,
 } from './gossip.js';
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -2,7 +2,9 @@
 import {expect, test} from 'vitest';
 import type {Service} from '../routing-config/index.js';
 import type {ModelRequest} from '../in-flight/index.js';
-import {updateEntry, emptyRegistry, updateEndpoint} from '../registry/index.js';
+import {
+	updateEntry, emptyRegistry, recordPromptParts, updateEndpoint,
+} from '../registry/index.js';
 import type {Endpoint, Registry} from '../registry/index.js';
 import {chooseEndpoint} from './index.js';
 
@@ -41,6 +43,12 @@
 	expect(new Set(placeRequests(3, 500).used).size).toBeLessThanOrEqual(2);
 });
 
+test.each(listEndpoints(registry).map(endpoint => [endpoint.id, endpoint] as const))('an endpoint that has the shared parts is preferred, also if others are less loaded: %s', (id, holder) => {
+	const known = updateEndpoint(registry, holder, endpoint => ({...recordPromptParts(endpoint, ['group', 'hot'], 0), open: 4, pending: 3000}));
+	const choice = choose(known, 500);
+	expect(choice.kind === 'endpoint' && choice.endpoint.id).toBe(id);
+});
+
 test('a part shared by many requests is processed at another endpoint before requests are late', () => {
 	const {late, used} = placeRequests(8, 300);
 	expect(late).toBe(0);
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -67,22 +67,33 @@
 /** Weight of the prompt processing time in the cost of an endpoint, on top of the predicted time: processing delays all other requests there. */
 const promptDelayWeight = 0.5;
 
+/** Further weight of the processing time of shared parts that another endpoint has in its cache: that work has been paid for once. */
+const repeatedPromptWeight = 2;
+
 /** Time after which the load that an endpoint reported is ignored. */
 const loadReportTtlMs = 2000;
 
+const sumPartTokens = (parts: ModelRequest['parts']): number => parts.reduce((sum, part) => sum + part.tokens, 0);
+
+/** Counts the tokens of those of the given parts that an endpoint has in its cache. A part is cached only if all parts before it are. */
+const countCachedTokens = (endpoint: Endpoint, parts: ModelRequest['parts'], now: number): number => {
+	const firstUncached = parts.findIndex(part => now - (endpoint.promptPartsSentAt.get(part.id) ?? Number.NEGATIVE_INFINITY) > promptCacheTtlMs);
+	return sumPartTokens(parts.slice(0, firstUncached === -1 ? undefined : firstUncached));
+};
+
 /**
-Counts the prompt tokens that an endpoint would have to process. A part is cached only if all parts before it are.
+Counts the prompt tokens that an endpoint would have to process.
 
 @param endpoint - The endpoint.
 @param modelRequest - The model request.
 @param now - The current time in ms.
 @returns The number of tokens.
 */
-export const countUncachedTokens = (endpoint: Endpoint, modelRequest: ModelRequest, now: number): number => {
-	const firstUncached = modelRequest.parts.findIndex(part => now - (endpoint.promptPartsSentAt.get(part.id) ?? Number.NEGATIVE_INFINITY) > promptCacheTtlMs);
-	const cachedTokens = modelRequest.parts.slice(0, firstUncached === -1 ? undefined : firstUncached).reduce((sum, part) => sum + part.tokens, 0);
-	return Math.max(0, modelRequest.promptTokens - cachedTokens);
-};
+export const countUncachedTokens = (endpoint: Endpoint, modelRequest: ModelRequest, now: number): number =>
+	Math.max(0, modelRequest.promptTokens - countCachedTokens(endpoint, modelRequest.parts, now));
+
+/** Parts that other requests may share: all but the last. */
+const listSharedParts = (modelRequest: ModelRequest | undefined): ModelRequest['parts'] => modelRequest?.parts.slice(0, -1) ?? [];
 
 /** Fraction of an endpoint's connections that the routers use. The rest is left for connections whose router has just died. */
 const connectionFraction = 0.9;
@@ -157,16 +168,43 @@
 		.map(({endpoint}) => endpoint);
 };
 
+/** What is known of the shared parts of a prompt. */
+type PartKnowledge = Readonly<{
+	shared: ModelRequest['parts'];
+	/** Most tokens of them that any endpoint has in its cache. */
+	mostCached: number;
+	/** Endpoints that are preferred for them, by rank. */
+	preferred: readonly Endpoint[];
+}>;
+
+const gatherPartKnowledge = (endpoints: readonly Endpoint[], {modelRequest, now}: PlacementQuery): PartKnowledge => {
+	const shared = listSharedParts(modelRequest);
+	const affinity = pickAffinityPart(modelRequest);
+	const mostCached = endpoints.reduce((most, endpoint) => Math.max(most, countCachedTokens(endpoint, shared, now)), 0);
+	return {
+		shared, mostCached, preferred: affinity === undefined ? [] : pickAffinityEndpoints(affinity, endpoints),
+	};
+};
+
+/** Computes the cost of processing shared parts again that other endpoints have processed, in ms. */
+const computeRepetitionCostMs = (endpoint: Endpoint, {shared, mostCached, preferred}: PartKnowledge, now: number): number => {
+	const repeatedTokens = mostCached - countCachedTokens(endpoint, shared, now);
+	// Other routers have sent what is not known to be cached to the preferred endpoints, the first one rather than the second.
+	const preference = [1, 1 / 2][preferred.indexOf(endpoint)] ?? 0;
+	const bonusTokens = preference * (sumPartTokens(shared) - mostCached);
+	return ((repeatedPromptWeight * repeatedTokens) - ((1 + promptDelayWeight) * bonusTokens)) / promptTokensPerMs;
+};
+
 /** An endpoint and its cost; the lowest cost is best. */
 type ScoredEndpoint = Readonly<{endpoint: Endpoint; newTokens: number; predicted: number; costMs: number}>;
 
-const scoreEndpoint = (endpoint: Endpoint, query: PlacementQuery, affinityBonusMs: number): ScoredEndpoint => {
+const scoreEndpoint = (endpoint: Endpoint, query: PlacementQuery, knowledge: PartKnowledge): ScoredEndpoint => {
 	const newTokens = query.modelRequest === undefined ? 0 : countUncachedTokens(endpoint, query.modelRequest, query.now);
 	const predicted = predictFirstOutputMs(endpoint, query, newTokens);
 	const remoteCostMs = endpoint.dataCentre === query.dataCentre ? 0 : remotePenaltyMs;
 	const promptMs = promptDelayWeight * newTokens / promptTokensPerMs;
 	return {
-		endpoint, newTokens, predicted, costMs: (predicted / Math.max(0.1, 1 - endpoint.failureFraction)) + remoteCostMs + promptMs - affinityBonusMs,
+		endpoint, newTokens, predicted, costMs: (predicted / Math.max(0.1, 1 - endpoint.failureFraction)) + remoteCostMs + promptMs + computeRepetitionCostMs(endpoint, knowledge, query.now),
 	};
 };
 
@@ -180,10 +218,10 @@
 Chooses the endpoint for a request.
 
 Load pattern: prompts share long parts, and processing one again delays every other
-request there. The two endpoints that rank first for a part are preferred, the faster
-of both, unless another one would be faster even after processing the part. Where many
-requests share one part, those two are soon late: then the part is processed at another
-endpoint that can be on time.
+request there. An endpoint that has the parts in its cache is preferred, whichever router
+has sent them; of parts that nobody is known to have, the two endpoints that rank first are.
+Where many requests share one part, those are soon late: then the part is processed at
+another endpoint that can be on time.
 
 @param endpoints - All endpoints of the service.
 @param query - The request and the load.
@@ -206,10 +244,8 @@
 	}
 
 	const available = permitted.filter(endpoint => endpoint.open < query.connections && hasRoom(endpoint.pushback, query.now) && !isFull(endpoint, query.peers, query.now));
-	const affinity = pickAffinityPart(query.modelRequest);
-	const affinityEndpoints = affinity === undefined ? [] : pickAffinityEndpoints(affinity, available);
-	const affinityBonusMs = computeAffinityBonusMs(query);
-	const scored = available.map(endpoint => scoreEndpoint(endpoint, query, affinityEndpoints.includes(endpoint) ? affinityBonusMs : 0));
+	const knowledge = gatherPartKnowledge(available, query);
+	const scored = available.map(endpoint => scoreEndpoint(endpoint, query, knowledge));
 	const onTime = scored.filter(({predicted}) => predicted <= query.timeToTargetMs);
 	const best = (onTime.length > 0 ? onTime : scored)
 		.reduce<ScoredEndpoint | undefined>((cheapest, each) => cheapest === undefined || each.costMs < cheapest.costMs ? each : cheapest, undefined);
@@ -223,9 +259,3 @@
 			newTokens: best.newTokens,
 		};
 };
-
-/** Computes the cost of processing the shared parts at another endpoint: other routers have sent them to the preferred endpoints. */
-const computeAffinityBonusMs = (query: PlacementQuery): number => {
-	const sharedTokens = query.modelRequest?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
-	return (1 + promptDelayWeight) * sharedTokens / promptTokensPerMs;
-};
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,6 +1,6 @@
 export {
 	updateEntry, findIncarnation, findKnown, formatIncarnation, getIncarnation, listLeaving, removeLeaving, removeMissing,
-	emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, replaceEntries, updateEndpoint, updateEndpoints,
+	emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, recordPromptParts, replaceEntries, updateEndpoint, updateEndpoints,
 } from './registry.js';
 export type {
 	Endpoint, Incarnation, RegistryEntry, Registry,
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -40,7 +40,7 @@
 	pushback: Pushback | undefined;
 	/** Requests sent since that report. */
 	sentSinceReport: number;
-	/** When this router last sent it each prompt part, in ms. */
+	/** When it was last sent each prompt part, by this router or a peer that told so, in ms. */
 	promptPartsSentAt: Map<string, number>;
 	/** Time of the last response, in ms. */
 	lastResponseAt: number;
@@ -170,6 +170,22 @@
 const maxRememberedRemoved = 4096;
 
 /** Forgets which prompt parts an endpoint may have cached: they take most of its memory, and are a matter of speed alone. */
+/** Limit of prompt parts remembered per endpoint; above it the older half is evicted. */
+const maxPromptParts = 2000;
+
+/**
+Records that an endpoint was sent prompt parts, which it then has in its cache.
+
+@param endpoint - The endpoint.
+@param parts - Ids of the parts.
+@param now - The current time in ms.
+@returns The endpoint.
+*/
+export const recordPromptParts = (endpoint: Endpoint, parts: readonly string[], now: number): Endpoint => {
+	const known = parts.reduce((sentAt, part) => sentAt.set(part, now), endpoint.promptPartsSentAt);
+	return {...endpoint, promptPartsSentAt: known.size <= maxPromptParts ? known : known.sortBy(at => -at).take(maxPromptParts / 2)};
+};
+
 const forgetPromptParts = (endpoint: Endpoint): Endpoint => ({...endpoint, promptPartsSentAt: Map()});
 
 /** Removes endpoints, and keeps what is known of them. */
