Count crashes on both sides of a cut between routers together

Cause: two crashes on each side of a cut, before either side had three, condemned nothing: routers that do not hear their peers read the verdicts of others from the store, but not their crashes. Now such a router saves its crashes there, at most twice a second, and reads the others'.

--- a/src/edge/crashing-requests.test.ts
+++ b/src/edge/crashing-requests.test.ts
@@ -76,6 +76,12 @@
 	});
 });
 
+test.each([6, 24])('crashes on both sides of a cut are counted together: seed %i', seed => {
+	const until = 80_000;
+	const play = playLoad({...loadOf(createKiller('read', {perSecond: 0.25, until})), cutAt: 0, cutMs: until}, seed, until);
+	expect(countLate(play, 'kill-read')).toBeLessThanOrEqual(maxLateSends);
+});
+
 describe('the parts that a model request shares with sound ones are not condemned when endpoints crash on that request', () => {
 	const model = createKiller('model');
 
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -199,6 +199,14 @@
 				loop.post({kind: 'verdicts-saved', isDone: reply.kind === 'done'});
 			});
 		},
+		'save-crashes'(effect) {
+			runInBackground(async () => {
+				const reply = await store.transact(effect.writes);
+				if (reply.kind !== 'done') {
+					log.write('failure', 'crashes-unsaved', {reason: 'reason' in reply ? reply.reason : reply.kind});
+				}
+			});
+		},
 		log(effect) {
 			log.write(effect.level, effect.event, effect.fields);
 		},
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -26,7 +26,7 @@
 import type {EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
 import {
-	readVerdicts, receivePoisonNews, receiveSavedVerdicts, receiveVerdictSave, recordRequestBreak, rejectWaitingPoison, resetVerdictRows, saveVerdicts, updateVerdicts,
+	readVerdicts, receivePoisonNews, receiveSavedVerdicts, receiveVerdictSave, recordRequestBreak, rejectWaitingPoison, resetVerdictRows, saveCrashes, saveVerdicts, updateVerdicts,
 } from './poison.js';
 import {failOverUnresponsive} from './unresponsive.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -105,7 +105,8 @@
 	const judged = chain(updated, current => updateVerdicts(current, now));
 	const cleared = chain(judged, current => rejectWaitingPoison(current, now));
 	const saved = chain(cleared, current => saveVerdicts(current, now));
-	const read = chain(saved, current => readVerdicts(current, now));
+	const told = chain(saved, current => saveCrashes(current, now));
+	const read = chain(told, current => readVerdicts(current, now));
 	return chain(read, current => failOverUnresponsive(updateShares(current, now), random, now));
 };
 
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -93,6 +93,8 @@
 	| Readonly<{kind: 'save-origins'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'save-versions'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'save-verdicts'; writes: readonly StoreWrite[]}>
+	/** Saves what this router knows of crashes; a save that fails is not repeated as such. */
+	| Readonly<{kind: 'save-crashes'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'read-verdicts'}>
 	/** Sends a load message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -1,17 +1,20 @@
 import {Set} from 'immutable';
+import {z} from 'zod';
 import {createFault} from '../errors/index.js';
 import type {ErrorKind} from '../errors/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import type {Fields} from '../log/index.js';
-import {isMissingPeers} from '../gossip/index.js';
+import {encodeLoads, isMissingPeers, parseLoads} from '../gossip/index.js';
 import {chainAll, keepState} from '../loop/step.js';
 import {
 	completeVerdictSave, createVerdictRows, decidePoison, decodeVerdicts, formatSuspect, getSuspectId, getSuspectKind, listSuspects, mergePoisonNews, planVerdictSave,
-	recordAbandonment, recordAnswer, recordBreak, recordOutput, recordUnreachable, refuteCrash, startTrial, tickPoisonGuard,
+	listPoisonNews, recordAbandonment, recordAnswer, recordBreak, recordOutput, recordUnreachable, refuteCrash, startTrial, tickPoisonGuard, verdictTable,
 } from '../poison/index.js';
 import type {
 	Evidence, PoisonDecision, PoisonNews, Suspect, SuspectKind, Suspects, VerdictChange,
 } from '../poison/index.js';
+import {emptyRegistry} from '../registry/index.js';
+import type {StoredRow} from '../store/index.js';
 import {createLogEffect, rejectRequest} from './common.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -212,6 +215,61 @@
 */
 export const resetVerdictRows = (state: EdgeState): EdgeState => ({...state, verdictRows: createVerdictRows()});
 
+/** Keys of the rows in which routers tell of crashes through the store begin with this; no kind of suspect is called so. */
+const crashRowPrefix = 'crashes/';
+
+const locateCrashes = ({quota}: EdgeState): string => `${crashRowPrefix}${quota.router}`;
+
+/** Interval at which crashes are saved while peers are not heard, in ms. */
+const crashSaveIntervalMs = 500;
+
+const isCutOff = (state: EdgeState): boolean => isMissingPeers(state.peers.size, state.quota.peers.count(({isLive}) => isLive));
+
+/**
+Tells other routers of crashes through the store while peers are not heard: those may know of further ones
+on the same request.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const saveCrashes = (state: EdgeState, now: number): EdgeStep => {
+	const {hasTakenOver, storeClock, router} = state.quota;
+	const {crashes, proven} = listPoisonNews(state.poison, now);
+	if (!hasTakenOver || crashes.length === 0 || now - state.crashesSavedAt < crashSaveIntervalMs || !isCutOff(state)) {
+		return keepState(state);
+	}
+
+	const message = encodeLoads(router, emptyRegistry, {
+		crashes, proven, verdicts: [], trials: [],
+	}, [], now);
+	const at = Math.round(now + storeClock.timeMs - storeClock.receivedAtMs);
+	return {
+		state: {...state, crashesSavedAt: now},
+		effects: [{
+			kind: 'save-crashes', writes: [{
+				table: verdictTable, key: locateCrashes(state), version: undefined, value: JSON.stringify({at, message}),
+			}],
+		}],
+	};
+};
+
+const crashRowSchema = z.object({at: z.number(), message: z.string()});
+
+/** Decodes what another router tells of crashes; `fault` names the field if it cannot be read. */
+const decodeCrashes = ({key, value = ''}: StoredRow, storeTime: number): Pick<PoisonNews, 'crashes' | 'proven'> & Readonly<{fault: string | undefined}> => {
+	try {
+		const {at, message} = crashRowSchema.parse(JSON.parse(value));
+		const {crashes, proven} = parseLoads(message).unwrap().poison;
+		const ageMs = Math.max(0, storeTime - at);
+		return {
+			crashes: crashes.map(crash => ({...crash, ageMs: crash.ageMs + ageMs})), proven: proven.map(proof => ({...proof, ageMs: proof.ageMs + ageMs})), fault: undefined,
+		};
+	} catch (error) {
+		return {crashes: [], proven: [], fault: `${key}: ${error instanceof Error ? error.message : 'is not readable'}`};
+	}
+};
+
 /**
 Adds the verdicts that are saved in the store.
 
@@ -221,17 +279,19 @@
 @returns The new state, and effects that log the verdicts and unreadable rows.
 */
 export const receiveSavedVerdicts = (state: EdgeState, event: EdgeEvent & {kind: 'verdicts-read'}, now: number): EdgeStep => {
-	const {verdicts, faults} = decodeVerdicts(event.rows, event.storeTime);
+	const crashRows = event.rows.filter(({key}) => key.startsWith(crashRowPrefix));
+	const {verdicts, faults} = decodeVerdicts(event.rows.filter(row => !crashRows.includes(row)), event.storeTime);
+	const crashNews = crashRows.filter(({key}) => key !== locateCrashes(state)).map(row => decodeCrashes(row, event.storeTime));
 	const others = verdicts.filter(({suspect}) => state.poison.verdicts.get(suspect)?.isOwn !== true);
 	const saved = state.verdictRows.saved.merge(others.map(({suspect, ageMs}) => [suspect, now - ageMs] as const));
 	const known = receivePoisonNews({...state, verdictRows: {...state.verdictRows, saved}}, {
-		crashes: [], proven: [], verdicts, trials: [],
+		crashes: crashNews.flatMap(({crashes}) => crashes), proven: crashNews.flatMap(({proven}) => proven), verdicts, trials: [],
 	}, 'store', now);
 	return {
 		state: known.state,
 		effects: [
 			...known.effects,
-			...faults.map(reason => ({
+			...[...faults, ...crashNews.flatMap(({fault}) => fault ?? [])].map(reason => ({
 				kind: 'log', level: 'failure', event: 'verdict-unreadable', fields: {reason},
 			} as const)),
 		],
@@ -249,7 +309,7 @@
 @returns The new state and the effects.
 */
 export const readVerdicts = (state: EdgeState, now: number): EdgeStep =>
-	now - state.verdictsReadAt >= verdictReadIntervalMs && isMissingPeers(state.peers.size, state.quota.peers.count(({isLive}) => isLive))
+	now - state.verdictsReadAt >= verdictReadIntervalMs && isCutOff(state)
 		? {state: {...state, verdictsReadAt: now}, effects: [{kind: 'read-verdicts'}]}
 		: keepState(state);
 
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -38,6 +38,8 @@
 	/** Requests and prompt parts on which endpoints crash. */
 	poison: PoisonGuard;
 	verdictRows: VerdictRows;
+	/** When this router's crashes were last saved because peers are not heard, in ms. */
+	crashesSavedAt: number;
 	/** When the saved verdicts were last asked for because peers are not heard, in ms. */
 	verdictsReadAt: number;
 	/** Requests without a final response, by number. */
@@ -96,6 +98,7 @@
 	retryBudget: createRetryBudget(),
 	poison: createPoisonGuard(),
 	verdictRows: createVerdictRows(),
+	crashesSavedAt: 0,
 	verdictsReadAt: 0,
 	requests: Map(),
 	peers: Map(),
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -386,6 +386,17 @@
 				post(router, {kind: 'verdicts-saved', isDone});
 			});
 		},
+		'save-crashes'({writes}) {
+			schedule(messageDelayMs, () => {
+				if (!isStoreAway()) {
+					writes.forEach(({table, key, value}) => {
+						rows.set(key, {
+							table, key, version: 1, value,
+						});
+					});
+				}
+			});
+		},
 		'read-verdicts'(_effect, router) {
 			schedule(messageDelayMs, () => {
 				if (!isStoreAway()) {
