Keep requests and most load messages within a data centre

Cause: an endpoint of another data centre cost a request 6 ms, so five of six requests left theirs where there are six, with their prompts; and each router told up to 16 peers of its load every 80 ms, wherever they were.

Change: another data centre costs 30 ms; of prompt parts that nobody is known to have, the endpoints that rank first in the own data centre are preferred. Where there are more than 6 peers, those elsewhere get one message of four, or all that tell of crashes.

--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -1,8 +1,8 @@
 import {selectNewerConfig} from '../routing-config/index.js';
 import {
-	encodeLoads, maxGossipPeers, removeStalePeers, recordPeerLoads, sumLoads,
+	encodeLoads, isToldSeldom, maxGossipPeers, removeStalePeers, recordPeerLoads, sumLoads,
 } from '../gossip/index.js';
-import type {PromptNews} from '../gossip/index.js';
+import type {LoadReport, PromptNews} from '../gossip/index.js';
 import type {RequestPhase} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {hashText} from '../random/index.js';
@@ -68,25 +68,39 @@
 /** Interval at which these messages also tell of crashes, which takes far more bytes. The next one does if there is news. */
 const poisonIntervalMs = 400;
 
+/** Number of messages of which peers that are told less often get one. */
+const seldomPeriod = 4;
+
+const listGossipPeers = (state: EdgeState): ReadonlyArray<Readonly<{router: string; peerAddress: string}>> => state.quota.peers.entrySeq().toArray()
+	// While the store is away, no peer's row is written, and all look dead there.
+	.filter(([router, {isLive, peerAddress}]) => (isLive || state.peers.has(router)) && peerAddress !== '')
+	.map(([router, {peerAddress}]) => ({router, peerAddress}))
+	.toSorted((a, b) => hashText(`${state.quota.router}/${a.peerAddress}`) - hashText(`${state.quota.router}/${b.peerAddress}`))
+	.slice(0, maxGossipPeers);
+
 const sendGossip = (state: EdgeState, now: number): EdgeStep => {
 	if (now - state.gossipSentAt < gossipIntervalMs) {
 		return keepState(state);
 	}
 
-	// While the store is away, no peer's row is written, and all look dead there.
-	const addresses = state.quota.peers.entrySeq().toArray()
-		.filter(([router, {isLive, peerAddress}]) => (isLive || state.peers.has(router)) && peerAddress !== '')
-		.map(([, {peerAddress}]) => peerAddress)
-		.toSorted((a, b) => hashText(`${state.quota.router}/${a}`) - hashText(`${state.quota.router}/${b}`))
-		.slice(0, maxGossipPeers);
+	const told = listGossipPeers(state);
+	const [seldom, often] = [true, false].map(isSeldom =>
+		told.filter(({router}) => isToldSeldom(state.peers.get(router), state.dataCentre, told.length) === isSeldom).map(({peerAddress}) => peerAddress));
 	const peers = removeStalePeers(state.peers, now);
 	const isPoisonDue = (state.isPoisonNewsUrgent || now - state.poisonToldAt >= poisonIntervalMs) && hasPoisonNews(state.poison);
-	const message = encodeLoads(state.quota.router, state.registry, isPoisonDue ? listPoisonNews(state.poison, now) : undefined, state.promptNews, now);
+	const report: LoadReport = {
+		router: state.quota.router, dataCentre: state.dataCentre, registry: state.registry, poison: isPoisonDue ? listPoisonNews(state.poison, now) : undefined,
+	};
+	const isSeldomDue = isPoisonDue || state.gossipCount % seldomPeriod === 0;
 	return {
 		state: {
-			...state, gossipSentAt: now, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, isPoisonNewsUrgent: false, promptNews: [], peers, peerLoadTotals: sumLoads(peers),
+			...state, gossipSentAt: now, gossipCount: state.gossipCount + 1, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, isPoisonNewsUrgent: false,
+			promptNews: [], peers, peerLoadTotals: sumLoads(peers),
 		},
-		effects: [{kind: 'tell-peers', addresses, message}],
+		effects: [
+			{kind: 'tell-peers', addresses: often!, message: encodeLoads({...report, promptNews: state.promptNews}, now)},
+			...(isSeldomDue && seldom!.length > 0 ? [{kind: 'tell-peers', addresses: seldom!, message: encodeLoads(report, now)} as const] : []),
+		],
 	};
 };
 
@@ -129,7 +143,7 @@
 
 const receivePeerMessage: Handler<'peer-heard'> = (state, event, now) => chain(
 	chain(
-		receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event.router, event.loads, now)}, event, now),
+		receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event, now)}, event, now),
 		current => receivePeerLeaving(current, event.leaving, now),
 	),
 	current => receivePoisonNews({...current, registry: recordPromptNews(current.registry, event.promptNews, now)}, event.poison, 'peer', now),
--- a/src/edge/poison.ts
+++ b/src/edge/poison.ts
@@ -240,9 +240,11 @@
 		return keepState(state);
 	}
 
-	const message = encodeLoads(router, emptyRegistry, {
-		crashes, proven, verdicts: [], trials: [],
-	}, [], now);
+	const message = encodeLoads({
+		router, registry: emptyRegistry, poison: {
+			crashes, proven, verdicts: [], trials: [],
+		},
+	}, now);
 	const at = Math.round(now + storeClock.timeMs - storeClock.receivedAtMs);
 	return {
 		state: {...state, crashesSavedAt: now},
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -51,6 +51,8 @@
 	liveRouters: readonly string[];
 	/** Time of the last load message to peers, in ms. */
 	gossipSentAt: number;
+	/** Number of such messages. */
+	gossipCount: number;
 	/** Prompt parts that were sent to endpoints since that message. */
 	promptNews: readonly PromptNews[];
 	/** Time of the last such message that told of crashes, in ms, and whether the next one must. */
@@ -105,6 +107,7 @@
 	peerLoadTotals: Map(),
 	liveRouters: [options.router],
 	gossipSentAt: 0,
+	gossipCount: 0,
 	promptNews: [],
 	poisonToldAt: 0,
 	isPoisonNewsUrgent: false,
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, test} from 'vitest';
 import {emptyRegistry} from '../registry/index.js';
 import {
-	addPromptNews, encodeLoads, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
+	addPromptNews, encodeLoads, isToldSeldom, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
 } from './index.js';
 import type {PromptNews} from './index.js';
 
@@ -11,13 +11,12 @@
 describe('the load of peers', () => {
 	test('is summed by endpoint from the last message of each peer', () => {
 		const messages = [parseMessage('a', [['i-1', 900, 2]]), parseMessage('b', [['i-1', 100, 1], ['i-2', 50, 1]]), parseMessage('a', [['i-1', 400, 1]])];
-		const peers = messages.reduce<ReturnType<typeof recordPeerLoads>>((current, {router, loads}) => recordPeerLoads(current, router, loads, 0), Map());
+		const peers = messages.reduce<ReturnType<typeof recordPeerLoads>>((current, message) => recordPeerLoads(current, message, 0), Map());
 		expect(sumLoads(peers).toJS()).toEqual({'i-1': {pending: 500, open: 2}, 'i-2': {pending: 50, open: 1}});
 	});
 
 	test('is ignored once the last message is too old', () => {
-		const {router, loads} = parseMessage('a', [['i-1', 900, 2]]);
-		const peers = recordPeerLoads(Map(), router, loads, 1000);
+		const peers = recordPeerLoads(Map(), parseMessage('a', [['i-1', 900, 2]]), 1000);
 		expect(removeStalePeers(peers, 1400).size).toBe(1);
 		expect(removeStalePeers(peers, 1501).size).toBe(0);
 	});
@@ -32,6 +31,15 @@
 	});
 });
 
+test.each([
+	['in the same data centre', 'a', 26, false],
+	['in another one', 'b', 26, true],
+	['in another one, of few peers', 'b', 3, false],
+	['in one that is not known yet', undefined, 26, false],
+])('a peer %s is told as often as it should be', (_, dataCentre, peerCount, expected) => {
+	expect(isToldSeldom({dataCentre}, 'a', peerCount)).toBe(expected);
+});
+
 describe('news of prompt parts', () => {
 	const endpoint = {
 		id: 'i-1', startedAt: 5, address: 'a:1', service: 's',
@@ -40,7 +48,7 @@
 	test('tell of the large parts that other requests may share', () => {
 		const news = addPromptNews([], endpoint, [{id: 'group', tokens: 2000}, {id: 'small', tokens: 20}, {id: 'own', tokens: 3000}]);
 		expect(news).toEqual([{endpoint: 'i-1', startedAt: 5, part: 'group'}]);
-		expect(parseLoads(encodeLoads('a', emptyRegistry, undefined, news, 0)).unwrap().promptNews).toEqual(news);
+		expect(parseLoads(encodeLoads({router: 'a', registry: emptyRegistry, promptNews: news}, 0)).unwrap().promptNews).toEqual(news);
 	});
 
 	test('are bounded, and lost first where they are oldest', () => {
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -19,7 +19,7 @@
 export type EndpointLoads = Map<string, EndpointLoad>;
 
 /** The last message of each peer by router id, and when it arrived, in ms. */
-export type PeerLoads = Map<string, Readonly<{at: number; loads: EndpointLoads}>>;
+export type PeerLoads = Map<string, Readonly<{at: number; loads: EndpointLoads; dataCentre: string | undefined}>>;
 
 /** Limit of peers that receive load messages, so that traffic per router does not grow with the fleet. The choice is stable while the peers are alive. */
 export const maxGossipPeers = 16;
@@ -65,6 +65,8 @@
 	trials: z.array(z.string()).default([]),
 	/** Endpoint, its start time, and a prompt part that the sender has sent to it. */
 	parts: z.array(z.tuple([z.string(), z.number(), z.string()])).default([]),
+	/** Data centre of the sender. */
+	dataCentre: z.string().optional(),
 });
 
 /** A prompt part that was sent to an endpoint, which has it in its cache then. */
@@ -92,6 +94,8 @@
 /** What a peer reports of the endpoints. */
 export type PeerMessage = Readonly<{
 	router: string;
+	/** Data centre of the peer; undefined if it does not state it. */
+	dataCentre: string | undefined;
 	loads: EndpointLoads;
 	/** Rate limits that endpoints stated to the peer. */
 	limits: ReadonlyArray<Readonly<{endpoint: string; startedAt: number | undefined; requestsPerSecond: number | undefined; ageMs: number}>>;
@@ -123,18 +127,31 @@
 	trials,
 });
 
+/** What a router tells its peers. */
+export type LoadReport = Readonly<{
+	/** The router's id. */
+	router: string;
+	dataCentre?: string;
+	/** The endpoints known to the router. */
+	registry: Registry;
+	/** What it knows of requests and prompt parts on which endpoints crash; undefined if that is not due. */
+	poison?: PoisonNews | undefined;
+	/** Prompt parts that it has sent to endpoints since its last message. */
+	promptNews?: readonly PromptNews[];
+}>;
+
 /**
 Encodes the load of a router, and what endpoints have stated to it, for its peers.
 
-@param router - The router's id.
-@param registry - The endpoints known to the router.
-@param poison - What the router knows of requests and prompt parts on which endpoints crash; undefined if that is not due.
-@param promptNews - Prompt parts that the router has sent to endpoints since its last message.
+@param report - The sender and what it knows.
 @param now - The current time in ms.
 @returns The message.
 */
-export const encodeLoads = (router: string, registry: Registry, poison: PoisonNews | undefined, promptNews: readonly PromptNews[], now: number): string => JSON.stringify({
+export const encodeLoads = ({
+	router, dataCentre, registry, poison, promptNews = [],
+}: LoadReport, now: number): string => JSON.stringify({
 	router,
+	dataCentre,
 	loads: registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
 	limits: listStatements(registry.endpoints.valueSeq().toArray().map(endpoint => [endpoint, endpoint.rateLimit]), now)
 		.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt]),
@@ -155,6 +172,7 @@
 		return parsed.success
 			? succeed({
 				router: parsed.data.router,
+				dataCentre: parsed.data.dataCentre,
 				loads: Map(parsed.data.loads.map(([id, pending, open]) => [id, {pending, open}] as const)),
 				limits: parsed.data.limits.map(([endpoint, requestsPerSecond, ageMs, startedAt]) => ({
 					endpoint, startedAt, requestsPerSecond: requestsPerSecond ?? undefined, ageMs,
@@ -173,12 +191,30 @@
 Records a peer's load message.
 
 @param peers - The last messages of the peers.
-@param router - The sender's id.
-@param loads - The sender's load.
+@param message - The message.
 @param now - The current time in ms.
 @returns The last messages, including this one.
 */
-export const recordPeerLoads = (peers: PeerLoads, router: string, loads: EndpointLoads, now: number): PeerLoads => peers.set(router, {at: now, loads});
+export const recordPeerLoads = (peers: PeerLoads, {router, loads, dataCentre}: Pick<PeerMessage, 'router' | 'loads' | 'dataCentre'>, now: number): PeerLoads =>
+	peers.set(router, {at: now, loads, dataCentre});
+
+/** Peers up to which all are told at the same rate. */
+const maxPeersAtFullRate = 6;
+
+/**
+Tells whether a peer is to be told less often.
+
+Load pattern: dozens of routers tell each other of their load several times a second, which
+takes bytes between data centres and processor time. Endpoints get most requests from their
+own data centre, so routers elsewhere need to know less of them.
+
+@param peer - The last message of the peer, if any.
+@param dataCentre - Data centre of this router.
+@param peerCount - Number of peers that are told.
+@returns True for a peer in another data centre unless there are few peers.
+*/
+export const isToldSeldom = (peer: Readonly<{dataCentre: string | undefined}> | undefined, dataCentre: string, peerCount: number): boolean =>
+	peerCount > maxPeersAtFullRate && peer?.dataCentre !== undefined && peer.dataCentre !== dataCentre;
 
 /**
 Removes peers whose last message is too old.
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -1,6 +1,6 @@
 export {
-	addPromptNews, encodeLoads, isMissingPeers, maxGossipPeers, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
+	addPromptNews, encodeLoads, isMissingPeers, isToldSeldom, maxGossipPeers, removeStalePeers, recordPeerLoads, parseLoads, sumLoads,
 } from './gossip.js';
 export type {
-	EndpointLoads, EndpointLoad, PeerLoads, PeerMessage, PromptNews,
+	EndpointLoads, EndpointLoad, LoadReport, PeerLoads, PeerMessage, PromptNews,
 } from './gossip.js';
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -49,6 +49,13 @@
 	expect(choice.kind === 'endpoint' && choice.endpoint.id).toBe(id);
 });
 
+test('an endpoint in the same data centre is preferred, though it is somewhat more loaded', () => {
+	const spread = listEndpoints(registry).reduce((current, each, index) =>
+		updateEndpoint(current, each, endpoint => ({...endpoint, dataCentre: index === 5 ? 'z' : 'y', open: index === 5 ? 3 : 0, pending: index === 5 ? 1500 : 0})), registry);
+	const choice = choose(spread, 500);
+	expect(choice.kind === 'endpoint' && choice.endpoint.id).toBe('e5');
+});
+
 test('a part shared by many requests is processed at another endpoint before requests are late', () => {
 	const {late, used} = placeRequests(8, 300);
 	expect(late).toBe(0);
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -58,8 +58,8 @@
 /** Assumed service time of a request without a model, whose real time is not known. */
 const plainRequestMs = 80;
 
-/** Cost of sending a request to another data centre, whose traffic is billed. */
-const remotePenaltyMs = 6;
+/** Cost of sending a request to another data centre: its traffic is billed, and routers there know best how loaded an endpoint is. */
+const remotePenaltyMs = 30;
 
 /** Time for which an engine is assumed to keep a prompt part in its cache. */
 const promptCacheTtlMs = 20_000;
@@ -168,6 +168,12 @@
 		.map(({endpoint}) => endpoint);
 };
 
+/** Keeps the matching endpoints, or all if none matches. */
+const keepMatching = (endpoints: readonly Endpoint[], isMatch: (endpoint: Endpoint) => boolean): readonly Endpoint[] => {
+	const matching = endpoints.filter(endpoint => isMatch(endpoint));
+	return matching.length > 0 ? matching : endpoints;
+};
+
 /** What is known of the shared parts of a prompt. */
 type PartKnowledge = Readonly<{
 	shared: ModelRequest['parts'];
@@ -177,12 +183,14 @@
 	preferred: readonly Endpoint[];
 }>;
 
-const gatherPartKnowledge = (endpoints: readonly Endpoint[], {modelRequest, now}: PlacementQuery): PartKnowledge => {
+const gatherPartKnowledge = (endpoints: readonly Endpoint[], {modelRequest, dataCentre, now}: PlacementQuery): PartKnowledge => {
 	const shared = listSharedParts(modelRequest);
 	const affinity = pickAffinityPart(modelRequest);
+	// A client keeps to the routers of its data centre, so that its prompts meet their parts there.
+	const local = keepMatching(endpoints, endpoint => endpoint.dataCentre === dataCentre);
 	const mostCached = endpoints.reduce((most, endpoint) => Math.max(most, countCachedTokens(endpoint, shared, now)), 0);
 	return {
-		shared, mostCached, preferred: affinity === undefined ? [] : pickAffinityEndpoints(affinity, endpoints),
+		shared, mostCached, preferred: affinity === undefined ? [] : pickAffinityEndpoints(affinity, local),
 	};
 };
 
@@ -208,12 +216,6 @@
 	};
 };
 
-/** Keeps the matching endpoints, or all if none matches. */
-const keepMatching = (endpoints: readonly Endpoint[], isMatch: (endpoint: Endpoint) => boolean): readonly Endpoint[] => {
-	const matching = endpoints.filter(endpoint => isMatch(endpoint));
-	return matching.length > 0 ? matching : endpoints;
-};
-
 /**
 Chooses the endpoint for a request.
 
