Let requests of a large fleet have tokens without waiting for the store

Cause: the spend window of a router was smaller than a request, as it follows the demand that one of many routers sees, so most requests had to wait for the router's row to be written; 27 routers wrote as often as they could, and the store applies 200 transactions a second. And each write brought draws ahead of need on many budgets' rows, which other routers had just changed: most writes met a conflict, and with them what requests waited for.

Change, for more than 6 routers: the window covers two typical requests; a write that requests wait for brings only the transfers that they need; windows are widened and tokens drawn ahead of need at intervals that grow with the fleet, and shares of a budget are even. Any router draws nothing ahead of need in its first 2 s, when it does not know its peers yet.

--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -33,8 +33,8 @@
 /** Interval between settlements. A longer one increases what a successor process writes off, a shorter one the number of store calls. */
 const minSettleIntervalMs = 150;
 
-/** Settlements of all routers together, per second: less than the store applies to one part, which also takes the draws. */
-const maxSettlementsPerSecond = 140;
+/** Settlements of all routers together, per second: less than half of what the store applies to one part, which also takes what requests wait for. */
+const maxSettlementsPerSecond = 80;
 
 /** Interval at which a router with nothing to settle still writes its row, as a heartbeat for its peers. */
 const heartbeatIntervalMs = 4000;
@@ -148,12 +148,20 @@
 const sumPeerDemand = (quota: LocalQuota, organisation: string): number =>
 	quota.peers.valueSeq().filter(peer => peer.isLive).reduce((sum, {holds}) => sum + (holds.get(organisation)?.demand ?? 0), 0);
 
-/** Computes this router's fair fraction of the held tokens, mostly in proportion to demand. */
+/**
+Routers up to which rows are written, and tokens drawn ahead of need, whenever that helps. The store has no room for
+that in a larger fleet, and each router there has too few requests of an organisation to know its demand.
+*/
+const maxEagerRouters = 6;
+
+const isEager = (quota: LocalQuota): boolean => listLiveRouters(quota).length <= maxEagerRouters;
+
+/** Computes this router's fair fraction of the held tokens: mostly in proportion to demand, but even in a large fleet. */
 const computeShareFraction = (quota: LocalQuota, organisation: string): number => {
 	const ownDemand = getBudgetHold(quota, organisation).demand;
 	const totalDemand = ownDemand + sumPeerDemand(quota, organisation);
 	const evenFraction = 1 / listLiveRouters(quota).length;
-	return totalDemand < 1 ? evenFraction : (evenShareFraction * evenFraction) + ((1 - evenShareFraction) * ownDemand / totalDemand);
+	return totalDemand < 1 || !isEager(quota) ? evenFraction : (evenShareFraction * evenFraction) + ((1 - evenShareFraction) * ownDemand / totalDemand);
 };
 
 /** Computes how many free tokens this router should hold: its share of the pool, or none once the pool is scarce. */
@@ -217,18 +225,25 @@
 	Math.floor(quota.storeClock.timeMs + (now - quota.storeClock.receivedAtMs));
 
 /**
-Seconds of average demand up to which the spend window covers a typical request; a larger one waits for the row to be
-written. Otherwise a power cut would cost each of many small budgets one request per router.
+How many typical requests the spend window covers, but no more than these seconds of average demand: a larger request
+waits for the row to be written. A power cut costs each budget that much per router.
 */
-const requestHorizonSeconds = 0.5;
+type RequestAllowance = Readonly<{requests: number; seconds: number}>;
+
+const eagerAllowance: RequestAllowance = {requests: 1, seconds: 0.5};
+
+/** Rows of many routers are written less often, and each router has a smaller part of the demand. */
+const createLargeFleetAllowance = (routerCount: number): RequestAllowance => ({requests: 2, seconds: Math.min(8, routerCount / 4)});
 
-/** Computes the spend window: average demand until more is released, plus one request, because tokens are reserved per request. */
-const computeSpendWindow = ({demand, typicalReservation}: BudgetHold): number =>
-	(demand * windowHorizonSeconds) + Math.max(minimumWindowTokens, Math.min(typicalReservation, demand * requestHorizonSeconds));
+/** Computes the spend window: average demand until more is released, plus some requests, because tokens are reserved per request. */
+const computeSpendWindow = ({demand, typicalReservation}: BudgetHold, {requests, seconds}: RequestAllowance): number =>
+	(demand * windowHorizonSeconds) + Math.max(minimumWindowTokens, Math.min(requests * typicalReservation, demand * seconds));
+
+const getAllowance = (quota: LocalQuota): RequestAllowance => isEager(quota) ? eagerAllowance : createLargeFleetAllowance(listLiveRouters(quota).length);
 
 /** Plans what may be spent of a hold until its row is written again. In-flight requests stay reserved in the new row. */
-const planSpendBound = (hold: BudgetHold, now: number): SpendBound => ({
-	window: Math.ceil(hold.reserved + Math.max(computeSpendWindow(hold), hold.held * windowFraction, hold.waitingTokens)),
+const planSpendBound = (hold: BudgetHold, allowance: RequestAllowance, now: number): SpendBound => ({
+	window: Math.ceil(hold.reserved + Math.max(computeSpendWindow(hold, allowance), hold.held * windowFraction, hold.waitingTokens)),
 	rate: Math.ceil(Math.max(hold.demand * outageSpendFactor.first, hold.held / fullReleaseSeconds)),
 	delay: releaseDelayMs,
 	laterRate: Math.ceil(hold.demand * (outageSpendFactor.later - outageSpendFactor.first)),
@@ -236,14 +251,35 @@
 	plannedAt: now,
 });
 
-const planChange = (quota: LocalQuota, context: QuotaContext, now: number): PendingChange => {
+/** Which transfers a change of the row brings along. */
+type TransferScope =
+	/** Those that waiting requests need. */
+	| 'needed'
+	| 'all';
+
+/**
+Tells whether a transfer belongs to a change.
+
+Load pattern: many routers change the rows of the same budgets, and a change that brings transfers is likely to meet
+a row that another router has just changed. It is then planned again, and requests that wait only for this
+router's own row would wait for that, too.
+*/
+const isInScope = (quota: LocalQuota, organisation: string, scope: TransferScope): boolean => {
+	const hold = getBudgetHold(quota, organisation);
+	return scope === 'all' || quota.isLeaving || hold.waitingTokens > countFreeTokens(hold);
+};
+
+const planChange = (quota: LocalQuota, context: QuotaContext, scope: TransferScope, now: number): PendingChange => {
 	const organisations = [...new Set([...quota.holds.keys(), ...context.budgets.keys()])];
+	const allowance = getAllowance(quota);
 	const settled = quota.holds.map(hold => hold.charged);
-	const drawn = Map(organisations.map(organisation => [organisation, computeTransferTokens(quota, organisation, context, now)] as const)).filter(delta => delta !== 0);
+	const drawn = Map(organisations
+		.filter(organisation => isInScope(quota, organisation, scope))
+		.map(organisation => [organisation, computeTransferTokens(quota, organisation, context, now)] as const)).filter(delta => delta !== 0);
 	const lostDraws = quota.restoration?.lostDraws ?? Map<string, number>();
 	const taken = drawn.mergeWith((delta, lost) => delta + lost, lostDraws)
 		.map((delta, organisation) => Math.max(0, (quota.budgets.get(organisation)?.taken ?? 0) + delta));
-	const bounds = Map(organisations.map(organisation => [organisation, planSpendBound(getBudgetHold(quota, organisation), now)] as const));
+	const bounds = Map(organisations.map(organisation => [organisation, planSpendBound(getBudgetHold(quota, organisation), allowance, now)] as const));
 	const holds = Object.fromEntries(organisations
 		.map(organisation => [organisation, {
 			held: getBudgetHold(quota, organisation).held - (settled.get(organisation) ?? 0) + (drawn.get(organisation) ?? 0),
@@ -323,23 +359,51 @@
 	};
 };
 
-/** Checks whether the spend window keeps requests from free tokens, now or soon, until the row is written again. */
-const isWindowLimiting = (quota: LocalQuota, organisation: string, now: number): boolean => {
+/** Checks whether the spend window keeps tokens that are free from requests that need this many. */
+const isWindowLimiting = (quota: LocalQuota, organisation: string, neededTokens: number, now: number): boolean =>
+	countFreeTokens(getBudgetHold(quota, organisation)) >= neededTokens && countSpendableTokens(quota, organisation, now) < neededTokens;
+
+/** Checks whether requests wait only for the row to be written. */
+const isWindowAwaited = (quota: LocalQuota, organisation: string, now: number): boolean => {
+	const {waitingTokens, smallestWaitingTokens} = getBudgetHold(quota, organisation);
+	return waitingTokens > 0 && isWindowLimiting(quota, organisation, smallestWaitingTokens, now);
+};
+
+/** Checks whether the spend window will keep requests waiting soon. */
+const isWindowUsedUp = (quota: LocalQuota, organisation: string, now: number): boolean => {
 	const hold = getBudgetHold(quota, organisation);
-	const neededTokens = hold.waitingTokens > 0 ? hold.smallestWaitingTokens : computeSpendWindow(hold) / 2;
-	return countFreeTokens(hold) >= neededTokens && countSpendableTokens(quota, organisation, now) < neededTokens;
+	return hold.waitingTokens === 0 && isWindowLimiting(quota, organisation, computeSpendWindow(hold, getAllowance(quota)) / 2, now);
 };
 
 const computeSettleIntervalMs = (quota: LocalQuota): number => Math.max(minSettleIntervalMs, listLiveRouters(quota).length * 1000 / maxSettlementsPerSecond);
 
-const isSettlementDue = (quota: LocalQuota, now: number): boolean =>
-	quota.restoration?.ownRow === 'read'
-	|| (now - quota.settledAtMs >= computeSettleIntervalMs(quota) && quota.holds.some(hold => hold.charged > 0))
-	|| (now - quota.settledAtMs >= heartbeatIntervalMs && !quota.isLeaving)
-	|| quota.holds.keySeq().some(organisation => isWindowLimiting(quota, organisation, now));
+const isSettlementDue = (quota: LocalQuota, now: number): boolean => {
+	const isIntervalOver = now - quota.settledAtMs >= computeSettleIntervalMs(quota);
+	return quota.restoration?.ownRow === 'read'
+		|| (isIntervalOver && quota.holds.some(hold => hold.charged > 0))
+		|| (now - quota.settledAtMs >= heartbeatIntervalMs && !quota.isLeaving)
+		|| quota.holds.keySeq().some(organisation => isWindowAwaited(quota, organisation, now))
+		|| ((isIntervalOver || isEager(quota)) && quota.holds.keySeq().some(organisation => isWindowUsedUp(quota, organisation, now)));
+};
+
+/** Changes with transfers ahead of need, of all routers together, per second: few enough that they seldom meet at one row. */
+const maxTransfersPerSecond = 40;
+
+/** Time after its start for which a router draws no tokens ahead of need: only then has it read the rows of all routers that start along with it. */
+const settlingInMs = 2000;
+
+/** Decides which transfers are due: those ahead of need are paced, and give way to requests that wait for the row alone. */
+const chooseTransferScope = (quota: LocalQuota, now: number): TransferScope => {
+	const isIntervalOver = now - (quota.transfers.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY) >= listLiveRouters(quota).length * 1000 / maxTransfersPerSecond;
+	if (now - quota.startedAtMs < settlingInMs) {
+		return 'needed';
+	}
+
+	return isEager(quota) || (isIntervalOver && !quota.holds.keySeq().some(organisation => isWindowAwaited(quota, organisation, now))) ? 'all' : 'needed';
+};
 
-const needsTransfer = (quota: LocalQuota, context: QuotaContext, now: number): boolean =>
-	context.budgets.keySeq().some(organisation => computeTransferTokens(quota, organisation, context, now) !== 0);
+const needsTransfer = (quota: LocalQuota, context: QuotaContext, scope: TransferScope, now: number): boolean =>
+	context.budgets.keySeq().some(organisation => isInScope(quota, organisation, scope) && computeTransferTokens(quota, organisation, context, now) !== 0);
 
 /** Ends a restoration once every live router has written its row in the new era, or must be dead. */
 const endRestoration = (quota: LocalQuota, now: number): LocalQuota => {
@@ -351,7 +415,7 @@
 
 /** Tells whether requests wait for tokens that the next write of the row brings. They take precedence over a read. */
 const canServeWaiting = (quota: LocalQuota, context: QuotaContext, now: number): boolean => quota.restoration === undefined
-	&& quota.holds.some((hold, organisation) => hold.waitingTokens > 0 && (computeDrawTokens(quota, organisation, context) > 0 || isWindowLimiting(quota, organisation, now)));
+	&& quota.holds.some((hold, organisation) => hold.waitingTokens > 0 && (computeDrawTokens(quota, organisation, context) > 0 || isWindowAwaited(quota, organisation, now)));
 
 /** Starts the next store call if one is due and none is in flight. */
 const startSync = (before: LocalQuota, context: QuotaContext, now: number): QuotaStep => {
@@ -372,8 +436,9 @@
 		return readRows(quota, 'holds');
 	}
 
-	return isSettlementDue(quota, now) || needsTransfer(quota, context, now)
-		? writeChange(quota, planChange(quota, context, now), 0)
+	const scope = chooseTransferScope(quota, now);
+	return isSettlementDue(quota, now) || needsTransfer(quota, context, scope, now)
+		? writeChange(quota, planChange(quota, context, scope, now), 0)
 		: keepState(quota);
 };
 
