--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -1,7 +1,7 @@
 import type {ResponseHead} from '../in-flight/index.js';
 import {chain, keepState} from '../loop/step.js';
-import {findIncarnation, removeLeaving} from '../registry/index.js';
-import type {Incarnation, Registry} from '../registry/index.js';
+import {explainAbsence, findIncarnation, removeLeaving} from '../registry/index.js';
+import type {Incarnation, Registry, RegistryEntry} from '../registry/index.js';
 import {recordRetiredVersions} from '../stream-origin/index.js';
 import {createLogEffect, updateKnownEndpoint} from './common.js';
 import {recordPushback, recordRateLimit} from './limits.js';
@@ -15,10 +15,12 @@
 const logEndpoints = (before: Registry, after: Registry, source: RegistrySource): readonly EdgeEffect[] => {
 	const added = after.endpoints.valueSeq().toArray().filter(endpoint => findIncarnation(before, endpoint) === undefined);
 	const removed = before.endpoints.valueSeq().toArray().filter(endpoint => findIncarnation(after, endpoint) === undefined);
+	const missing = after.endpoints.valueSeq().toArray().filter(endpoint => endpoint.missingSince !== undefined && findIncarnation(before, endpoint)?.missingSince === undefined);
 	return [
 		...added.map(({id, service, address, dataCentre, softwareVersion}) => createLogEffect('endpoint-came', {
 			endpoint: id, service, address, dataCentre, softwareVersion,
 		})),
+		...missing.map(({id, startedAt}) => createLogEffect('endpoint-missing', {endpoint: id, startedAt})),
 		...removed.flatMap(({id, address, startedAt}) => [
 			createLogEffect('endpoint-went', {endpoint: id, startedAt, source}),
 			{kind: 'forget', address} as const,
@@ -42,6 +44,19 @@
 		effects: logEndpoints(state.registry, registry, source),
 	};
 
+/**
+Logs entries that name an endpoint to use, and that the registry did not take for evidence of one.
+
+@param registry - The registry, to which the entries have been applied.
+@param entries - The entries.
+@returns The effects.
+*/
+export const logIgnoredEntries = (registry: Registry, entries: readonly RegistryEntry[]): readonly EdgeEffect[] => entries
+	.filter(entry => !entry.isLeaving && findIncarnation(registry, entry) === undefined)
+	.map(entry => createLogEffect('entry-ignored', {
+		endpoint: entry.id, startedAt: entry.startedAt, reason: explainAbsence(registry, entry),
+	}));
+
 const recordLoad = (state: EdgeState, incarnation: Incarnation, {load}: ResponseHead, now: number): EdgeState =>
 	updateKnownEndpoint(state, incarnation, endpoint => load === undefined
 		? {...endpoint, lastResponseAt: now}
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -13,7 +13,9 @@
 import type {Registry} from '../registry/index.js';
 import {completeSave} from '../stream-origin/index.js';
 import {createLogEffect} from './common.js';
-import {receivePeerLeaving, receiveStatements, setRegistry} from './endpoints.js';
+import {
+	logIgnoredEntries, receivePeerLeaving, receiveStatements, setRegistry,
+} from './endpoints.js';
 import {receiveRequest} from './receive.js';
 import {
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
@@ -149,6 +151,16 @@
 	current => receivePoisonNews({...current, registry: recordPromptNews(current.registry, event.promptNews, now)}, event.poison, 'peer', now),
 );
 
+const receiveList: Handler<'endpoints-listed'> = (state, {entries}, now) => {
+	const step = setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, entries, now), now);
+	return {state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, entries)]};
+};
+
+const receiveEntry: Handler<'endpoint-changed'> = (state, {id, listing}, now) => {
+	const step = setRegistry(state, updateEntry(state.registry, id, listing, now), now);
+	return {state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, listing === undefined ? [] : [listing])]};
+};
+
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Handler<Kind>}> = {
 	'call-arrived': receiveRequest,
 	'caller-left': receiveClientDisconnect,
@@ -159,8 +171,8 @@
 	'stream-began': receiveFirstOutput,
 	'stream-ended': receiveStreamEnd,
 	'catalog-read': receiveConfig,
-	'endpoints-listed': (state, event, now) => setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, event.entries, now), now),
-	'endpoint-changed': (state, event, now) => setRegistry(state, updateEntry(state.registry, event.id, event.listing, now), now),
+	'endpoints-listed': receiveList,
+	'endpoint-changed': receiveEntry,
 	'registry-lost': state => keepState({...state, registry: markUnavailable(state.registry)}),
 	'registry-restored': (state, _event, now) => keepState(resetVersions(resetVerdictRows({...state, registry: markRestored(state.registry, now)}))),
 	'registry-regained': (state, _event, now) => keepState({...state, registry: markAvailable(state.registry, now)}),
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -272,6 +272,18 @@
 	.filter(({statedAt}) => statedAt !== undefined && now - statedAt <= leavingNewsMs)
 	.slice(-maxLeavingNews);
 
+/**
+Explains why an incarnation is not listed.
+
+@param registry - The registry.
+@param incarnation - The incarnation.
+@returns What is known of it: that it is leaving, that its entry went away, or neither, if another incarnation took its place.
+*/
+export const explainAbsence = (registry: Registry, incarnation: Incarnation): 'leaving' | 'removed' | 'superseded' => {
+	const key = formatIncarnation(incarnation);
+	return registry.leaving.has(key) ? 'leaving' : (registry.removed.has(key) ? 'removed' : 'superseded');
+};
+
 /** Tells whether an entry may be older than what is known of its id, as it may be after the store came back from an older copy. */
 const isOutdated = (registry: Registry, entry: RegistryEntry, now: number): boolean =>
 	now < registry.uncertainUntil && (registry.endpoints.get(entry.id)?.startedAt ?? Number.NEGATIVE_INFINITY) > entry.startedAt;
