End the wait for entries to be back before their endpoints must have left

Callers: a request could reach an endpoint more than drainMs after its router had read that it is gone (DRAIN).

Cause: an entry that goes away within 2 s after an outage may have expired in it, so its endpoint was used until 2 s after the latest failure, a check of 100 ms, and a wait for a connection of 500 ms: 2.6 s where the bound is 2 s. Each further failed call started the wait anew for all of them.

Change: the wait is set once, as the entry goes missing; it ends early enough for a request that is sent at its last moment to arrive within the bound (new setting 'drain'), and placement asks it, not only the check. A later outage gives no further time. An endpoint that was listed only since the outage is not waited for.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -221,6 +221,7 @@
 			incarnation,
 			peerAddress: `${settings.listen.peers.host}:${settings.listen.peers.port}`,
 			retryBudgetBounds: getRetryBounds(settings),
+			drainMs: settings.bounds.drain,
 		}),
 		handle: handleEdge,
 		perform(effect) {
@@ -473,7 +474,7 @@
 			const next = changed.val;
 			const isRestartNeeded = JSON.stringify([settings.host, settings.listen, settings.store]) !== JSON.stringify([next.host, next.listen, next.store]);
 			graceMs = next.bounds.grace;
-			loop.post({kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next)});
+			loop.post({kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain});
 			// Changed addresses take effect at the next start.
 			log.write('routine', 'settings-reloaded', {grace: graceMs, repeatSlack: next.bounds['repeat-slack'], needsRestart: isRestartNeeded});
 		},
--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -15,7 +15,7 @@
 const logEndpoints = (before: Registry, after: Registry, source: RegistrySource): readonly EdgeEffect[] => {
 	const added = after.endpoints.valueSeq().toArray().filter(endpoint => findIncarnation(before, endpoint) === undefined);
 	const removed = before.endpoints.valueSeq().toArray().filter(endpoint => findIncarnation(after, endpoint) === undefined);
-	const missing = after.endpoints.valueSeq().toArray().filter(endpoint => endpoint.missingSince !== undefined && findIncarnation(before, endpoint)?.missingSince === undefined);
+	const missing = after.endpoints.valueSeq().toArray().filter(endpoint => endpoint.missingUntil !== undefined && findIncarnation(before, endpoint)?.missingUntil === undefined);
 	return [
 		...added.map(({id, service, address, dataCentre, softwareVersion}) => createLogEffect('endpoint-came', {
 			endpoint: id, service, address, dataCentre, softwareVersion,
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -38,7 +38,7 @@
 /** Runs the edge state under virtual time, and records the effects of the latest event. */
 class EdgeHarness {
 	state: EdgeState = createEdge({
-		dataCentre: 'z', router: 'r', incarnation: 'r#1', peerAddress: '', retryBudgetBounds: {ratio: 0.2, slack: 40},
+		dataCentre: 'z', router: 'r', incarnation: 'r#1', peerAddress: '', retryBudgetBounds: {ratio: 0.2, slack: 40}, drainMs: 2000,
 	});
 
 	/** All effects of the latest event, and those that concern requests. */
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -58,8 +58,8 @@
 	/** A peer reported its requests in flight, and rate limits of endpoints. */
 	| (Readonly<{kind: 'peer-heard'}> & PeerMessage)
 	| Readonly<{kind: 'tick'; random: number}>
-	/** The limits of the retry budget were reconfigured. */
-	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds}>
+	/** The bounds in the settings were reconfigured. */
+	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number}>
 	| Readonly<{kind: 'stop-wanted'}>
 	/** All requests have ended during shutdown: the tokens held are returned to the budgets. */
 	| Readonly<{kind: 'leave-wanted'; random: number}>;
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -11,7 +11,9 @@
 import type {PoisonDecision} from '../poison/index.js';
 import type {Dispatch, LimitedQuery} from '../queue/index.js';
 import {spendCredit} from '../rate-limit/index.js';
-import {decaySlowness, getIncarnation, recordPromptParts} from '../registry/index.js';
+import {
+	decaySlowness, getIncarnation, isUsable, recordPromptParts,
+} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
 	computeRetryAfter, updateKnownEndpoint, putRequest, rejectRequest,
@@ -106,7 +108,7 @@
 
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
-	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => canServe(endpoint, request));
+	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && canServe(endpoint, request));
 	const choice: Placement = service === undefined
 		? {kind: 'none'}
 		: chooseEndpoint(endpoints, {
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -29,6 +29,8 @@
 	bounds: z.object({
 		/** Time between the stop signal and the forced kill, in ms. */
 		grace: duration,
+		/** Time for which an endpoint goes on serving after the store has accepted that it leaves, in ms. */
+		drain: duration.default(2000),
 		/** Retry budget: retries per client request, over all routers. */
 		'repeat-ratio': fraction,
 		/** Retry budget: additional retries per time window, over all routers. */
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -20,6 +20,8 @@
 	dataCentre: string;
 	/** Limits of the retry budget that all routers share. */
 	retryBudgetBounds: RetryBudgetBounds;
+	/** Time for which an endpoint that leaves goes on serving, in ms. */
+	drainMs: number;
 	/** The active configuration; undefined until one has been read. */
 	config: RoutingConfig | undefined;
 	registry: Registry;
@@ -76,6 +78,8 @@
 	peerAddress: string;
 	/** Limits of the retry budget that all routers share. */
 	retryBudgetBounds: RetryBudgetBounds;
+	/** Time for which an endpoint that leaves goes on serving, in ms. */
+	drainMs: number;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -90,6 +94,7 @@
 export const createEdge = (options: EdgeOptions): EdgeState => ({
 	dataCentre: options.dataCentre,
 	retryBudgetBounds: options.retryBudgetBounds,
+	drainMs: options.drainMs,
 	config: undefined,
 	registry: emptyRegistry,
 	registryReadAt: undefined,
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,5 +1,5 @@
 export {
-	updateEntry, explainAbsence, findIncarnation, findKnown, formatIncarnation, getIncarnation, listLeaving, removeLeaving, removeMissing,
+	updateEntry, explainAbsence, findIncarnation, findKnown, formatIncarnation, getIncarnation, isUsable, listLeaving, removeLeaving, removeMissing,
 	emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, recordPromptParts, replaceEntries, updateEndpoint, updateEndpoints,
 } from './registry.js';
 export type {
--- /dev/null
+++ b/src/registry/registry.test.ts
@@ -0,0 +1,93 @@
+import {describe, expect, test} from 'vitest';
+import {
+	emptyRegistry, isUsable, markAvailable, markRestored, markUnavailable, removeMissing, replaceEntries, updateEntry,
+} from './index.js';
+import type {Registry, RegistryEntry} from './index.js';
+
+const createEntry = (id: string, fields: Partial<RegistryEntry> = {}): RegistryEntry => ({
+	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 6, isLeaving: false, slowStartMs: 0, startedAt: 5, ...fields,
+});
+
+const drainMs = 2000;
+
+/** Longest time from the choice of an endpoint until the request is sent, in ms. */
+const sendMs = 500;
+
+/** A registry under virtual time that is checked for missing endpoints at each step, as a router does. */
+class RegistryPlay {
+	registry: Registry;
+	now = 1000;
+
+	constructor(ids: readonly string[]) {
+		this.registry = replaceEntries(emptyRegistry, ids.map(id => createEntry(id)), 0);
+	}
+
+	apply(change: (registry: Registry, now: number) => Registry): this {
+		this.registry = change(this.registry, this.now);
+		return this;
+	}
+
+	list(entries: readonly RegistryEntry[]): this {
+		return this.apply((registry, now) => replaceEntries(registry, entries, now));
+	}
+
+	change(id: string, entry: RegistryEntry | undefined): this {
+		return this.apply((registry, now) => updateEntry(registry, id, entry, now));
+	}
+
+	lose(): this {
+		return this.apply(registry => markUnavailable(registry));
+	}
+
+	regain(): this {
+		return this.apply((registry, now) => markAvailable(registry, drainMs, now));
+	}
+
+	restore(): this {
+		return this.apply((registry, now) => markRestored(registry, drainMs, now));
+	}
+
+	advance(milliseconds: number): this {
+		this.now += milliseconds;
+		return this.apply(removeMissing);
+	}
+
+	isUsed(id: string): boolean {
+		const endpoint = this.registry.endpoints.get(id);
+		return endpoint !== undefined && isUsable(endpoint, this.now);
+	}
+}
+
+describe('an endpoint whose entry is gone after an outage', () => {
+	const startGone = () => new RegistryPlay(['e1', 'e2']).lose().advance(4000).regain().advance(100).change('e1', undefined);
+
+	test('is used until its entry should be back, but no request can still reach it when it must have left', () => {
+		const play = startGone();
+		expect(play.advance(1000).isUsed('e1')).toBe(true);
+		// No check for missing endpoints has been made since.
+		play.now += drainMs - sendMs - 1000;
+		expect(play.isUsed('e1')).toBe(false);
+	});
+
+	test('gets no further time by a later outage', () => {
+		const play = startGone().advance(300).lose();
+		expect(play.advance(drainMs).isUsed('e1')).toBe(false);
+		expect(play.isUsed('e2')).toBe(true);
+	});
+
+	test('gets no further time by outages that follow one another', () => {
+		const play = startGone();
+		Array.from({length: 5}, () => play.advance(400).lose().advance(100).regain());
+		expect(play.isUsed('e1')).toBe(false);
+	});
+
+	test('is used on if its entry is back', () => {
+		expect(startGone().advance(500).change('e1', createEntry('e1')).advance(5000).isUsed('e1')).toBe(true);
+	});
+
+	test('is not waited for if its entry was written since and is removed then', () => {
+		const play = startGone().change('e3', createEntry('e3'));
+		expect(play.isUsed('e3')).toBe(true);
+		expect(play.change('e3', undefined).isUsed('e3')).toBe(false);
+	});
+});
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -26,8 +26,10 @@
 export type Endpoint = RegistryEntry & Readonly<{
 	/** Hash of the id, for rendezvous hashing. */
 	idHash: number;
-	/** When its entry went missing while the registry was unreliable, in ms; undefined while it is listed. */
-	missingSince: number | undefined;
+	/** When it was first listed, in ms. */
+	listedAt: number;
+	/** Until when it is used although its entry is missing, in ms; undefined while it is listed. */
+	missingUntil: number | undefined;
 	/** This router's requests in flight there. */
 	open: number;
 	/** Prompt tokens of this router's requests that have no output yet. */
@@ -78,22 +80,24 @@
 	isUnavailable: boolean;
 	/** True from the return of the store from an older copy until its entries have been read. */
 	isRestored: boolean;
-	/** Until when an entry may be missing only because of a registry outage, in ms. */
-	uncertainUntil: number;
+	/** The time from the end of the latest outage, in ms, until which entries may be missing only because of it. */
+	recovery: Readonly<{from: number; until: number}>;
 }>;
 
-/** Time after a registry outage within which live endpoints restore their entries. */
-export const recoveryWindowMs = 2000;
+/** Time after a registry outage within which live endpoints restore their entries, in ms. */
+const recoveryWindowMs = 2000;
+
+/** Time that a request may take from the choice of its endpoint until it arrives there, in ms. */
+const sendMs = 600;
 
 /** The registry of a process that has read no entries. */
 export const emptyRegistry: Registry = {
-	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), isUnavailable: false, isRestored: false, uncertainUntil: 0,
+	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), isUnavailable: false, isRestored: false, recovery: {from: 0, until: 0},
 };
 
-const createEndpoint = (entry: RegistryEntry): Endpoint => ({
+const createEndpoint = (entry: RegistryEntry): Omit<Endpoint, 'listedAt' | 'missingUntil'> => ({
 	...entry,
 	idHash: hashText(entry.id),
-	missingSince: undefined,
 	open: 0,
 	pending: 0,
 	load: undefined,
@@ -150,15 +154,14 @@
 const hasStatedLeaving = (registry: Registry, entry: RegistryEntry): boolean => registry.leaving.has(formatIncarnation(entry));
 
 /** Adds an entry, with what is known of its incarnation. */
-const addEntry = (registry: Registry, entry: RegistryEntry): Registry => {
+const addEntry = (registry: Registry, entry: RegistryEntry, now: number): Registry => {
 	const known = findKnown(registry, entry);
 	const replaced = registry.endpoints.get(entry.id);
 	const kept = replaced === undefined || replaced === known ? registry : removeEndpoints(registry, [replaced]);
-	return {
-		...kept,
-		removed: kept.removed.delete(formatIncarnation(entry)),
-		endpoints: kept.endpoints.set(entry.id, known === undefined ? createEndpoint(entry) : {...known, ...entry, missingSince: undefined}),
+	const endpoint: Endpoint = {
+		...known ?? createEndpoint(entry), ...entry, listedAt: findIncarnation(registry, entry)?.listedAt ?? now, missingUntil: undefined,
 	};
+	return {...kept, removed: kept.removed.delete(formatIncarnation(entry)), endpoints: kept.endpoints.set(entry.id, endpoint)};
 };
 
 /** Tells whether a newer endpoint serves the address of an older one. */
@@ -197,18 +200,31 @@
 		endpoints: registry.endpoints.deleteAll(endpoints.map(({id}) => id)),
 	};
 
-/** Handles a missing entry: during or shortly after a registry outage the endpoint is kept and marked as missing, otherwise it is removed. */
+/**
+Handles a missing entry. One that was listed before an outage may have expired in it: the endpoint is kept until it must
+have written its entry again. Otherwise it is removed.
+*/
 const markMissing = (registry: Registry, id: string, now: number): Registry => {
 	const endpoint = registry.endpoints.get(id);
-	if (endpoint === undefined) {
+	if (endpoint === undefined || endpoint.missingUntil !== undefined) {
 		return registry;
 	}
 
-	return registry.isUnavailable || now < registry.uncertainUntil
-		? {...registry, endpoints: registry.endpoints.set(id, {...endpoint, missingSince: endpoint.missingSince ?? now})}
+	const {from, until} = registry.recovery;
+	return now < until && endpoint.listedAt <= from
+		? {...registry, endpoints: registry.endpoints.set(id, {...endpoint, missingUntil: until})}
 		: removeEndpoints(registry, [endpoint]);
 };
 
+/**
+Tells whether an endpoint may get requests as far as its entry is concerned.
+
+@param endpoint - A listed endpoint.
+@param now - The current time in ms.
+@returns False once its entry has been missing for too long.
+*/
+export const isUsable = ({missingUntil}: Endpoint, now: number): boolean => missingUntil === undefined || now < missingUntil;
+
 /**
 Finds the endpoint of an incarnation.
 
@@ -286,7 +302,7 @@
 
 /** Tells whether an entry may be older than what is known of its id, as it may be after the store came back from an older copy. */
 const isOutdated = (registry: Registry, entry: RegistryEntry, now: number): boolean =>
-	now < registry.uncertainUntil && (registry.endpoints.get(entry.id)?.startedAt ?? Number.NEGATIVE_INFINITY) > entry.startedAt;
+	now < registry.recovery.until && (registry.endpoints.get(entry.id)?.startedAt ?? Number.NEGATIVE_INFINITY) > entry.startedAt;
 
 /**
 Applies a changed entry. An incarnation whose entry said that it is leaving does not come back, even if the store
@@ -318,7 +334,7 @@
 
 	// Entries of dead endpoints remain for some heartbeats; a newer endpoint at the same address replaces them.
 	const superseded = registry.endpoints.valueSeq().filter(endpoint => isSuperseded(endpoint, entry)).toArray();
-	return addEntry(removeEndpoints(registry, superseded), entry);
+	return addEntry(removeEndpoints(registry, superseded), entry, now);
 };
 
 /**
@@ -347,36 +363,39 @@
 */
 export const markUnavailable = (registry: Registry): Registry => ({...registry, isUnavailable: true});
 
+/** Returns how long entries may be missing after an outage that ends now. A request that is sent at the last moment still has to arrive before the endpoint has left. */
+const createRecovery = (drainMs: number, now: number): Registry['recovery'] => ({from: now, until: now + Math.min(recoveryWindowMs, Math.max(0, drainMs - sendMs))});
+
 /**
 Marks the registry as available again.
 
 @param registry - The registry.
+@param drainMs - Time for which an endpoint that leaves goes on serving, in ms.
 @param now - The current time in ms.
 @returns The registry, which keeps endpoints with missing entries until live endpoints must have restored theirs.
 */
-export const markAvailable = (registry: Registry, now: number): Registry =>
-	registry.isUnavailable ? {...registry, isUnavailable: false, uncertainUntil: now + recoveryWindowMs} : registry;
+export const markAvailable = (registry: Registry, drainMs: number, now: number): Registry =>
+	registry.isUnavailable ? {...registry, isUnavailable: false, recovery: createRecovery(drainMs, now)} : registry;
 
 /**
 Marks the registry as come back from an older copy, in which entries may be missing.
 
 @param registry - The registry.
+@param drainMs - Time for which an endpoint that leaves goes on serving, in ms.
 @param now - The current time in ms.
 @returns The registry, which keeps endpoints with missing entries until live endpoints must have restored theirs.
 */
-export const markRestored = (registry: Registry, now: number): Registry => ({...registry, isRestored: true, uncertainUntil: now + recoveryWindowMs});
+export const markRestored = (registry: Registry, drainMs: number, now: number): Registry => ({...registry, isRestored: true, recovery: createRecovery(drainMs, now)});
 
 /**
-Removes endpoints whose entries were not restored after a registry outage.
+Removes endpoints whose entries have been missing for too long. An outage that has begun since gives them no further time.
 
 @param registry - The registry.
 @param now - The current time in ms.
 @returns The registry.
 */
 export const removeMissing = (registry: Registry, now: number): Registry =>
-	registry.isUnavailable || now < registry.uncertainUntil || !registry.endpoints.some(endpoint => endpoint.missingSince !== undefined)
-		? registry
-		: removeEndpoints(registry, registry.endpoints.valueSeq().toArray().filter(endpoint => endpoint.missingSince !== undefined));
+	removeEndpoints(registry, registry.endpoints.valueSeq().toArray().filter(endpoint => !isUsable(endpoint, now)));
 
 /**
 Updates what is known of an incarnation, whether it is listed or not.
--- a/test/limit-play.ts
+++ b/test/limit-play.ts
@@ -93,7 +93,7 @@
 	const ending: Array<readonly string[] | undefined> = [];
 	let states: readonly EdgeState[] = names.map(name => {
 		const state = createEdge({
-			dataCentre: 'z', router: name, incarnation: name, peerAddress: `${name}:1`, retryBudgetBounds: {ratio: 0.2, slack: 54},
+			dataCentre: 'z', router: name, incarnation: name, peerAddress: `${name}:1`, retryBudgetBounds: {ratio: 0.2, slack: 54}, drainMs: 2000,
 		});
 		const peers = Map<string, PeerRouter>(names.filter(each => each !== name).map(each => [each, {
 			peerAddress: `${each}:1`, isLive: true, era: undefined, holds: Map(),
