Hold every list of entries against the endpoints that are known to have gone

Callers: after the store had come back from an older copy, requests reached an endpoint whose entry had been removed before (DRAIN).

Cause: the older copy's entry was held against what had been removed in the first list only; when the table was read again (its history was gone, or the feed was lost once more) every router used the endpoint again. And an entry that was written again and removed again in the recovery got a further wait.

Change: a removed endpoint is remembered with the version of the store at which it went; only an entry of a later version is evidence that it is there. When the store comes back from an older copy, all that the copy has is of no later version. So there is no first list that differs from the second. An entry that says that a new incarnation leaves records the one that it replaced as gone.

Tests elsewhere only name the versions.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -255,7 +255,7 @@
 			return undefined;
 		}
 
-		const entry = decodeEntry(row.key, row.value);
+		const entry = decodeEntry(row.key, row.value, row.version);
 		if (entry.err) {
 			log.write('failure', 'entry-unreadable', {endpoint: row.key, version: row.version, reason: entry.val.detail});
 			return undefined;
@@ -299,11 +299,13 @@
 	};
 	const registryHandlers: Readonly<{[Kind in FeedEvent['kind']]: (event: FeedEvent & {kind: Kind}) => void}> = {
 		all(event) {
-			loop.post({kind: 'endpoints-listed', entries: event.rows.flatMap(row => decodeRegistryEntry(row) ?? [])});
+			loop.post({kind: 'endpoints-listed', entries: event.rows.flatMap(row => decodeRegistryEntry(row) ?? []), version: event.version});
 		},
 		changes(event) {
 			event.rows.forEach(row => {
-				loop.post({kind: 'endpoint-changed', id: row.key, listing: decodeRegistryEntry(row)});
+				loop.post({
+					kind: 'endpoint-changed', id: row.key, listing: decodeRegistryEntry(row), version: row.version,
+				});
 			});
 		},
 		lost() {
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -30,12 +30,14 @@
 });
 
 const createEntry = (id: string, fields: Partial<RegistryEntry> = {}): RegistryEntry => ({
-	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 6, isLeaving: false, slowStartMs: 0, startedAt: 1, ...fields,
+	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 6, isLeaving: false, slowStartMs: 0, startedAt: 1, rowVersion: 0, ...fields,
 });
 
 const routes = [createRoute('safe', 'safe'), createRoute('act', 'unsafe'), createRoute('stream', 'stream', {isResumable: true}), createRoute('whole', 'stream')];
 
-/** Runs the edge state under virtual time, and records the effects of the latest event. */
+type Unversioned<Event> = Event extends {version: number} ? Omit<Event, 'version'> : Event;
+
+/** Runs the edge state under virtual time, counts the versions of the registry as the store does, and records the effects of the latest event. */
 class EdgeHarness {
 	state: EdgeState = createEdge({
 		dataCentre: 'z', router: 'r', incarnation: 'r#1', peerAddress: '', retryBudgetBounds: {ratio: 0.2, slack: 40}, drainMs: 2000,
@@ -47,8 +49,10 @@
 	/** The endpoint of each attempt. */
 	sentTo = Map<string, Incarnation>();
 	now = 0;
+	version = 0;
 
-	post(event: EdgeEvent): this {
+	post(unversioned: Unversioned<EdgeEvent>): this {
+		const event = this.addVersions(unversioned);
 		const step = handleEdge(this.state, event, this.now);
 		this.state = step.state;
 		this.effects = step.effects;
@@ -57,6 +61,18 @@
 		return this;
 	}
 
+	/** Entries whose version is not given were written last. */
+	addVersions(event: Unversioned<EdgeEvent>): EdgeEvent {
+		this.version += 1;
+		const {version} = this;
+		const addVersion = (entry: RegistryEntry): RegistryEntry => ({...entry, rowVersion: entry.rowVersion === 0 ? version : entry.rowVersion});
+		if (event.kind === 'endpoints-listed') {
+			return {...event, version, entries: event.entries.map(entry => addVersion(entry))};
+		}
+
+		return event.kind === 'endpoint-changed' ? {...event, version, listing: event.listing && addVersion(event.listing)} : event;
+	}
+
 	start(endpoints: readonly RegistryEntry[] = [createEntry('e1'), createEntry('e2')], config = createConfig(1, routes)): this {
 		return this.post({kind: 'catalog-read', config}).post({kind: 'endpoints-listed', entries: endpoints});
 	}
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -151,13 +151,13 @@
 	current => receivePoisonNews({...current, registry: recordPromptNews(current.registry, event.promptNews, now)}, event.poison, 'peer', now),
 );
 
-const receiveList: Handler<'endpoints-listed'> = (state, {entries}, now) => {
-	const step = setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, entries, now), now);
+const receiveList: Handler<'endpoints-listed'> = (state, {entries, version}, now) => {
+	const step = setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, entries, version, now), now);
 	return {state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, entries)]};
 };
 
-const receiveEntry: Handler<'endpoint-changed'> = (state, {id, listing}, now) => {
-	const step = setRegistry(state, updateEntry(state.registry, id, listing, now), now);
+const receiveEntry: Handler<'endpoint-changed'> = (state, {id, listing, version}, now) => {
+	const step = setRegistry(state, updateEntry(state.registry, id, listing, version, now), now);
 	return {state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, listing === undefined ? [] : [listing])]};
 };
 
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -39,8 +39,10 @@
 	/** The stream ended normally, after a complete event. */
 	| Readonly<{kind: 'stream-ended'; call: number; attempt: number; events: number; framing: Framing}>
 	| Readonly<{kind: 'catalog-read'; config: RoutingConfig}>
-	| Readonly<{kind: 'endpoints-listed'; entries: readonly RegistryEntry[]}>
-	| Readonly<{kind: 'endpoint-changed'; id: string; listing: RegistryEntry | undefined}>
+	/** All entries were read, at the given version of the store. */
+	| Readonly<{kind: 'endpoints-listed'; entries: readonly RegistryEntry[]; version: number}>
+	/** An entry changed with the given version of the store. */
+	| Readonly<{kind: 'endpoint-changed'; id: string; listing: RegistryEntry | undefined; version: number}>
 	| Readonly<{kind: 'registry-lost'}>
 	| Readonly<{kind: 'registry-regained'}>
 	/** The registry came back from an older copy. */
--- a/src/edge/table-feed.ts
+++ b/src/edge/table-feed.ts
@@ -5,8 +5,8 @@
 
 /** An event of a table's change feed. */
 export type FeedEvent =
-	/** All rows of the table. Changes made while several pages were read follow as `changes`. */
-	| Readonly<{kind: 'all'; rows: readonly StoredRow[]}>
+	/** All rows of the table, as of the given version of the store. Changes made while several pages were read follow as `changes`. */
+	| Readonly<{kind: 'all'; rows: readonly StoredRow[]; version: number}>
 	/** Rows that changed since the last event. */
 	| Readonly<{kind: 'changes'; rows: readonly StoredRow[]}>
 	/** The first failed request after a successful one. */
@@ -52,7 +52,7 @@
 
 	return {
 		position: {version: Math.max(reply.version, position.version ?? 0), era, hasFailed: false},
-		events: [...notices, {kind: position.version === undefined ? 'all' : 'changes', rows: reply.rows}],
+		events: [...notices, position.version === undefined ? {kind: 'all', rows: reply.rows, version: reply.version} : {kind: 'changes', rows: reply.rows}],
 	};
 };
 
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -11,8 +11,8 @@
 const service: Service = {name: 's', maxConnections: 360, engine: {slots: 64, capacity: 551_016, tokensPerEvent: 4}};
 
 const registry: Registry = Array.from({length: 8}, (_, index) => `e${index}`).reduce((current, id) => updateEntry(current, id, {
-	id, service: 's', address: `${id}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 64, isLeaving: false, slowStartMs: 0, startedAt: 1,
-}, 0), emptyRegistry);
+	id, service: 's', address: `${id}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 64, isLeaving: false, slowStartMs: 0, startedAt: 1, rowVersion: 1,
+}, 1, 0), emptyRegistry);
 
 /** A prompt whose second part is shared by many requests. */
 const modelRequest: ModelRequest = {
--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -29,9 +29,10 @@
 
 @param id - Key of the entry, which is the endpoint's id.
 @param text - Value of the entry.
+@param rowVersion - Version of its row.
 @returns The decoded entry, or a fault that names the invalid field.
 */
-export const decodeEntry = (id: string, text: string | undefined): Result<RegistryEntry> => {
+export const decodeEntry = (id: string, text: string | undefined, rowVersion: number): Result<RegistryEntry> => {
 	const parsed = entrySchema.safeParse(decodeJson(text));
 	if (!parsed.success) {
 		return fail(createValidationFault(parsed.error, `endpoint ${id}`));
@@ -48,5 +49,6 @@
 		isLeaving: data.state === 'draining',
 		slowStartMs: data.coldRemainingMs,
 		startedAt: data.born ?? 0,
+		rowVersion,
 	});
 };
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -58,8 +58,8 @@
 
 describe('an endpoint\'s entry', () => {
 	test('is decoded', () => {
-		expect(decodeEntry('i-1', JSON.stringify(entry)).unwrap()).toEqual({
-			id: 'i-1', service: 's1', address: '10.1.0.9:8080', dataCentre: 'z1', softwareVersion: 'v1.2', slots: 64, isLeaving: false, slowStartMs: 5, startedAt: 12,
+		expect(decodeEntry('i-1', JSON.stringify(entry), 7).unwrap()).toEqual({
+			id: 'i-1', service: 's1', address: '10.1.0.9:8080', dataCentre: 'z1', softwareVersion: 'v1.2', slots: 64, isLeaving: false, slowStartMs: 5, startedAt: 12, rowVersion: 7,
 		});
 	});
 
@@ -71,7 +71,7 @@
 		['no service', JSON.stringify({...entry, service: undefined}), 'service'],
 		['slots as text', JSON.stringify({...entry, slots: '64'}), 'slots'],
 	])('with %s is rejected with the name of the field', (_, text, field) => {
-		const result = decodeEntry('i-1', text);
+		const result = decodeEntry('i-1', text, 7);
 		expect(result.err).toBe(true);
 		expect(result.val).toMatchObject({detail: expect.stringContaining(field) as string});
 	});
--- a/src/registry/registry.test.ts
+++ b/src/registry/registry.test.ts
@@ -5,7 +5,7 @@
 import type {Registry, RegistryEntry} from './index.js';
 
 const createEntry = (id: string, fields: Partial<RegistryEntry> = {}): RegistryEntry => ({
-	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 6, isLeaving: false, slowStartMs: 0, startedAt: 5, ...fields,
+	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 6, isLeaving: false, slowStartMs: 0, startedAt: 5, rowVersion: 1, ...fields,
 });
 
 const drainMs = 2000;
@@ -17,9 +17,10 @@
 class RegistryPlay {
 	registry: Registry;
 	now = 1000;
+	version = 1;
 
 	constructor(ids: readonly string[]) {
-		this.registry = replaceEntries(emptyRegistry, ids.map(id => createEntry(id)), 0);
+		this.registry = replaceEntries(emptyRegistry, ids.map(id => createEntry(id)), this.version, 0);
 	}
 
 	apply(change: (registry: Registry, now: number) => Registry): this {
@@ -28,11 +29,13 @@
 	}
 
 	list(entries: readonly RegistryEntry[]): this {
-		return this.apply((registry, now) => replaceEntries(registry, entries, now));
+		return this.apply((registry, now) => replaceEntries(registry, entries, this.version, now));
 	}
 
+	/** Writes an entry, which the router reads at once. */
 	change(id: string, entry: RegistryEntry | undefined): this {
-		return this.apply((registry, now) => updateEntry(registry, id, entry, now));
+		this.version += 1;
+		return this.apply((registry, now) => updateEntry(registry, id, entry && {...entry, rowVersion: this.version}, this.version, now));
 	}
 
 	lose(): this {
@@ -43,7 +46,9 @@
 		return this.apply((registry, now) => markAvailable(registry, drainMs, now));
 	}
 
-	restore(): this {
+	/** Brings the store back from a copy of the given version. */
+	restore(version: number): this {
+		this.version = version;
 		return this.apply((registry, now) => markRestored(registry, drainMs, now));
 	}
 
@@ -91,3 +96,33 @@
 		expect(play.change('e3', undefined).isUsed('e3')).toBe(false);
 	});
 });
+
+describe('a store that comes back from an older copy, in which an endpoint that has left is ready', () => {
+	const copy = [createEntry('e1'), createEntry('e2')];
+	const startRestored = () => new RegistryPlay(['e1', 'e2']).change('e1', undefined).lose().advance(500).regain().restore(1).list(copy);
+
+	test('does not bring it back, however often all entries are read', () => {
+		const play = startRestored();
+		expect(play.isUsed('e1')).toBe(false);
+		expect(play.list(copy).isUsed('e1')).toBe(false);
+		expect(play.advance(10_000).list(copy).isUsed('e1')).toBe(false);
+		expect(play.restore(1).list(copy).list(copy).isUsed('e1')).toBe(false);
+		expect(play.isUsed('e2')).toBe(true);
+	});
+
+	test('brings it back if it has written its entry since, be it read only with all others', () => {
+		expect(startRestored().change('e1', createEntry('e1')).isUsed('e1')).toBe(true);
+		const play = startRestored().change('e3', createEntry('e3'));
+		expect(play.list([createEntry('e1', {rowVersion: play.version}), createEntry('e2')]).isUsed('e1')).toBe(true);
+	});
+
+	test('does not give it further time when what was written since is written again', () => {
+		const play = startRestored().advance(10).change('e1', createEntry('e1')).advance(50).change('e1', undefined);
+		expect(play.isUsed('e1')).toBe(false);
+	});
+});
+
+test('an endpoint whose entry had gone is used again when it is read with all others later', () => {
+	const play = new RegistryPlay(['e1', 'e2']).change('e1', undefined);
+	expect(play.list([createEntry('e1', {rowVersion: 3}), createEntry('e2')]).isUsed('e1')).toBe(true);
+});
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -20,6 +20,8 @@
 	slowStartMs: number;
 	/** Start time in ms; the same id with another value is another incarnation. */
 	startedAt: number;
+	/** Version of the entry's row in the store. */
+	rowVersion: number;
 }>;
 
 /** An endpoint, and this router's statistics of its current incarnation. */
@@ -58,6 +60,12 @@
 	slownessUpdatedAt: number;
 }>;
 
+/** An endpoint whose entry went away. */
+type RemovedEndpoint = Endpoint & Readonly<{
+	/** Version of the store up to which entries do not count: they were written before it went, or are those of an older copy. */
+	goneVersion: number;
+}>;
+
 /** Fields that tell the incarnations of endpoints apart. */
 export type Incarnation = Pick<RegistryEntry, 'id' | 'startedAt' | 'address' | 'service'>;
 
@@ -75,7 +83,9 @@
 		statedAt: number | undefined;
 	}>>;
 	/** Endpoints whose entries went away, by incarnation, the latest ones last. An entry may come back, and an older copy of the store may still have it. */
-	removed: OrderedMap<string, Endpoint>;
+	removed: OrderedMap<string, RemovedEndpoint>;
+	/** Version of the store up to which entries have been read. */
+	version: number;
 	/** True while the registry cannot be read. */
 	isUnavailable: boolean;
 	/** True from the return of the store from an older copy until its entries have been read. */
@@ -92,7 +102,7 @@
 
 /** The registry of a process that has read no entries. */
 export const emptyRegistry: Registry = {
-	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), isUnavailable: false, isRestored: false, recovery: {from: 0, until: 0},
+	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), version: 0, isUnavailable: false, isRestored: false, recovery: {from: 0, until: 0},
 };
 
 const createEndpoint = (entry: RegistryEntry): Omit<Endpoint, 'listedAt' | 'missingUntil'> => ({
@@ -196,10 +206,14 @@
 	? registry
 	: {
 		...registry,
-		removed: registry.removed.merge(endpoints.map(endpoint => [formatIncarnation(endpoint), forgetPromptParts(endpoint)] as const)).takeLast(maxRememberedRemoved),
+		removed: registry.removed.merge(endpoints.map(endpoint => [formatIncarnation(endpoint), {...forgetPromptParts(endpoint), goneVersion: registry.version}] as const))
+			.takeLast(maxRememberedRemoved),
 		endpoints: registry.endpoints.deleteAll(endpoints.map(({id}) => id)),
 	};
 
+/** Removes the endpoint that is listed under an id, if any. */
+const removeListed = (registry: Registry, id: string): Registry => removeEndpoints(registry, [registry.endpoints.get(id)].flatMap(endpoint => endpoint ?? []));
+
 /**
 Handles a missing entry. One that was listed before an outage may have expired in it: the endpoint is kept until it must
 have written its entry again. Otherwise it is removed.
@@ -304,18 +318,15 @@
 const isOutdated = (registry: Registry, entry: RegistryEntry, now: number): boolean =>
 	now < registry.recovery.until && (registry.endpoints.get(entry.id)?.startedAt ?? Number.NEGATIVE_INFINITY) > entry.startedAt;
 
-/**
-Applies a changed entry. An incarnation whose entry said that it is leaving does not come back, even if the store
-does with an older entry.
+/** Tells whether an entry was written before its endpoint went, as it is in an older copy of the store, however often that is read. */
+const isGone = ({removed}: Registry, entry: RegistryEntry): boolean => {
+	const endpoint = removed.get(formatIncarnation(entry));
+	return endpoint !== undefined && entry.rowVersion <= endpoint.goneVersion;
+};
 
-@param registry - The registry.
-@param id - The endpoint's id.
-@param entry - The entry; undefined if it was removed or cannot be decoded.
-@param now - The current time in ms.
-@returns The registry.
-*/
-export const updateEntry = (registry: Registry, id: string, entry: RegistryEntry | undefined, now: number): Registry => {
-	if (entry === undefined) {
+/** Applies an entry of which it is not known that its endpoint has left. */
+const applyEntry = (registry: Registry, id: string, entry: RegistryEntry | undefined, now: number): Registry => {
+	if (entry === undefined || isGone(registry, entry)) {
 		return markMissing(registry, id, now);
 	}
 
@@ -324,12 +335,11 @@
 	}
 
 	if (entry.isLeaving) {
-		const left = removeLeaving(registry, entry);
-		return {...left, endpoints: left.endpoints.delete(id)};
+		return removeListed(removeLeaving(registry, entry), id);
 	}
 
 	if (hasStatedLeaving(registry, entry) || registry.endpoints.some(endpoint => isSuperseded(entry, endpoint))) {
-		return removeEndpoints(registry, [registry.endpoints.get(id)].flatMap(endpoint => endpoint ?? []));
+		return removeListed(registry, id);
 	}
 
 	// Entries of dead endpoints remain for some heartbeats; a newer endpoint at the same address replaces them.
@@ -338,21 +348,39 @@
 };
 
 /**
-Applies a complete list of entries; endpoints that are not in it are missing. In an older
-copy, the entries of endpoints that were removed say nothing: an endpoint that is still
-there writes its entry again.
+Applies a changed entry. An incarnation whose entry said that it is leaving does not come back, even if the store
+does with an older entry.
+
+@param registry - The registry.
+@param id - The endpoint's id.
+@param entry - The entry; undefined if it was removed or cannot be decoded.
+@param version - Version of the store with the change.
+@param now - The current time in ms.
+@returns The registry.
+*/
+export const updateEntry = (registry: Registry, id: string, entry: RegistryEntry | undefined, version: number, now: number): Registry =>
+	applyEntry({...registry, version: Math.max(registry.version, version)}, id, entry, now);
+
+/** Begins to count the versions of a store that has come back from an older copy: all that it has now may have been written before. */
+const resetVersion = (registry: Registry, version: number): Registry => ({
+	...registry, isRestored: false, version, removed: registry.removed.map(endpoint => ({...endpoint, goneVersion: version})),
+});
+
+/**
+Applies a complete list of entries; endpoints that are not in it are missing.
 
 @param registry - The registry.
 @param entries - The entries that could be decoded.
+@param version - Version of the store at which they were read.
 @param now - The current time in ms.
 @returns The registry.
 */
-export const replaceEntries = (registry: Registry, entries: readonly RegistryEntry[], now: number): Registry => {
-	const current = registry.isRestored ? entries.filter(entry => !registry.removed.has(formatIncarnation(entry))) : entries;
-	const listed = new Set(current.map(entry => entry.id));
-	const missing = registry.endpoints.keySeq().toArray().filter(id => !listed.has(id));
-	const kept = missing.reduce((updated, id) => markMissing(updated, id, now), {...registry, isRestored: false});
-	return current.reduce((updated, entry) => updateEntry(updated, entry.id, entry, now), kept);
+export const replaceEntries = (registry: Registry, entries: readonly RegistryEntry[], version: number, now: number): Registry => {
+	const read = registry.isRestored ? resetVersion(registry, version) : {...registry, version: Math.max(registry.version, version)};
+	const listed = new Set(entries.map(entry => entry.id));
+	const missing = read.endpoints.keySeq().toArray().filter(id => !listed.has(id));
+	const kept = missing.reduce((updated, id) => markMissing(updated, id, now), read);
+	return entries.reduce((updated, entry) => applyEntry(updated, entry.id, entry, now), kept);
 };
 
 /**
@@ -413,7 +441,7 @@
 
 	const key = formatIncarnation(incarnation);
 	const removed = registry.removed.get(key);
-	return removed === undefined ? registry : {...registry, removed: registry.removed.set(key, update(removed))};
+	return removed === undefined ? registry : {...registry, removed: registry.removed.set(key, {...update(removed), goneVersion: removed.goneVersion})};
 };
 
 /**
@@ -424,5 +452,5 @@
 @returns The registry.
 */
 export const updateEndpoints = (registry: Registry, update: (endpoint: Endpoint) => Endpoint): Registry => ({
-	...registry, endpoints: registry.endpoints.map(endpoint => update(endpoint)), removed: registry.removed.map(endpoint => update(endpoint)),
+	...registry, endpoints: registry.endpoints.map(endpoint => update(endpoint)), removed: registry.removed.map(endpoint => ({...update(endpoint), goneVersion: endpoint.goneVersion})),
 });
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -192,7 +192,7 @@
 	let states: readonly EdgeState[] = [];
 	let endpoints: ReadonlyArray<Readonly<{entry: RegistryEntry; crashedAt: number | undefined}>> = Array.from({length: endpointCount}, (_, index) => ({
 		entry: {
-			id: `e${index}`, service: 's', address: `10.0.0.${index}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 64, isLeaving: false, slowStartMs: 0, startedAt: 1,
+			id: `e${index}`, service: 's', address: `10.0.0.${index}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 64, isLeaving: false, slowStartMs: 0, startedAt: 1, rowVersion: 0,
 		}, crashedAt: undefined,
 	}));
 	/** Attempts in progress: endpoint, and events so far. */
@@ -234,12 +234,18 @@
 		});
 		// The entry of a crashed endpoint goes after some heartbeats; the endpoint is back under another id.
 		schedule(2000, () => {
-			postAll({kind: 'endpoint-changed', id: entry.id, listing: undefined});
+			postAll({
+				kind: 'endpoint-changed', id: entry.id, listing: undefined, version: now,
+			});
 		});
 		schedule(downMs, () => {
-			const renewed = {...entry, id: `${entry.id}+`, startedAt: now};
+			const renewed = {
+				...entry, id: `${entry.id}+`, startedAt: now, rowVersion: now,
+			};
 			endpoints = endpoints.with(index, {entry: renewed, crashedAt: undefined});
-			postAll({kind: 'endpoint-changed', id: renewed.id, listing: renewed});
+			postAll({
+				kind: 'endpoint-changed', id: renewed.id, listing: renewed, version: now,
+			});
 		});
 	};
 
@@ -492,7 +498,7 @@
 			post(router, {kind: 'verdicts-read', rows: [...rows.values()], storeTime: now + storeTimeOffset});
 		}
 
-		post(router, {kind: 'endpoints-listed', entries: endpoints.filter(({crashedAt}) => crashedAt === undefined).map(({entry}) => entry)});
+		post(router, {kind: 'endpoints-listed', entries: endpoints.filter(({crashedAt}) => crashedAt === undefined).map(({entry}) => entry), version: now});
 	};
 
 	states = names.map(name => start(name));
--- a/test/limit-play.ts
+++ b/test/limit-play.ts
@@ -34,7 +34,7 @@
 export const endpointIds = Array.from({length: 8}, (_, index) => `e${index}`);
 
 const entries: readonly RegistryEntry[] = endpointIds.map((id, index) => ({
-	id, service: 's', address: `10.0.0.${index}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 1000, isLeaving: false, slowStartMs: 0, startedAt: 1,
+	id, service: 's', address: `10.0.0.${index}:80`, dataCentre: 'z', softwareVersion: 'v1', slots: 1000, isLeaving: false, slowStartMs: 0, startedAt: 1, rowVersion: 0,
 }));
 
 /** What a fleet is subjected to. Times in ms. */
@@ -178,7 +178,7 @@
 
 	names.forEach((_, router) => {
 		post(router, {kind: 'catalog-read', config}, 0);
-		post(router, {kind: 'endpoints-listed', entries: listed}, 0);
+		post(router, {kind: 'endpoints-listed', entries: listed, version: 0}, 0);
 	});
 	let calls = 0;
 	Array.from({length: endMs}, (_, now) => now).forEach(now => {
@@ -191,8 +191,8 @@
 		});
 		if (load.entriesAwayEveryMs !== undefined && now % load.entriesAwayEveryMs === load.entriesAwayEveryMs - 1) {
 			names.forEach((_, router) => {
-				post(router, {kind: 'endpoints-listed', entries: []}, now);
-				post(router, {kind: 'endpoints-listed', entries: listed}, now);
+				post(router, {kind: 'endpoints-listed', entries: [], version: now}, now);
+				post(router, {kind: 'endpoints-listed', entries: listed.map(entry => ({...entry, rowVersion: now + 1})), version: now + 1}, now);
 			});
 		}
 
