Take no entry of a former incarnation, or without a start time, for a new one

Callers: an endpoint had said that it leaves, and got requests again (DRAIN) once an entry under its id was read that an older copy of the store has from a former incarnation, or that names no start time (one of another writer).

Cause: an entry was held against what is listed under its id. An endpoint that has left is not listed, so any other start time, also an earlier one or none, made it a new incarnation.

Change: an entry is held against the latest incarnation of its id that is known, listed or not. In a recovery, and as long as an entry is one of an older copy, an earlier start time says nothing. Without a start time an entry is that of the latest incarnation, or nobody's if the address or service is another. An entry that is written later counts, also with an earlier start time: clocks may be set back.

--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -52,7 +52,7 @@
 @returns The effects.
 */
 export const logIgnoredEntries = (registry: Registry, entries: readonly RegistryEntry[]): readonly EdgeEffect[] => entries
-	.filter(entry => !entry.isLeaving && findIncarnation(registry, entry) === undefined)
+	.filter(entry => !entry.isLeaving && registry.endpoints.get(entry.id)?.rowVersion !== entry.rowVersion)
 	.map(entry => createLogEffect('entry-ignored', {
 		endpoint: entry.id, startedAt: entry.startedAt, reason: explainAbsence(registry, entry),
 	}));
--- a/src/registry/registry.test.ts
+++ b/src/registry/registry.test.ts
@@ -126,3 +126,37 @@
 	const play = new RegistryPlay(['e1', 'e2']).change('e1', undefined);
 	expect(play.list([createEntry('e1', {rowVersion: 3}), createEntry('e2')]).isUsed('e1')).toBe(true);
 });
+
+describe('an endpoint that has said that it leaves', () => {
+	const renewed = createEntry('e1', {startedAt: 9});
+	const startLeft = () => new RegistryPlay(['e2']).change('e1', renewed).change('e1', {...renewed, isLeaving: true});
+
+	test('is not replaced by a former incarnation of its id, which an older copy of the store has', () => {
+		const copy = [createEntry('e1'), createEntry('e2')];
+		const play = startLeft().lose().advance(500).regain().restore(1).list(copy);
+		expect(play.isUsed('e1')).toBe(false);
+		expect(play.advance(10_000).list(copy).isUsed('e1')).toBe(false);
+	});
+
+	test('is not taken for a new incarnation by an entry without a start time', () => {
+		expect(startLeft().change('e1', {...renewed, startedAt: 0}).isUsed('e1')).toBe(false);
+		expect(startLeft().change('e1', {...renewed, startedAt: 0, address: '10.0.0.9:80'}).isUsed('e1')).toBe(false);
+	});
+
+	test('is used once a new incarnation has written an entry, be its clock slow', () => {
+		expect(startLeft().change('e1', createEntry('e1', {startedAt: 10})).isUsed('e1')).toBe(true);
+		expect(startLeft().advance(10_000).change('e1', createEntry('e1', {startedAt: 8})).isUsed('e1')).toBe(true);
+	});
+});
+
+test('an entry without a start time is that of the incarnation that is listed', () => {
+	const play = new RegistryPlay(['e1']).change('e1', createEntry('e1', {startedAt: 0, slots: 3}));
+	expect(play.registry.endpoints.get('e1')).toMatchObject({startedAt: 5, slots: 3});
+});
+
+test('an endpoint that never names its start time is used, and is not used again once it has left', () => {
+	const entry = createEntry('e3', {startedAt: 0});
+	const play = new RegistryPlay(['e1']).change('e3', entry);
+	expect(play.isUsed('e3')).toBe(true);
+	expect(play.change('e3', {...entry, isLeaving: true}).change('e3', entry).isUsed('e3')).toBe(false);
+});
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -18,7 +18,7 @@
 	isLeaving: boolean;
 	/** Time for which it stays slow after its start. */
 	slowStartMs: number;
-	/** Start time in ms; the same id with another value is another incarnation. */
+	/** Start time in ms, 0 if the entry does not name it; the same id with another value is another incarnation. */
 	startedAt: number;
 	/** Version of the entry's row in the store. */
 	rowVersion: number;
@@ -86,6 +86,8 @@
 	removed: OrderedMap<string, RemovedEndpoint>;
 	/** Version of the store up to which entries have been read. */
 	version: number;
+	/** Version of the latest older copy from which the store came back; 0 if it never did. */
+	restoredVersion: number;
 	/** True while the registry cannot be read. */
 	isUnavailable: boolean;
 	/** True from the return of the store from an older copy until its entries have been read. */
@@ -102,7 +104,7 @@
 
 /** The registry of a process that has read no entries. */
 export const emptyRegistry: Registry = {
-	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), version: 0, isUnavailable: false, isRestored: false, recovery: {from: 0, until: 0},
+	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), version: 0, restoredVersion: 0, isUnavailable: false, isRestored: false, recovery: {from: 0, until: 0},
 };
 
 const createEndpoint = (entry: RegistryEntry): Omit<Endpoint, 'listedAt' | 'missingUntil'> => ({
@@ -314,9 +316,27 @@
 	return registry.leaving.has(key) ? 'leaving' : (registry.removed.has(key) ? 'removed' : 'superseded');
 };
 
-/** Tells whether an entry may be older than what is known of its id, as it may be after the store came back from an older copy. */
+/** Finds the latest incarnation of an id that is known, be it listed, leaving or removed. */
+const findLatest = ({endpoints, leaving, removed}: Registry, id: string): Incarnation | undefined => {
+	const listed: Incarnation | undefined = endpoints.get(id);
+	return [listed, ...leaving.values(), ...removed.values()].filter(known => known?.id === id)
+		.reduce((latest, known) => latest === undefined || known!.startedAt > latest.startedAt ? known : latest, undefined);
+};
+
+/** Tells whether an entry is that of a former incarnation, as it may be in an older copy of the store. */
 const isOutdated = (registry: Registry, entry: RegistryEntry, now: number): boolean =>
-	now < registry.recovery.until && (registry.endpoints.get(entry.id)?.startedAt ?? Number.NEGATIVE_INFINITY) > entry.startedAt;
+	(now < registry.recovery.until || entry.rowVersion <= registry.restoredVersion) && (findLatest(registry, entry.id)?.startedAt ?? 0) > entry.startedAt;
+
+/** Completes an entry without a start time, which is no evidence of a new incarnation. Returns undefined if it fits no known one. */
+const completeEntry = (registry: Registry, entry: RegistryEntry): RegistryEntry | undefined => {
+	const known = entry.startedAt === 0 ? findLatest(registry, entry.id) : undefined;
+	if (known === undefined) {
+		return entry;
+	}
+
+	const completed = {...entry, startedAt: known.startedAt};
+	return isSameIncarnation(completed, known) || known.startedAt === 0 ? completed : undefined;
+};
 
 /** Tells whether an entry was written before its endpoint went, as it is in an older copy of the store, however often that is read. */
 const isGone = ({removed}: Registry, entry: RegistryEntry): boolean => {
@@ -324,8 +344,9 @@
 	return endpoint !== undefined && entry.rowVersion <= endpoint.goneVersion;
 };
 
-/** Applies an entry of which it is not known that its endpoint has left. */
-const applyEntry = (registry: Registry, id: string, entry: RegistryEntry | undefined, now: number): Registry => {
+/** Applies an entry as far as it is evidence, be it read alone or with all others. */
+const applyEntry = (registry: Registry, id: string, read: RegistryEntry | undefined, now: number): Registry => {
+	const entry = read && completeEntry(registry, read);
 	if (entry === undefined || isGone(registry, entry)) {
 		return markMissing(registry, id, now);
 	}
@@ -363,7 +384,7 @@
 
 /** Begins to count the versions of a store that has come back from an older copy: all that it has now may have been written before. */
 const resetVersion = (registry: Registry, version: number): Registry => ({
-	...registry, isRestored: false, version, removed: registry.removed.map(endpoint => ({...endpoint, goneVersion: version})),
+	...registry, isRestored: false, version, restoredVersion: version, removed: registry.removed.map(endpoint => ({...endpoint, goneVersion: version})),
 });
 
 /**
