Spare an endpoint because of what a doubted response states

Callers: an endpoint that says in a response that it leaves, or wants a rest, could get the repeated request and further ones (DRAIN, BUDGET) if that response could not be held for that of its request: no id on a kept connection, another id, no signature, a refusal that may be a copy.

Cause: nothing that such a head states was taken in. But whatever request it is for, it came on a connection to that incarnation; that it leaves stays true.

Change: the statement of a doubted head counts where it spares the endpoint (leaving, rest after a rejection); load and rate limits, which may be out of date, still do not.

--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -81,19 +81,21 @@
 /**
 Records what a response states of its endpoint: load, rate limit, pushback, and that it
 is leaving. It speaks for the incarnation that its request was sent to; if it comes from
-another one, it says nothing.
+another one, it says nothing. Whatever request a response is for, its endpoint may only be
+spared because of it: one that is doubted says nothing of load and limits, which may have
+changed since.
 
 @param state - The edge state.
 @param event - The endpoint and the head of the response.
 @param now - The current time in ms.
 @returns The new state and the effects.
 */
-export const receiveStatements = (state: EdgeState, {endpoint, head}: EdgeEvent & {kind: 'response-began'}, now: number): EdgeStep => {
+export const receiveStatements = (state: EdgeState, {endpoint, head, isDoubted}: EdgeEvent & {kind: 'response-began'}, now: number): EdgeStep => {
 	if (head.isOtherIncarnation) {
 		return keepState(state);
 	}
 
-	const limited = recordRateLimit(recordLoad(state, endpoint, head, now), endpoint, head, now);
+	const limited = isDoubted ? keepState(state) : recordRateLimit(recordLoad(state, endpoint, head, now), endpoint, head, now);
 	const pushedBack = chain(limited, recorded => recordPushback(recorded, endpoint, head, now));
 	return chain(pushedBack, recorded => recordLeaving(recorded, endpoint, head, now));
 };
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -86,12 +86,25 @@
 		});
 	}
 
-	respond(id: number, attempt: number, fields: Partial<ResponseHead> = {}): this {
-		const head: ResponseHead = {
+	createHead(id: number, fields: Partial<ResponseHead>): ResponseHead {
+		return {
 			status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined,
 			rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
 		};
-		const {done} = this.post({kind: 'response-began', endpoint: this.sentTo.get(`${id}/${attempt}`)!, head});
+	}
+
+	/** Answers with a response that may be that of another request, so that the attempt fails. */
+	respondDoubtfully(id: number, attempt: number, fields: Partial<ResponseHead>): this {
+		return this.post({
+			kind: 'response-began', endpoint: this.sentTo.get(`${id}/${attempt}`)!, head: this.createHead(id, fields), isDoubted: true,
+		}).failAttempt(id, attempt);
+	}
+
+	respond(id: number, attempt: number, fields: Partial<ResponseHead> = {}): this {
+		const head = this.createHead(id, fields);
+		const {done} = this.post({
+			kind: 'response-began', endpoint: this.sentTo.get(`${id}/${attempt}`)!, head, isDoubted: false,
+		});
 		this.post({
 			kind: 'endpoint-answered', call: id, attempt, random: 0.5, head,
 		});
@@ -213,6 +226,16 @@
 		expect(edge.advance(20).getSentTo()).toBe(busy);
 	});
 
+	test('gets none either if the response that says so may be that of another request', () => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const resting = edge.getSentTo();
+		edge.respondDoubtfully(1, 1, {
+			status: 503, hasNotRun: true, pushbackMs: succeed(1000), rateLimit: succeed(0.1), load: {running: 0, waiting: 0, slots: 60},
+		});
+		expect(edge.state.registry.endpoints.get(resting)).toMatchObject({rateLimit: {requestsPerSecond: undefined}, load: undefined});
+		expect(Array.from({length: 4}, (_, index) => edge.sendRequest(10 + index, 'safe').getSentTo())).not.toContain(resting);
+	});
+
 	test('is not asked earlier because a later response states a shorter time', () => {
 		const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'act').sendRequest(2, 'act');
 		edge.respond(1, 1, rejection).respond(2, 1, {...rejection, pushbackMs: succeed(100)}).advance(500);
@@ -370,6 +393,14 @@
 		expect(listTargets(edge, 10)).not.toContain(leaving);
 	});
 
+	test('is not used again although the response that says so may be that of another request', () => {
+		const edge = new EdgeHarness().start().sendRequest(1, 'safe');
+		const leaving = edge.getSentTo();
+		edge.respondDoubtfully(1, 1, {isLeaving: true});
+		expect(edge.getSentTo()).not.toBe(leaving);
+		expect(listTargets(edge, 10)).not.toContain(leaving);
+	});
+
 	test('is used again once it has started anew under its id', () => {
 		const {edge, leaving} = startLeaving();
 		edge.post({kind: 'endpoint-changed', id: leaving, listing: createEntry(leaving, {startedAt: 2})});
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -369,6 +369,12 @@
 		})).toEqual([statement]);
 	});
 
+	test('is known although the response may be that of another request', async () => {
+		expect(await listStatements(socket => {
+			socket.write(`${leavingHead.replace('call-1', 'call-0')}\r\nwhole`);
+		})).toEqual([{endpoint: 'i-1', isLeaving: true, pushbackMs: undefined}]);
+	});
+
 	test.each(cases)('is known although its request was cancelled: %s', async (_, head, statement) => {
 		expect(await listStatements(socket => {
 			socket.once('end', () => {
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -309,10 +309,9 @@
 		const activeRequest = activeRequests.get(requestId);
 		const head = decodeResponse(incoming);
 		const reason = findInvalidHead(head, upstream, incoming.socket);
-		if (reason === undefined) {
-			post({kind: 'response-began', endpoint: upstream.endpoint, head});
-		}
-
+		post({
+			kind: 'response-began', endpoint: upstream.endpoint, head, isDoubted: reason !== undefined,
+		});
 		if (head.hasNotRun && !refusals.record(incoming.socket, upstream.key)) {
 			upstream.outgoing.shouldKeepAlive = false;
 		}
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -28,8 +28,8 @@
 	| Readonly<{kind: 'caller-left'; call: number; events: number}>
 	/** The endpoint ended a cancelled request; `hasNotRun` is true if there was no output before. */
 	| Readonly<{kind: 'call-withdrawn'; call: number; attempt: number; hasNotRun: boolean}>
-	/** The head of a response was read. What it states of its endpoint holds although its request may have ended. */
-	| Readonly<{kind: 'response-began'; endpoint: Incarnation; head: ResponseHead}>
+	/** The head of a response was read. What it states of its endpoint holds although its request may have ended. It is doubted if it may be that of another request. */
+	| Readonly<{kind: 'response-began'; endpoint: Incarnation; head: ResponseHead; isDoubted: boolean}>
 	/** A complete response was read, or the head of a stream. */
 	| Readonly<{kind: 'endpoint-answered'; call: number; attempt: number; head: ResponseHead; random: number}>
 	/** An attempt failed; `events` counts the events that the client received of it. */
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -289,7 +289,9 @@
 		};
 
 		const answer = (head: ResponseHead) => {
-			post(router, {kind: 'response-began', endpoint, head});
+			post(router, {
+				kind: 'response-began', endpoint, head, isDoubted: false,
+			});
 			post(router, {
 				kind: 'endpoint-answered', call, attempt, head, random: random.draw(),
 			});
--- a/test/limit-play.ts
+++ b/test/limit-play.ts
@@ -123,7 +123,9 @@
 			ending[respondAt] = [...ending[respondAt] ?? [], endpoint.id];
 		}
 
-		schedule(respondAt, router, {kind: 'response-began', endpoint, head});
+		schedule(respondAt, router, {
+			kind: 'response-began', endpoint, head, isDoubted: false,
+		});
 		schedule(respondAt, router, {
 			kind: 'endpoint-answered', call, attempt, random: random.draw(), head,
 		});
