Reject entries whose id no header can hold, or whose port is not in digits

Callers: one entry of another writer ended the router: its id goes into a header of each request that is sent there, and Node.js throws on characters that no header can hold. A new process read the same entry, and ended too.

Cause: the id, which is the row's key, was not checked; and ports were converted by Number(), which takes '1e3', '0x50' and ' 80'.

Change: such an entry is unreadable, logged with the field, and names no endpoint. Settings check ports in the same way.

The soak's store pages its rows as the real one does.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -1,17 +1,18 @@
-import {isIP} from 'node:net';
 import {z} from 'zod';
-import {createValidationFault, fail, succeed} from '../errors/index.js';
+import {
+	createFault, createValidationFault, fail, succeed,
+} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import type {RegistryEntry} from '../registry/index.js';
-import {parseAddress} from '../server/address.js';
+import {isAddress, parseAddress} from '../server/address.js';
 import {decodeJson} from './json.js';
 
+/** Requests name the id in a header. */
+const idPattern = /^[\u0021-\u007E]+$/v;
+
 const entrySchema = z.object({
 	service: z.string(),
-	address: z.string().refine(text => {
-		const {host, port} = parseAddress(text);
-		return isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536;
-	}, 'is not an IP address and a port'),
+	address: z.string().refine(text => isAddress(text) && parseAddress(text).port > 0, 'is not an IP address and a port'),
 	/** The data centre. */
 	zone: z.string(),
 	/** Version of the endpoint's software, not of its model. */
@@ -33,6 +34,10 @@
 @returns The decoded entry, or a fault that names the invalid field.
 */
 export const decodeEntry = (id: string, text: string | undefined, rowVersion: number): Result<RegistryEntry> => {
+	if (!idPattern.test(id)) {
+		return fail(createFault('bad-request', `endpoint ${JSON.stringify(id)}: id: has characters that a header cannot hold`));
+	}
+
 	const parsed = entrySchema.safeParse(decodeJson(text));
 	if (!parsed.success) {
 		return fail(createValidationFault(parsed.error, `endpoint ${id}`));
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -70,6 +70,8 @@
 		['no version', JSON.stringify({...entry, version: undefined}), 'version'],
 		['no service', JSON.stringify({...entry, service: undefined}), 'service'],
 		['slots as text', JSON.stringify({...entry, slots: '64'}), 'slots'],
+		...['1e3', '0x50', ' 80', '80 ', '-1', '0', '65536', '8.5', ''].map((port): [string, string, string] =>
+			[`the port "${port}"`, JSON.stringify({...entry, address: `10.1.0.9:${port}`}), 'address']),
 	])('with %s is rejected with the name of the field', (_, text, field) => {
 		const result = decodeEntry('i-1', text, 7);
 		expect(result.err).toBe(true);
@@ -77,6 +79,10 @@
 	});
 });
 
+test.each(['i-\u0000', 'i-\r\nX-Odd: 1', 'i-\u0142', ' ', ''])('an entry whose id no header can hold is rejected: %j', id => {
+	expect(decodeEntry(id, JSON.stringify(entry), 7).val).toMatchObject({detail: expect.stringContaining('id: has characters') as string});
+});
+
 const headers = {
 	host: 'Shop.Example:80', 'attempt-id': 'a1', 'request-deadline-ms': '5000', authorization: 'Token k1',
 	'token-counts': '1460,80', 'prompt-prefix': '5c:800,e4:660', model: 'm', 'last-event-id': '12', resumes: 'a0',
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -2,7 +2,7 @@
 import {isIP} from 'node:net';
 import ini from 'ini';
 import {z} from 'zod';
-import {parseAddress} from '../server/address.js';
+import {isAddress, parseAddress} from '../server/address.js';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 
@@ -38,10 +38,7 @@
 export const fraction = z.string().transform(Number).pipe(z.number('must be a number').min(0).max(1));
 
 /** An IP address and a port, such as `10.0.0.5:8080`. */
-export const address = z.string().refine(text => {
-	const {host, port} = parseAddress(text);
-	return isIP(host) !== 0 && Number.isInteger(port) && port >= 0 && port < 65_536;
-}, 'must be an IP number and a port, as in 10.0.0.5:8080').transform(text => parseAddress(text));
+export const address = z.string().refine(isAddress, 'must be an IP number and a port, as in 10.0.0.5:8080').transform(text => parseAddress(text));
 
 /** A comma-separated list of addresses; an empty text is an empty list. */
 export const addresses = z.string().transform(text => text.split(',').map(part => part.trim()).filter(part => part !== '')).pipe(z.array(address));
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -11,6 +11,12 @@
 	server: Server;
 	/** Writes a row as an operator or an endpoint would; `undefined` removes it. */
 	put: (table: string, key: string, value: unknown) => void;
+	/** Writes a row as any writer may. */
+	putText: (table: string, key: string, text: string) => void;
+	/** Returns the text of a row; undefined if there is none. */
+	get: (table: string, key: string) => string | undefined;
+	/** Returns the time of the store's clock, in ms. */
+	getNow: () => number;
 	/** While true, every request gets status 503. */
 	setUnavailable: (isUnavailable: boolean) => void;
 	/** While true, writes are applied, but the connection is closed without a response. */
@@ -22,6 +28,20 @@
 /** Longest time that a feed request waits for a change, in ms. */
 const feedTimeoutMs = 300;
 
+/** Limits of a page of rows. */
+const maxPageRows = 500;
+const maxPageBytes = 1_000_000;
+
+/** Returns the first rows of a list that fit into a page, at least one. */
+const cutPage = (rows: readonly Row[], limit: number): readonly Row[] => {
+	let bytes = 0;
+	const end = rows.findIndex((row, index) => {
+		bytes += row.value?.length ?? 0;
+		return index >= Math.min(limit, maxPageRows) || (index > 0 && bytes > maxPageBytes);
+	});
+	return end === -1 ? rows : rows.slice(0, end);
+};
+
 const readBody = async (incoming: IncomingMessage): Promise<string> => {
 	const parts: Buffer[] = [];
 	for await (const part of incoming as AsyncIterable<Buffer>) {
@@ -59,6 +79,14 @@
 		response.writeHead(status, {'content-type': 'application/json', 'store-era': era}).end(JSON.stringify({...body, ver: version, nowMs: Math.floor(performance.now())}));
 	};
 
+	const putText = (table: string, key: string, text: string | undefined) => {
+		version += 1;
+		const row = {
+			table, part: '', key, ver: version,
+		};
+		setRow(text === undefined ? {...row, removed: true} : {...row, value: Buffer.from(text).toString('base64')}, true);
+	};
+
 	const transact = (body: Body): boolean => {
 		const isCurrent = body.expectedRevision.every(row => {
 			const current = rows.get(formatRowKey(row));
@@ -98,7 +126,9 @@
 		if (isUnavailable) {
 			response.writeHead(503).end();
 		} else if (url.pathname === '/v1/rows-get') {
-			sendJson(response, 200, {rows: listRows(table, url.searchParams.get('part') ?? '', url.searchParams.get('from') ?? undefined, url.searchParams.get('to') ?? undefined), morePages: false});
+			const listed = listRows(table, url.searchParams.get('part') ?? '', url.searchParams.get('from') ?? undefined, url.searchParams.get('to') ?? undefined);
+			const page = cutPage(listed, Number(url.searchParams.get('limit') ?? maxPageRows));
+			sendJson(response, 200, {rows: page, morePages: page.length < listed.length});
 		} else if (url.pathname === '/v1/rows-feed') {
 			pollChanges(response, table, Number(url.searchParams.get('after')), performance.now() + feedTimeoutMs);
 		} else {
@@ -122,12 +152,14 @@
 			});
 		}),
 		put(table, key, value) {
-			version += 1;
-			const row = {
-				table, part: '', key, ver: version,
-			};
-			setRow(value === undefined ? {...row, removed: true} : {...row, value: Buffer.from(JSON.stringify(value)).toString('base64')}, true);
+			putText(table, key, value === undefined ? undefined : JSON.stringify(value));
+		},
+		putText,
+		get(table, key) {
+			const value = rows.get(formatRowKey({table, part: '', key}))?.value;
+			return value === undefined ? undefined : Buffer.from(value, 'base64').toString('utf8');
 		},
+		getNow: () => Math.floor(performance.now()),
 		restore(ageMs) {
 			const takenAt = performance.now() - ageMs;
 			const kept = changes.filter(({at}) => at <= takenAt);
