Tell no peer whose row names an address that cannot be

Callers: one odd row among those of the routers ended every router that read it, again and again: sending a datagram to a port out of range throws.

Cause: the address in a router's row was used as it was read.

Change: an address that is not an IP address and a port is that of a router that cannot be told; what the row says of budgets still counts.

Evidence: test/odd-rows.test.ts, 'a router whose row names the odd address'; 5 of 6 addresses ended the router before (ERR_SOCKET_BAD_PORT, uncaught); port 0, added with the fix, too.

--- a/src/platform/entry.ts
+++ b/src/platform/entry.ts
@@ -4,7 +4,7 @@
 } from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import type {RegistryEntry} from '../registry/index.js';
-import {isAddress, parseAddress} from '../server/address.js';
+import {isRemoteAddress} from '../server/address.js';
 import {decodeJson} from './json.js';
 
 /** Requests name the id in a header. */
@@ -12,7 +12,7 @@
 
 const entrySchema = z.object({
 	service: z.string(),
-	address: z.string().refine(text => isAddress(text) && parseAddress(text).port > 0, 'is not an IP address and a port'),
+	address: z.string().refine(isRemoteAddress, 'is not an IP address and a port'),
 	/** The data centre. */
 	zone: z.string(),
 	/** Version of the endpoint's software, not of its model. */
--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -3,6 +3,7 @@
 import {computeBackoff} from '../loop/backoff.js';
 import {keepState} from '../loop/step.js';
 import type {Step} from '../loop/loop.js';
+import {isRemoteAddress} from '../server/address.js';
 import {getEra, rejectOutdated} from '../store/index.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
 import type {QuotaContext, QuotaEffect, QuotaEvent} from './messages.js';
@@ -547,7 +548,7 @@
 const decodePeerRouter = (row: StoredRow, time: number): PeerRouter => {
 	const value = decodeRowValue(holdsRowSchema, row.value);
 	return {
-		peerAddress: value?.peer ?? '',
+		peerAddress: value !== undefined && isRemoteAddress(value.peer) ? value.peer : '',
 		isLive: value !== undefined && time - value.at <= livenessTimeoutMs,
 		era: value?.era,
 		holds: Map(Object.entries(value?.holds ?? {})),
--- a/src/server/address.ts
+++ b/src/server/address.ts
@@ -28,3 +28,11 @@
 	const {host, port} = parseAddress(text);
 	return isIP(host) !== 0 && portPattern.test(text.slice(text.lastIndexOf(':') + 1)) && port <= maxPort;
 };
+
+/**
+Checks whether a text is an address to which a connection can be opened.
+
+@param text - The text.
+@returns False for port 0.
+*/
+export const isRemoteAddress = (text: string): boolean => isAddress(text) && parseAddress(text).port > 0;
--- a/test/odd-rows.test.ts
+++ b/test/odd-rows.test.ts
@@ -96,6 +96,15 @@
 	}, 20_000);
 });
 
+test.each(['127.0.0.1:99999999', '127.0.0.1:-1', '127.0.0.1:0', '127.0.0.1:1e3', 'odd', ':', '[::1]:x'])('a router whose row names the odd address %j ends no other one', async peer => {
+	const {store, listOutcomes} = await startSystem();
+	store.put('holds', 'other/127.0.0.2', {
+		change: 'other#1/1', at: store.getNow(), peer, era: 1, holds: {},
+	});
+	await sleep(3 * readMs);
+	expect(await listOutcomes()).toEqual(['i-1', 'i-2']);
+}, 20_000);
+
 describe('an odd row', () => {
 	test.each(['holds', 'budgets', 'verdicts', 'versions', 'origins'])('of the table %s ends no router', async table => {
 		const {store, listOutcomes} = await startSystem();
