Read all rows in pages when their changes are too many for one reply

Callers: routers stopped following the endpoints: one that had left got requests, and new ones got none.

Cause: the feed gives all changes in one reply. If another writer has left many large odd entries, that reply is larger than what a router takes, or takes longer than it waits; it counted as lost, and the router asked for the same changes again, without end.

Change: a reply that is too large counts as a lost history, and after three failed requests all rows are read, which comes in pages of bounded size.

--- a/src/edge/table-feed.test.ts
+++ b/src/edge/table-feed.test.ts
@@ -24,6 +24,7 @@
 		['no longer has the version, and was not away, is not regained', [reply(9, 1), {kind: 'forgotten'}, reply(12, 1)], ['all', 'history-lost', 'all'], 12],
 		['no longer has the version after it was away is regained', [reply(9), {kind: 'lost', reason: 'r'}, {kind: 'forgotten'}, reply(12)], ['all', 'lost', 'history-lost', 'regained all'], 12],
 		['came back while it was away is regained first', [reply(9, 1), {kind: 'lost', reason: 'r'}, reply(6, 3), reply(6, 3)], ['all', 'lost', 'regained restored', 'all'], 6],
+		['is away for long reads all rows on its return', [reply(9), ...Array.from({length: 3}, () => ({kind: 'lost', reason: 'r'} as const)), reply(12)], ['all', 'lost', '', '', 'regained all'], 12],
 		['answers late from an earlier era is not believed', [reply(9, 2), reply(15, 1), reply(10, 2)], ['all', 'lost', 'regained changes'], 10],
 	])('%s', (_, replies, kinds, version) => {
 		const end = followReplies(replies);
@@ -36,7 +37,7 @@
 			kind: 'done', rows: [], version: 10, now: 0, era: fail(createFault('bad-request', 'Store-Era: "x" is not a whole number')),
 		};
 		expect(followReplies([reply(9, 2), unreadable, reply(11, 2)])).toEqual({
-			position: {version: 11, era: 2, hasFailed: false}, kinds: ['all', 'era-unreadable changes', 'changes'],
+			position: {version: 11, era: 2, failures: 0}, kinds: ['all', 'era-unreadable changes', 'changes'],
 		});
 	});
 });
--- a/src/edge/table-feed.ts
+++ b/src/edge/table-feed.ts
@@ -26,34 +26,41 @@
 	version: number | undefined;
 	/** Latest era of the store; undefined if it has named none. */
 	era: number | undefined;
-	hasFailed: boolean;
+	/** Failed requests since the last successful one. */
+	failures: number;
 }>;
 
 type FeedStep = Readonly<{position: FeedPosition; events: readonly FeedEvent[]}>;
 
 /** The position before the first read. */
-export const feedStart: FeedPosition = {version: undefined, era: undefined, hasFailed: false};
+export const feedStart: FeedPosition = {version: undefined, era: undefined, failures: 0};
 
-const failFeed = (position: FeedPosition, reason: string): FeedStep => ({
-	position: {...position, hasFailed: true},
-	events: position.hasFailed ? [] : [{kind: 'lost', reason}],
-});
+/** Failed requests after which all rows are read: pages may get through where all changes at once do not. */
+const maxFailures = 3;
+
+const failFeed = (position: FeedPosition, reason: string): FeedStep => {
+	const failures = position.failures + 1;
+	return {
+		position: {...position, failures, version: failures < maxFailures ? position.version : undefined},
+		events: position.failures > 0 ? [] : [{kind: 'lost', reason}],
+	};
+};
 
 const receiveRows = (position: FeedPosition, reply: StoreReply & {kind: 'done'}): FeedStep => {
 	const era = getEra(reply) ?? position.era;
 	const isRestored = era !== position.era && position.era !== undefined;
 	const notices: readonly FeedEvent[] = [
-		...(position.hasFailed ? [{kind: 'regained'} as const] : []),
+		...(position.failures > 0 ? [{kind: 'regained'} as const] : []),
 		...(reply.era?.err ? [{kind: 'era-unreadable', reason: reply.era.val.detail} as const] : []),
 		...(isRestored ? [{kind: 'restored', from: position.era, to: era!} as const] : []),
 	];
 	// Versions of the former era are used again: changes up to the known version may have been missed.
 	if (isRestored && position.version !== undefined) {
-		return {position: {version: undefined, era, hasFailed: false}, events: notices};
+		return {position: {version: undefined, era, failures: 0}, events: notices};
 	}
 
 	return {
-		position: {version: Math.max(reply.version, position.version ?? 0), era, hasFailed: false},
+		position: {version: Math.max(reply.version, position.version ?? 0), era, failures: 0},
 		events: [...notices, position.version === undefined ? {kind: 'all', rows: reply.rows, version: reply.version} : {kind: 'changes', rows: reply.rows}],
 	};
 };
@@ -98,7 +105,7 @@
 		next.events.forEach(event => {
 			onEvent(event);
 		});
-		if (position.hasFailed || reply.kind === 'forgotten') {
+		if (position.failures > 0 || reply.kind === 'forgotten') {
 			await sleep(retryDelayMs);
 		}
 	}
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -18,7 +18,7 @@
 	read: (table: string) => Promise<StoreReply>;
 	/** Reads one row; the reply has no rows if it does not exist. */
 	readRow: (key: RowKey) => Promise<StoreReply>;
-	/** Waits for rows of a table that changed after the given version (long polling). */
+	/** Waits for rows of a table that changed after the given version (long polling). Changes that are too many for one reply count as forgotten: a read brings the rows in pages. */
 	follow: (table: string, after: number) => Promise<StoreReply>;
 }>;
 
@@ -77,8 +77,8 @@
 /** An HTTP request to the store. */
 type StoreRequest = Readonly<{method: string; path: string; timeoutMs: number; body?: string}>;
 
-/** A decoded reply, and whether a read has further pages. */
-type DecodedReply = Readonly<{reply: StoreReply; hasMore: boolean}>;
+/** A decoded reply, whether a read has further pages, and whether the reply was lost because it is too large. */
+type DecodedReply = Readonly<{reply: StoreReply; hasMore: boolean; isTooLarge: boolean}>;
 
 /** Reply decoders by HTTP status. With any other status, it is unknown whether the request was applied. */
 const replyDecoders: Readonly<Record<number, (reply: HttpReply) => StoreReply>> = {
@@ -118,10 +118,10 @@
 			agent, host, port, method, path,
 			headers: body === undefined ? {} : {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)},
 		});
-		const resolveLost = (reason: string) => {
+		const resolveLost = (reason: string, isTooLarge = false) => {
 			clearTimeout(timer);
 			outgoing.destroy();
-			resolve({reply: {kind: 'lost', reason}, hasMore: false});
+			resolve({reply: {kind: 'lost', reason}, hasMore: false, isTooLarge});
 		};
 
 		const timer = setTimeout(resolveLost, timeoutMs, `no answer within ${timeoutMs} ms`);
@@ -133,7 +133,7 @@
 			incoming.on('data', (chunk: Buffer) => {
 				buffer.add(chunk);
 				if (buffer.countBytes() > maxReplyBytes) {
-					resolveLost(`reply is larger than ${maxReplyBytes} bytes`);
+					resolveLost(`reply is larger than ${maxReplyBytes} bytes`, true);
 				}
 			});
 			incoming.on('error', error => {
@@ -146,9 +146,9 @@
 					const text = buffer.getBytes().toString('utf8');
 					const wire = status === 200 || status === 412 ? JSON.parse(text) as WireReply : {};
 					const era = decodeEra(incoming.headers['store-era'] as string | undefined);
-					resolve({reply: decodeReply({status, body: wire, era}), hasMore: wire.morePages === true});
+					resolve({reply: decodeReply({status, body: wire, era}), hasMore: wire.morePages === true, isTooLarge: false});
 				} catch {
-					resolve({reply: {kind: 'lost', reason: `status ${status} with a body that is not JSON`}, hasMore: false});
+					resolveLost(`status ${status} with a body that is not JSON`);
 				}
 			});
 		});
@@ -201,10 +201,10 @@
 			return reply;
 		},
 		async follow(table, after) {
-			const {reply} = await send(endpoint, {
+			const {reply, isTooLarge} = await send(endpoint, {
 				method: 'GET', path: `/v1/rows-feed?table=${encodeURIComponent(table)}&after=${after}&waitMs=${followWaitMs}`, timeoutMs: followWaitMs + followMarginMs,
 			});
-			return reply;
+			return isTooLarge ? {kind: 'forgotten'} : reply;
 		},
 	});
 
--- a/test/odd-rows.test.ts
+++ b/test/odd-rows.test.ts
@@ -94,6 +94,17 @@
 		await sleep(readMs);
 		expect(await listOutcomes()).toEqual(['i-1', 'i-2']);
 	}, 20_000);
+
+	test('does not stop the feed, however many there are', async () => {
+		const {store, listOutcomes} = await startSystem();
+		const value = Buffer.alloc(60_000, 'x').toString();
+		Array.from({length: 300}).forEach((_, index) => {
+			store.putText('servers', `odd-${index}`, value);
+		});
+		store.put('servers', 'i-1', undefined);
+		await sleep(4 * readMs);
+		expect(await listOutcomes()).toEqual(['i-2']);
+	}, 30_000);
 });
 
 test.each(['127.0.0.1:99999999', '127.0.0.1:-1', '127.0.0.1:0', '127.0.0.1:1e3', 'odd', ':', '[::1]:x'])('a router whose row names the odd address %j ends no other one', async peer => {
