Fail an attempt whose request no header can hold, and go on

Callers: an event id with a control character, from an endpoint that breaks off, or an organisation named outside of Latin-1, ended the router at the next send.

Cause: Node.js throws on such header values, in the middle of the router's loop; the same cause as that of odd ids of endpoints.

Change: the attempt fails as not sent, with the header in its reason; an organisation's name goes in UTF-8.

Evidence: http-proxy.test.ts, 'a request that no header can hold fails as not sent': uncaught ERR_INVALID_CHAR on.

--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -42,7 +42,7 @@
 });
 
 /** Creates a client-facing server that forwards one request through the proxy to an endpoint at the given port. */
-const createFrontServer = (proxy: ReturnType<typeof openHttpProxy>, endpoint: number, maxConnections = 100) => {
+const createFrontServer = (proxy: ReturnType<typeof openHttpProxy>, endpoint: number, maxConnections = 100, resumeAfter?: string) => {
 	let call = 0;
 	return createHttpServer((incoming, response) => {
 		incoming.resume();
@@ -54,7 +54,7 @@
 			proxy.accept(call, head, 'h', Buffer.alloc(0), response);
 			proxy.send({
 				kind: 'send', call, attempt: 1, endpoint: createIncarnation(endpoint), maxConnections, metadata: {
-					endpoint: 'i-1', remainingMs: 1000, organisation: undefined, urgency: undefined, resumeAfter: undefined,
+					endpoint: 'i-1', remainingMs: 1000, organisation: undefined, urgency: undefined, resumeAfter,
 				},
 			});
 		});
@@ -384,6 +384,22 @@
 	});
 });
 
+test('a request that no header can hold fails as not sent', async () => {
+	const events: EdgeEvent[] = [];
+	const proxy = openHttpProxy({
+		post(event) {
+			events.push(event);
+		},
+		isClosing: () => false,
+		random: () => 0,
+	});
+	const port = await listen(createFrontServer(proxy, await startEndpoint(() => undefined), 100, 'after an odd event \u0001'));
+	const client = request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end();
+	await expect.poll(() => events).toMatchObject([{kind: 'endpoint-failed', stage: 'unsent', reason: expect.stringContaining('Last-Event-Id') as string}]);
+	proxy.close();
+	client.destroy();
+});
+
 test('a request that waits for a connection fails as not sent', async () => {
 	const endpoint = await startEndpoint(() => undefined);
 	const failures: EdgeEvent[] = [];
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -6,8 +6,10 @@
 import type {Socket} from 'node:net';
 import {createByteBuffer} from '../byte-buffer/index.js';
 import type {ByteBuffer} from '../byte-buffer/index.js';
-import {createErrorResponse} from '../errors/index.js';
-import type {Fault} from '../errors/index.js';
+import {
+	createErrorResponse, createFault, fail, succeed,
+} from '../errors/index.js';
+import type {Fault, Result} from '../errors/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
 import type {Incarnation} from '../registry/index.js';
 import {runInBackground} from '../loop/background.js';
@@ -358,27 +360,43 @@
 		});
 	};
 
+	/** Creates a request to an endpoint; fails if a header cannot hold its value, which Node.js reports by an exception. */
+	const openRequest = (effect: SendEffect, {head, hostHeader, body}: ActiveRequest): Result<ClientRequest> => {
+		const {host, port} = parseAddress(effect.endpoint.address);
+		try {
+			return succeed(request({
+				agent: selectAgent(effect, head.key),
+				host,
+				port,
+				method: head.method,
+				path: head.url,
+				// Raw name and value pairs, which the type definitions of Node.js do not include.
+				headers: encodeRequestHeaders(head, effect.metadata, hostHeader, body.length) as unknown as OutgoingHttpHeaders,
+			}));
+		} catch (error) {
+			return fail(createFault('internal', `the request cannot be written: ${error instanceof Error ? error.message : String(error)}`));
+		}
+	};
+
 	const send = (effect: SendEffect): void => {
 		const activeRequest = activeRequests.get(effect.call);
 		if (activeRequest === undefined) {
 			return;
 		}
 
-		const {host, port} = parseAddress(effect.endpoint.address);
-		const outgoing = request({
-			agent: selectAgent(effect, activeRequest.head.key),
-			host,
-			port,
-			method: activeRequest.head.method,
-			path: activeRequest.head.url,
-			// Raw name and value pairs, which the type definitions of Node.js do not include.
-			headers: encodeRequestHeaders(activeRequest.head, effect.metadata, activeRequest.hostHeader, activeRequest.body.length) as unknown as OutgoingHttpHeaders,
-		});
+		const outgoing = openRequest(effect, activeRequest);
+		if (outgoing.err) {
+			post({
+				kind: 'endpoint-failed', call: effect.call, attempt: effect.attempt, stage: 'unsent', reason: outgoing.val.detail, events: 0, lastEventId: undefined, random: random(),
+			});
+			return;
+		}
+
 		const upstream: Upstream = {
 			attempt: effect.attempt,
 			endpoint: effect.endpoint,
 			key: activeRequest.head.key,
-			outgoing,
+			outgoing: outgoing.val,
 			isFinished: false,
 			isConnected: false,
 			initialBytesRead: 0,
@@ -392,16 +410,16 @@
 		};
 		activeRequest.upstream = upstream;
 		trackConnection(effect.call, upstream);
-		outgoing.on('response', incoming => {
+		upstream.outgoing.on('response', incoming => {
 			receiveResponseHead(effect.call, upstream, incoming);
 		});
-		outgoing.on('error', error => {
+		upstream.outgoing.on('error', error => {
 			// Surplus bytes after a complete response are a parse error that concerns no request.
 			if (upstream.response?.incoming.complete !== true) {
 				failAttempt(effect.call, upstream, getStage(upstream), error.message);
 			}
 		});
-		outgoing.end(activeRequest.body);
+		upstream.outgoing.end(activeRequest.body);
 	};
 
 	/**
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -114,6 +114,13 @@
 		expect(result.val).toMatchObject({kind: 'bad-request', detail: expect.stringContaining(field) as string});
 	});
 
+	test('names its organisation in UTF-8', () => {
+		const sent = encodeRequestHeaders(decodeHeaders(headers).unwrap(), {
+			endpoint: 'i-1', remainingMs: 900, organisation: 'Pier\u015Bcie\u0144', urgency: undefined, resumeAfter: undefined,
+		}, 'h', 0);
+		expect(Buffer.from(sent[sent.indexOf('Tenant') + 1]!, 'latin1').toString('utf8')).toBe('Pier\u015Bcie\u0144');
+	});
+
 	test('is forwarded without the API key and without headers that only the router may set', () => {
 		const request = decodeHeaders({
 			...headers, tenant: 'thief', hold: 'h', 'pin-ms': '9', 'kv-from': 'x', 'kv-backup': 'y', 'expect-instance': 'z', 'x-own': 'kept', connection: 'close',
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
@@ -160,6 +161,9 @@
 	});
 };
 
+/** Header values are bytes, which Node.js takes as Latin-1; other text goes in UTF-8. */
+const encodeHeaderText = (text: string): string => Buffer.from(text, 'utf8').toString('latin1');
+
 /**
 Encodes the headers of a request to an endpoint.
 
@@ -178,7 +182,7 @@
 	String(Math.max(1, Math.floor(metadata.remainingMs))),
 	'Expect-Instance',
 	metadata.endpoint,
-	...(metadata.organisation === undefined ? [] : ['Tenant', metadata.organisation]),
+	...(metadata.organisation === undefined ? [] : ['Tenant', encodeHeaderText(metadata.organisation)]),
 	...(metadata.urgency === undefined ? [] : ['Request-Urgency', String(metadata.urgency)]),
 	...(metadata.resumeAfter === undefined ? [] : ['Last-Event-Id', metadata.resumeAfter]),
 ];
