--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -90,7 +90,7 @@
 
 const startAgents = async (fleet: ProcessFleet, count: number): Promise<readonly Agent[]> => {
 	const hosts = fleet.hosts.started.address!;
-	const hostList = openServiceRegistry(`http://${hosts}`);
+	const hostList = openServiceRegistry(`http://${hosts}`, silentLog);
 	return Promise.all(Array.from({length: count}, async () => {
 		const agent = await startAgent({
 			listen: {host: '127.0.0.1', port: 0},
--- a/src/bin/galena-agent.ts
+++ b/src/bin/galena-agent.ts
@@ -10,8 +10,9 @@
 	name: 'galena-agent',
 	description: 'Runs next to an endpoint and forwards all requests to it.',
 	schema: agentSettings,
-	async start({agent, log}) {
-		const registry = openServiceRegistry(agent.hosts);
+	async start({agent, log: {level, metrics}}) {
+		const log = openLog({program: 'galena-agent', level, metrics});
+		const registry = openServiceRegistry(agent.hosts, log);
 		const started = await startAgent({
 			listen: agent.listen,
 			dataCentre: agent['data-centre'],
@@ -24,7 +25,7 @@
 				return routers.map(router => router.address);
 			},
 			incarnation: `a-${randomUUID()}`,
-			log: openLog({program: 'galena-agent', level: log.level, metrics: log.metrics}),
+			log,
 		});
 		return {stop: started.drain};
 	},
--- a/src/bin/galena-router.ts
+++ b/src/bin/galena-router.ts
@@ -18,7 +18,7 @@
 			control: router.control,
 			dataCentre: router['data-centre'],
 			table: createTableClient({address: table.address, tableName: table.name, timeout: table.timeout}),
-			serviceRegistry: openServiceRegistry(router.hosts),
+			serviceRegistry: openServiceRegistry(router.hosts, log),
 			policy: {
 				kind: grants.policy, size: grants.size, horizon: grants.horizon / 1000, share: grants.share, refusalCost: grants['refusal-cost'],
 			},
--- a/src/local/fleet.ts
+++ b/src/local/fleet.ts
@@ -80,7 +80,7 @@
 		at: parseAddress(ephemeralAddress), writesPerSecond: options.writesPerSecond ?? 500, readsPerSecond: 2000, seed: 1,
 	});
 	const hosts = await startHosts({at: parseAddress(ephemeralAddress), lag: options.lag ?? 50});
-	const hostList = openServiceRegistry(`http://${hosts.address}`);
+	const hostList = openServiceRegistry(`http://${hosts.address}`, log);
 
 	const openTableClient = (): TableClient => {
 		const client = createTableClient({address: `http://${table.address}`, tableName: 'galena', timeout: storeTimeoutMs});
