Take a request during a shutdown only if its response can be sent before the end

Callers: in a planned stop, requests that came late in the grace were taken, passed on, run, and closed without an answer, acts among them (LOST): on a new connection, as the first request of a connection that was opened before, with the end of a slow body, as the second of two pipelined ones, or with a body that never ends.

Cause: nothing asked whether a request can end before the process does. Requests kept their own deadlines beyond its end; bodies were waited for without regard to it; and a response with 'Connection: close' ended its connection although a further request had been read there.

Change: a shutdown has a moment by which the last responses must have been sent. It bounds the deadline of every request, so that each gets the final response that it gets at its deadline, and of every body. A request that arrives is taken if it ends by then: an act by its own deadline, others by the time that their route usually takes (src/service-time, mean and deviation as in RFC 6298). The rest is rejected at once, truthfully as not run, with the connection closed. Only the last response of a connection closes it, and nothing that is read after it is taken.

Decisions: handle.test.ts, 'a request during a shutdown'.

--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -2,6 +2,7 @@
 import {spreadRetryAfter, suggestRetryAfter} from '../queue/index.js';
 import {chargeTokens} from '../quota/index.js';
 import {updateEndpoint} from '../registry/index.js';
+import {recordServiceTime} from '../service-time/index.js';
 import type {Endpoint, Incarnation} from '../registry/index.js';
 import {isUnanswered} from '../in-flight/index.js';
 import type {InFlightRequest, UnansweredRequest} from '../in-flight/index.js';
@@ -168,6 +169,9 @@
 		state: {
 			...released,
 			requests: released.requests.delete(request.id),
+			serviceTimes: request.attempt === 0 || requestOutcome.outcome === 'caller-left'
+				? released.serviceTimes
+				: recordServiceTime(released.serviceTimes, request.route.name, now - request.arrivedAt),
 			quota: request.budget === undefined || request.reserved === 0 ? released.quota : chargeTokens(released.quota, request.budget, request.reserved, charged),
 		},
 		effects,
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -8,7 +8,7 @@
 import {periodic} from 'most';
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
-import type {Result} from '../errors/index.js';
+import type {Fault, Result} from '../errors/index.js';
 import {parseLoads} from '../gossip/index.js';
 import {digestBody} from '../in-flight/index.js';
 import type {BoundedLog} from '../log/bounded.js';
@@ -59,6 +59,9 @@
 /** Time before the forced kill at which the process stops waiting for requests and exits, in ms. */
 const exitMarginMs = 500;
 
+/** Time for writing the last responses before the process exits, in ms. */
+const lastResponsesMs = 250;
+
 /** Maximum time that a stopping process waits for the store to take back its budget reservations, in ms. */
 const budgetReleaseTimeoutMs = 1000;
 
@@ -95,16 +98,31 @@
 		},
 	});
 	const metrics = openMetrics();
-	let isStopping = false;
+	/** When the last responses must have been sent, in ms of the loop's clock; undefined unless the process is stopping. */
+	let answerBy: number | undefined;
 	let {grace: graceMs} = settings.bounds;
 	let requestCount = 0;
 	let lagMs = 0;
 	let lastTickAt = clock();
 
+	/** The latest response of each connection, and whether it tells the client that the connection is closed after it. */
+	const connections = new WeakMap<object, Readonly<{latest: ServerResponse; isClosing: boolean}>>();
+
+	/** Decides as a response is written whether it is the last one of its connection: during a shutdown, unless a further request has been read. */
+	const isLastResponse = (response: ServerResponse): boolean => {
+		const {socket} = response.req;
+		const isLast = answerBy !== undefined && connections.get(socket)?.latest === response;
+		if (isLast) {
+			connections.set(socket, {latest: response, isClosing: true});
+		}
+
+		return isLast;
+	};
+
 	const proxy = openHttpProxy({
 		post(event) {
 			loop.post(event);
-		}, isClosing: () => isStopping, random,
+		}, isLastResponse, random,
 	});
 
 	const requestStore = async (effect: EdgeEffect & {kind: 'store'}) => {
@@ -325,12 +343,17 @@
 		'era-unreadable': () => undefined,
 	};
 
-	/** Connections on which a request has been received. */
-	const seenConnections = new WeakSet<object>();
+	/** Rejects the requests whose bodies are not complete. */
+	const unreadBodies = new Set<(fault: Fault) => void>();
 
 	const receiveRequest = (incoming: IncomingMessage, response: ServerResponse) => {
-		const isFirstRequest = !seenConnections.has(incoming.socket);
-		seenConnections.add(incoming.socket);
+		const isFirstRequest = !connections.has(incoming.socket);
+		if (connections.get(incoming.socket)?.isClosing === true) {
+			// The client has been told that this connection takes no further request.
+			return;
+		}
+
+		connections.set(incoming.socket, {latest: response, isClosing: false});
 		response.on('error', () => undefined);
 		const head = decodeRequest({
 			method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders,
@@ -338,7 +361,7 @@
 		if (head.err) {
 			incoming.resume();
 			log.write('failure', 'call-malformed', {reason: head.val.detail});
-			sendErrorResponse(response, head.val, isStopping);
+			sendErrorResponse(response, head.val, isLastResponse(response));
 			return;
 		}
 
@@ -348,7 +371,11 @@
 		const route = config === undefined ? undefined : findRoute(config, head.val.host, head.val.url);
 		const limits = {
 			maxBytes: config?.limits.maxBodyBytes ?? defaultMaxBodyBytes,
-			timeoutMs: Math.min(head.val.clientTimeoutMs ?? Number.POSITIVE_INFINITY, route?.timeout ?? config?.limits.idleTimeoutMs ?? defaultBodyTimeoutMs),
+			timeoutMs: Math.min(
+				head.val.clientTimeoutMs ?? Number.POSITIVE_INFINITY,
+				route?.timeout ?? config?.limits.idleTimeoutMs ?? defaultBodyTimeoutMs,
+				Math.max(0, (answerBy ?? Number.POSITIVE_INFINITY) - receivedAt),
+			),
 		};
 		const acceptRequest = (body: Buffer) => {
 			requestCount += 1;
@@ -377,15 +404,21 @@
 				log.write('failure', 'call-ended', {
 					call: head.val.key, outcome: 'overloaded', status: 503, reason: `event processing is delayed by ${Math.round(Math.max(lagMs, loop.delay()))} ms`, retryAfter,
 				});
-				sendErrorResponse(response, createFault('overloaded', 'the router is overloaded', retryAfter), isStopping);
+				sendErrorResponse(response, createFault('overloaded', 'the router is overloaded', retryAfter), isLastResponse(response));
 			},
 		};
-		readRequestBody(incoming, limits, body => {
+		const rejectBody = readRequestBody(incoming, limits, body => {
+			unreadBodies.delete(rejectBody);
 			intakeHandlers[decideAdmission(Math.max(lagMs, loop.delay()), isFirstRequest)](body);
 		}, fault => {
+			unreadBodies.delete(rejectBody);
 			log.write('failure', 'call-malformed', {call: head.val.key, reason: fault.detail});
 			rejectUnread(incoming, response, fault);
 		});
+		unreadBodies.add(rejectBody);
+		response.on('close', () => {
+			unreadBodies.delete(rejectBody);
+		});
 	};
 
 	const server = createServer({
@@ -486,10 +519,15 @@
 			log.write('routine', 'settings-reloaded', {grace: graceMs, repeatSlack: next.bounds['repeat-slack'], needsRestart: isRestartNeeded});
 		},
 		async stop() {
-			isStopping = true;
-			log.write('routine', 'stopping', {incarnation, calls: loop.state().requests.size});
-			loop.post({kind: 'stop-wanted'});
 			const deadline = clock() + graceMs - exitMarginMs;
+			answerBy = deadline - lastResponsesMs;
+			log.write('routine', 'stopping', {incarnation, calls: loop.state().requests.size});
+			loop.post({kind: 'stop-wanted', answerBy});
+			const timer = setTimeout(() => {
+				[...unreadBodies].forEach(rejectBody => {
+					rejectBody(createFault('body-late', 'body: not complete before the router ends'));
+				});
+			}, answerBy - clock());
 			await sleep(listenGraceMs);
 			server.close();
 			await awaitDrained(deadline);
@@ -497,6 +535,7 @@
 			await awaitBudgetRelease(Math.min(deadline, clock() + budgetReleaseTimeoutMs));
 			// Connections that were still open may have brought further requests.
 			await awaitDrained(deadline);
+			clearTimeout(timer);
 			log.write('routine', 'stopped', {incarnation, calls: loop.state().requests.size, responses: responses.count()});
 			client.close();
 			peerSocket.close();
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -794,7 +794,68 @@
 	const edge = new EdgeHarness();
 	expect(isReady(edge.state)).toBe(false);
 	expect(isReady(edge.start().state)).toBe(true);
-	expect(isReady(edge.post({kind: 'stop-wanted'}).state)).toBe(false);
+	expect(isReady(edge.post({kind: 'stop-wanted', answerBy: 7000}).state)).toBe(false);
+});
+
+describe('a request during a shutdown', () => {
+	const answerBy = 7000;
+
+	/** Starts a shutdown after requests of a route that took 200 ms each. */
+	const startStopping = (route: string, served = 20) => {
+		const edge = new EdgeHarness().start();
+		Array.from({length: served}, (_, index) => index + 100).forEach(id => {
+			edge.sendRequest(id, route);
+			edge.now += 200;
+			edge.respond(id, 1);
+		});
+		edge.now = 0;
+		return edge.post({kind: 'stop-wanted', answerBy});
+	};
+
+	const sendAt = (edge: EdgeHarness, now: number, route: string) => {
+		edge.now = now;
+		return edge.sendRequest(1, route).listEffects();
+	};
+
+	test.each([
+		['an act that ends at its deadline', 'act', 3999, true],
+		['an act that may still run at the end', 'act', 4001, false],
+		['a safe request of a kind that is fast', 'safe', 6500, true],
+		['a safe request that comes too late for its kind', 'safe', 6900, false],
+		['any request after the last responses', 'safe', 7001, false],
+	])('is taken only if its response can be sent in time: %s', (_, route, now, isTaken) => {
+		expect(sendAt(startStopping(route), now, route)).toEqual(isTaken ? [expect.stringMatching('^send ') as string] : ['refuse not-ready']);
+	});
+
+	test('of a kind that is not known yet is taken only if it ends at its deadline', () => {
+		expect(sendAt(startStopping('safe', 0), 4001, 'safe')).toEqual(['refuse not-ready']);
+		expect(sendAt(startStopping('safe', 0), 3999, 'safe')).toEqual([expect.stringMatching('^send ') as string]);
+	});
+
+	test.each([
+		['sent', 'act', 'refuse deadline'],
+		['a stream', 'stream', 'cut'],
+	])('that was taken has its final response before the end: %s', (_, route, effect) => {
+		const edge = new EdgeHarness().start().sendRequest(1, route);
+		edge.state = {...edge.state, requests: edge.state.requests.map(request => ({...request, expiresAt: 9000}))};
+		if (route === 'stream') {
+			edge.respond(1, 1, streamHead);
+		}
+
+		edge.post({kind: 'stop-wanted', answerBy}).advance(answerBy - 1);
+		expect(edge.listEffects()).toEqual([]);
+		expect(edge.advance(1).listEffects()).toContain(effect);
+	});
+
+	test('that waits for an endpoint is rejected as not run', () => {
+		const edge = new EdgeHarness().start([createEntry('e1', {slots: 1})]);
+		Array.from({length: 12}, (_, index) => edge.sendRequest(index + 1, 'safe'));
+		const waiting = edge.state.requests.filter(({phase}) => phase === 'queued').keySeq().first()!;
+		edge.state = {...edge.state, requests: edge.state.requests.map(request => ({...request, expiresAt: 9000}))};
+		edge.post({kind: 'stop-wanted', answerBy: 100});
+		edge.advance(101);
+		expect(edge.effects).toContainEqual(expect.objectContaining({kind: 'refuse', call: waiting, fault: expect.objectContaining({kind: 'overloaded'}) as unknown}));
+	});
 });
 
 /** A model request: 100 prompt tokens and at most 20 output tokens. */
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -1,4 +1,5 @@
 import {selectNewerConfig} from '../routing-config/index.js';
+import type {RoutingConfig} from '../routing-config/index.js';
 import {
 	encodeLoads, isToldSeldom, maxGossipPeers, removeStalePeers, recordPeerLoads, sumLoads,
 } from '../gossip/index.js';
@@ -11,6 +12,7 @@
 	updateEntry, removeMissing, markUnavailable, markAvailable, markRestored, recordPromptParts, replaceEntries,
 } from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
+import {retainServiceTimes} from '../service-time/index.js';
 import {completeSave} from '../stream-origin/index.js';
 import {createLogEffect} from './common.js';
 import {
@@ -30,15 +32,18 @@
 import {
 	readVerdicts, receivePoisonNews, receiveSavedVerdicts, receiveVerdictSave, recordRequestBreak, rejectWaitingPoison, resetVerdictRows, saveCrashes, saveVerdicts, updateVerdicts,
 } from './poison.js';
+import {beginShutdown} from './shutdown.js';
 import {failOverUnresponsive} from './unresponsive.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 type Handler<Kind extends EdgeEvent['kind']> = (state: EdgeState, event: EdgeEvent & {kind: Kind}, now: number) => EdgeStep;
 
+const listRouteNames = ({routes}: RoutingConfig): ReadonlySet<string> => new Set(routes.valueSeq().toArray().flatMap(ofHost => ofHost.map(({name}) => name)));
+
 const receiveConfig: Handler<'catalog-read'> = (state, event) => {
 	const config = selectNewerConfig(state.config, event.config);
 	return {
-		state: {...state, config},
+		state: {...state, config, serviceTimes: config === state.config ? state.serviceTimes : retainServiceTimes(state.serviceTimes, listRouteNames(config))},
 		effects: config === state.config
 			? []
 			: [createLogEffect('configuration-in-force', {version: config.version, before: state.config?.version ?? 0, routes: config.routes.size})],
@@ -187,7 +192,7 @@
 	tick: receiveTick,
 	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
-	'stop-wanted': state => keepState({...state, isStopping: true}),
+	'stop-wanted': (state, event) => keepState(beginShutdown(state, event.answerBy)),
 };
 
 /**
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -74,7 +74,7 @@
 					finalEvent = event;
 				}
 			},
-			isClosing: () => false,
+			isLastResponse: () => false,
 			random: () => 0,
 		});
 		const front = createFrontServer(proxy, endpoint);
@@ -302,7 +302,7 @@
 				deliverOrClose(event, proxy);
 			}
 		},
-		isClosing: () => false,
+		isLastResponse: () => false,
 		random: () => 0,
 	});
 	const port = await listen(createFrontServer(proxy, endpoint));
@@ -341,7 +341,7 @@
 					statements.push({endpoint: event.endpoint.id, isLeaving: event.head.isLeaving, pushbackMs: event.head.pushbackMs.unwrap()});
 				}
 			},
-			isClosing: () => false,
+			isLastResponse: () => false,
 			random: () => 0,
 		});
 		const port = await listen(createFrontServer(proxy, endpoint));
@@ -390,7 +390,7 @@
 		post(event) {
 			events.push(event);
 		},
-		isClosing: () => false,
+		isLastResponse: () => false,
 		random: () => 0,
 	});
 	const port = await listen(createFrontServer(proxy, await startEndpoint(() => undefined), 100, 'after an odd event \u0001'));
@@ -407,7 +407,7 @@
 		post(event) {
 			failures.push(event);
 		},
-		isClosing: () => false,
+		isLastResponse: () => false,
 		random: () => 0,
 	});
 	const port = await listen(createFrontServer(proxy, endpoint, 1));
@@ -457,7 +457,7 @@
 				failures.push(event);
 			}
 		},
-		isClosing: () => false,
+		isLastResponse: () => false,
 		random: () => 0,
 	});
 	const port = await listen(createFrontServer(proxy, endpoint));
@@ -542,7 +542,7 @@
 						resolve(event);
 					}
 				},
-				isClosing: () => false,
+				isLastResponse: () => false,
 				random: () => 0,
 			});
 			const front = createFrontServer(proxy, endpoint);
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -42,6 +42,8 @@
 	readonly hostHeader: string;
 	readonly body: Buffer;
 	client: ClientResponse;
+	/** Called as the head of the response is written: whether it closes the client's connection. */
+	readonly isLast: () => boolean;
 	/** The in-flight request to the endpoint. */
 	upstream: Upstream | undefined;
 };
@@ -89,8 +91,8 @@
 
 type HttpProxyOptions = Readonly<{
 	post: (event: EdgeEvent) => void;
-	/** True during a graceful shutdown, when responses close the client's connection so that clients use another router. */
-	isClosing: () => boolean;
+	/** Decides as the head of a response is written whether it closes the client's connection, as it does during a graceful shutdown so that clients use another router. */
+	isLastResponse: (response: ServerResponse) => boolean;
 	random: () => number;
 }>;
 
@@ -484,7 +486,7 @@
 			return client;
 		}
 
-		const stream = client.begin(head.status, formatHeaders(head, options.isClosing()));
+		const stream = client.begin(head.status, formatHeaders(head, activeRequest.isLast()));
 		activeRequest.client = stream;
 		return stream;
 	};
@@ -572,6 +574,7 @@
 				client: openClientResponse(response, () => {
 					activeRequests.get(requestId)?.upstream?.response?.incoming.resume();
 				}),
+				isLast: () => options.isLastResponse(response),
 				upstream: undefined,
 			});
 			response.on('close', () => {
@@ -597,13 +600,13 @@
 
 			const {head} = upstream.response;
 			const body = upstream.body.getBytes();
-			answerOrBreak(activeRequest.client, head.status, [...formatHeaders(head, options.isClosing()), 'Content-Length', String(body.length)], body);
+			answerOrBreak(activeRequest.client, head.status, [...formatHeaders(head, activeRequest.isLast()), 'Content-Length', String(body.length)], body);
 		},
 		streamResponse,
 		reject(requestId, fault) {
 			const activeRequest = removeRequest(requestId);
 			if (activeRequest !== undefined) {
-				const {status, headers, body} = formatErrorResponse(fault, options.isClosing());
+				const {status, headers, body} = formatErrorResponse(fault, activeRequest.isLast());
 				answerOrBreak(activeRequest.client, status, headers, body);
 			}
 		},
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -62,7 +62,8 @@
 	| Readonly<{kind: 'tick'; random: number}>
 	/** The bounds in the settings were reconfigured. */
 	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number}>
-	| Readonly<{kind: 'stop-wanted'}>
+	/** The shutdown begins; the last responses must have been sent at the given time, in ms. */
+	| Readonly<{kind: 'stop-wanted'; answerBy: number}>
 	/** All requests have ended during shutdown: the tokens held are returned to the budgets. */
 	| Readonly<{kind: 'leave-wanted'; random: number}>;
 
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -11,6 +11,7 @@
 import {identifyUnanswered, putRequest} from './common.js';
 import {checkPoison, rejectPoison} from './poison.js';
 import {locateStream} from './resume.js';
+import {admitDuringShutdown} from './shutdown.js';
 import type {EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
@@ -91,7 +92,12 @@
 		return rejectArrival(state, event, admissionResult.val);
 	}
 
-	const request = createAdmittedRequest(event, admissionResult.val, now);
+	const requestResult = admitDuringShutdown(state, createAdmittedRequest(event, admissionResult.val, now), event.random, now);
+	if (requestResult.err) {
+		return rejectArrival(state, event, requestResult.val);
+	}
+
+	const request = requestResult.val;
 	const counted: EdgeState = {
 		...state, retryBudget: creditRequest(state.retryBudget, request.service, state.retryBudgetBounds, state.liveRouters.length),
 	};
--- a/src/edge/request-body.ts
+++ b/src/edge/request-body.ts
@@ -20,8 +20,9 @@
 @param limits - Bounds of the body.
 @param onComplete - Called with the whole body.
 @param onFault - Called at most once, and not after `onComplete`, as soon as the body is too large or late.
+@returns A function that rejects a body which is not complete yet.
 */
-export const readRequestBody = (incoming: IncomingMessage, limits: BodyLimits, onComplete: (body: Buffer) => void, onFault: (fault: Fault) => void): void => {
+export const readRequestBody = (incoming: IncomingMessage, limits: BodyLimits, onComplete: (body: Buffer) => void, onFault: (fault: Fault) => void): ((fault: Fault) => void) => {
 	const buffer = createByteBuffer();
 	let isSettled = false;
 	const settle = (report: () => void) => {
@@ -61,6 +62,7 @@
 	incoming.on('close', () => {
 		settle(() => undefined);
 	});
+	return fail;
 };
 
 /**
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -11,6 +11,7 @@
 import type {PoisonGuard, VerdictRows} from '../poison/index.js';
 import {emptyRegistry} from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
+import type {ServiceTimes} from '../service-time/index.js';
 import {createSavedVersions, createStreamOrigins} from '../stream-origin/index.js';
 import type {RetiredVersions, SavedVersions, StreamOrigins} from '../stream-origin/index.js';
 import type {EdgeEffect} from './messages.js';
@@ -62,7 +63,10 @@
 	isPoisonNewsUrgent: boolean;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
 	endpointsCheckedAt: number;
-	isStopping: boolean;
+	/** How long requests take, by route. */
+	serviceTimes: ServiceTimes;
+	/** During the shutdown, when the last responses must have been sent, in ms; undefined before. */
+	answerBy: number | undefined;
 }>;
 
 /** New state and effects of one event. */
@@ -117,7 +121,8 @@
 	poisonToldAt: 0,
 	isPoisonNewsUrgent: false,
 	endpointsCheckedAt: 0,
-	isStopping: false,
+	serviceTimes: Map(),
+	answerBy: undefined,
 });
 
 /**
@@ -127,7 +132,7 @@
 @returns True once configuration and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown.
 */
 export const isReady = (state: EdgeState): boolean =>
-	!state.isStopping && state.config !== undefined && state.registryReadAt !== undefined && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
+	state.answerBy === undefined && state.config !== undefined && state.registryReadAt !== undefined && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
 
 /**
 Tells whether all tokens held have been returned to the budgets.
