--- a/test/odd-rows.test.ts
+++ b/test/odd-rows.test.ts
@@ -2,6 +2,7 @@
 import {createServer, request} from 'node:http';
 import {describe, expect, test} from 'vitest';
 import {startRouter} from './edge-system.js';
+import {oddEntries, oddIds, soundEntry} from './odd-entries.js';
 
 const createEndpoint = (name: string) => createServer((incoming, response) => {
 	incoming.resume();
@@ -36,13 +37,6 @@
 	return {...system, listOutcomes};
 };
 
-const sound = {
-	service: 's', address: '127.0.0.1:1', zone: 'z', version: 'v1', slots: 64, state: 'ready', born: 1,
-};
-
-/** Text that is valid JSON, and nested as deeply as a row can hold. */
-const deepText = `${'['.repeat(30_000)}${']'.repeat(30_000)}`;
-
 /** Time within which a router has read a change of the store, in ms. */
 const readMs = 700;
 
@@ -50,26 +44,11 @@
 	setTimeout(resolve, milliseconds);
 });
 
-const oddValues: ReadonlyArray<readonly [string, string]> = [
-	['bytes that are not JSON', '\u0000{'],
-	['deeply nested arrays', deepText],
-	['deeply nested objects', `${'{"a":'.repeat(10_000)}1${'}'.repeat(10_000)}`],
-	['a deeply nested field', JSON.stringify(sound).replace('"v1"', deepText)],
-	['a number that is too large', JSON.stringify(sound).replace('64', '1e400')],
-	['a start time that is too large', JSON.stringify(sound).replace('"born":1', `"born":${'9'.repeat(5000)}`)],
-	...['1e3', '0x50', ' 80', '80 ', '+80', '-1', '0', '70000', '99999999', '8.5', ''].map(port => [`the port "${port}"`, JSON.stringify({...sound, address: `127.0.0.1:${port}`})] as const),
-	['no port', JSON.stringify({...sound, address: '127.0.0.1'})],
-	['null', 'null'],
-];
-
-/** Ids that no header can hold, or that would end it. */
-const oddIds = ['i-\u0000', 'i-\r\nX-Odd: 1', 'i-\u0142', ' ', ''];
-
 describe('an odd entry among those of the endpoints', () => {
 	test.each([['beside sound ones', 'i-3', ['i-1', 'i-2']], ['over a sound one', 'i-1', ['i-2']]])('takes no other endpoint away, %s', async (_, id, served) => {
 		const {store, listOutcomes} = await startSystem();
 		const soundText = store.get('servers', 'i-1');
-		for (const [, text] of oddValues) {
+		for (const [, text] of oddEntries) {
 			store.putText('servers', id, text);
 			await sleep(readMs / 10);
 		}
@@ -81,7 +60,7 @@
 		expect(await listOutcomes()).toEqual(['i-1', 'i-2']);
 	}, 20_000);
 
-	test.each(oddValues)('is not used: %s', async (_, text) => {
+	test.each(oddEntries)('is not used: %s', async (_, text) => {
 		const {store, listOutcomes} = await startSystem();
 		store.putText('servers', 'i-3', text);
 		await sleep(readMs);
@@ -90,7 +69,7 @@
 
 	test.each(oddIds)('ends no router by its id: %j', async id => {
 		const {store, listOutcomes} = await startSystem();
-		store.put('servers', id, {...sound, address: (JSON.parse(store.get('servers', 'i-2')!) as typeof sound).address});
+		store.put('servers', id, {...soundEntry, address: (JSON.parse(store.get('servers', 'i-2')!) as typeof soundEntry).address});
 		await sleep(readMs);
 		expect(await listOutcomes()).toEqual(['i-1', 'i-2']);
 	}, 20_000);
@@ -119,7 +98,7 @@
 describe('an odd row', () => {
 	test.each(['holds', 'budgets', 'verdicts', 'versions', 'origins'])('of the table %s ends no router', async table => {
 		const {store, listOutcomes} = await startSystem();
-		oddValues.forEach(([, text], index) => {
+		oddEntries.forEach(([, text], index) => {
 			store.putText(table, `odd-${index}`, text);
 		});
 		await sleep(3 * readMs);
--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -16,12 +16,16 @@
 
 /** A fake endpoint that registers itself in the store. */
 export type FakeEndpoint = Readonly<{
+	/** Returns the id of its present incarnation. */
+	getId: () => string;
 	/** Closes all connections, and registers a new incarnation at the same address. */
 	crash: () => void;
 	/** Registers as draining; requests are still served, but reported if they arrive after the grace period. */
 	drain: () => void;
 	/** States in its responses alone that it is leaving; requests are reported if they arrive from a router that was told earlier than the grace period. */
 	leave: () => void;
+	/** Writes its entry again as it is. */
+	renew: () => void;
 	/** States a rate limit in its responses from now on, and reports if more requests arrive than it allows; undefined ends the limit. */
 	setRateLimit: (requestsPerSecond: number | undefined) => void;
 	close: () => void;
@@ -62,6 +66,15 @@
 /** Delays, in ms: until the response to an unsafe request, between events, and until the first event. */
 const delaysMs = {act: 20, event: 25, first: 40} as const;
 
+/** Last segment of the path of acts that take long, and their time in ms. */
+export const slowSegment = 'slow';
+const slowActMs = 1900;
+
+/** Answers that stop in their heads: one in so many. */
+const brokenHeadOneIn = 40;
+
+const brokenHead = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n';
+
 type EndpointOptions = Readonly<{
 	/** Prefix of its id; the incarnation follows. */
 	name: string;
@@ -74,6 +87,8 @@
 	senders: Senders;
 	/** Picks the requests that it turns away to have a rest; undefined for none. */
 	restRandom: Random | undefined;
+	/** Picks the requests whose answers stop in the middle of the head; undefined for none. */
+	breakRandom: Random | undefined;
 	/** Called with each violation that the endpoint sees. */
 	report: (violation: string) => void;
 	/** Called with the id of each request that arrives on which endpoints crash, and again if this one crashes on it. */
@@ -86,7 +101,7 @@
 @param options - Its name, and what it shares with the other endpoints.
 @returns The endpoint.
 */
-export const startEndpoint = async ({name, softwareVersion, store, executions, senders, restRandom, report, onCrashCause}: EndpointOptions): Promise<FakeEndpoint> => {
+export const startEndpoint = async ({name, softwareVersion, store, executions, senders, restRandom, breakRandom, report, onCrashCause}: EndpointOptions): Promise<FakeEndpoint> => {
 	let incarnation = 0;
 	let isDown = false;
 	let isClosed = false;
@@ -180,13 +195,23 @@
 		return cause !== undefined;
 	};
 
+	/** Ends the answer in the middle of its head if it is picked; returns false otherwise. */
+	const breakHead = (incoming: IncomingMessage): boolean => {
+		const isBroken = breakRandom?.pick(brokenHeadOneIn) === 0;
+		if (isBroken) {
+			incoming.socket.end(brokenHead.slice(0, breakRandom?.pick(brokenHead.length)));
+		}
+
+		return isBroken;
+	};
+
 	const serveAct = (incoming: IncomingMessage, response: ServerResponse) => {
 		recordExecution(incoming, true);
 		setTimeout(() => {
-			if (!crashOn(incoming)) {
+			if (!crashOn(incoming) && !breakHead(incoming)) {
 				response.writeHead(200, createHeaders(incoming)).end(String(incoming.headers['attempt-id']));
 			}
-		}, delaysMs.act);
+		}, incoming.url?.endsWith(`/${slowSegment}`) === true ? slowActMs : delaysMs.act);
 	};
 
 	const serveStream = (incoming: IncomingMessage, response: ServerResponse) => {
@@ -210,6 +235,10 @@
 				return;
 			}
 
+			if (index === start + 1 && breakHead(incoming)) {
+				return;
+			}
+
 			if (index === start + 1) {
 				recordExecution(incoming, false);
 				response.writeHead(200, {...createHeaders(incoming), 'content-type': 'text/event-stream'});
@@ -320,6 +349,7 @@
 	};
 
 	return {
+		getId,
 		crash() {
 			if (isDown) {
 				return;
@@ -332,6 +362,11 @@
 		leave() {
 			isLeaving = true;
 		},
+		renew() {
+			if (!isDown) {
+				register(drainingSince === Number.POSITIVE_INFINITY ? 'ready' : 'draining');
+			}
+		},
 		drain() {
 			if (isDown) {
 				return;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -2,15 +2,16 @@
 import type {ChildProcess} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {Agent, request} from 'node:http';
-import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {createRandom} from '../../src/random/index.js';
 import type {Random} from '../../src/random/index.js';
+import {oddEntries, oddIds, soundEntry} from '../odd-entries.js';
 import {
-	eventCount, killerSegment, poisonPart, startEndpoint,
+	eventCount, killerSegment, poisonPart, slowSegment, startEndpoint,
 } from './endpoint.js';
 import type {CrashCause, Execution, FakeEndpoint} from './endpoint.js';
 import {startProxy} from './proxy.js';
@@ -149,6 +150,20 @@
 /** On seeds with this remainder by 3, an endpoint says in its responses alone that it is leaving, and ends after a while. */
 const leave = {remainder: 1, serveMs: 3500} as const;
 
+/** On seeds with this remainder, another writer leaves odd entries among those of the endpoints, beside them and over them, at this interval. */
+const oddEntry = {
+	oneIn: 2, remainder: 0, intervalMs: 120, renewMs: 300,
+} as const;
+
+/** On seeds with this remainder by 3, some answers of endpoints stop in the middle of their heads. */
+const brokenHeads = {oneIn: 3, remainder: 1} as const;
+
+/** Acts that take long: one in so many. */
+const slowActOneIn = 25;
+
+/** Connections that are opened before a shutdown and used only late in it, and when they are, in ms after its begin. */
+const lateConnections = {count: 4, fromMs: 1500, untilMs: 4200} as const;
+
 /** Resumed streams from which on the share of those that go on counts. */
 const minResumed = 12;
 
@@ -175,8 +190,14 @@
 repeat-slack = 50
 `;
 
-const startProcess = (program: string, settings: string, lines: string[]): ChildProcess => {
+const startProcess = (program: string, settings: string, lines: string[], onFailure: (violation: string) => void): ChildProcess => {
 	const child = spawn(process.execPath, [path.join('dist', 'bin', `${program}.js`), '--settings', settings], {stdio: ['ignore', 'pipe', 'pipe']});
+	child.on('exit', code => {
+		// A process that is stopped exits with 0, and one that is killed has no exit code.
+		if (code !== null && code !== 0) {
+			onFailure(`${program} ended by itself with code ${code}: ${lines.slice(-8).join(' / ')}`);
+		}
+	});
 	[child.stdout, child.stderr].forEach(output => {
 		output?.on('data', bytes => {
 			lines.push(...String(bytes).trimEnd().split('\n'));
@@ -253,6 +274,8 @@
 	isAct: boolean;
 	/** Whether it is the one request of the run that comes again and crashes endpoints. */
 	isKiller: boolean;
+	/** The last segment of its path. */
+	segment: string;
 	/** What its id begins with. */
 	idPrefix: string;
 	promptParts: readonly string[];
@@ -272,7 +295,7 @@
 	const isCausing = (cause: CrashCause) => seed % 4 === crashRules[cause].remainder && interrupted === undefined && crashRandom.pick(crashRules[cause].oneIn) === 0;
 	if (isCausing('request')) {
 		return {
-			isAct: seed % 8 < 4, isKiller: true, idPrefix: `${seed % 8 < 4 ? 'act' : 'crash'}-${killerSegment}`, promptParts: ['a0', 'b0', killerSegment],
+			isAct: seed % 8 < 4, isKiller: true, segment: killerSegment, idPrefix: `${seed % 8 < 4 ? 'act' : 'crash'}-${killerSegment}`, promptParts: ['a0', 'b0', killerSegment],
 		};
 	}
 
@@ -281,6 +304,7 @@
 	return {
 		isAct,
 		isKiller: false,
+		segment: isAct && index % slowActOneIn === 0 ? slowSegment : 'x',
 		idPrefix: isAct ? 'act' : (isPoison ? 'crash' : 'chat'),
 		promptParts: [`a${crashRandom.pick(2)}`, ...(isPoison ? [poisonPart] : []), `b${crashRandom.pick(3)}`, `own${index}`],
 	};
@@ -344,12 +368,13 @@
 		senders: {findRouter, hasPaused},
 		onCrashCause: recordCrashCause,
 		restRandom: seed % rests.oneIn === rests.remainder ? restRandom : undefined,
+		breakRandom: seed % brokenHeads.oneIn === brokenHeads.remainder ? createRandom(seed + 6_000_000) : undefined,
 	})));
 	const relayPorts = await Promise.all([findPort(), findPort()]);
 	const relaySettings = path.join(folder, `relay-${seed}.ini`);
 	writeFileSync(relaySettings, `[host]\nname = relay\n[listen]\nrouters = 127.0.0.1:${relayPorts[0]}\nmetrics = 127.0.0.1:${relayPorts[1]}\n[store]\naddress = 127.0.0.1:${storePort}\n`);
 	const relayLines: string[] = [];
-	let relay = startProcess('galena-relay', relaySettings, relayLines);
+	let relay = startProcess('galena-relay', relaySettings, relayLines, report);
 	const routers: readonly Router[] = await Promise.all([0, 1, 2].map(async index => {
 		const listenPorts = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
 		const proxy = await startProxy(storePort);
@@ -357,15 +382,16 @@
 		writeFileSync(settings, formatRouterSettings(`router-${index}`, listenPorts, proxy.address, `127.0.0.1:${relayPorts[0]}`));
 		const lines: string[] = [];
 		return {
-			ports: listenPorts, settings, proxy, agent: new Agent({keepAlive: true, maxSockets: 20}), child: startProcess('galena-edge', settings, lines), lines,
+			ports: listenPorts, settings, proxy, agent: new Agent({keepAlive: true, maxSockets: 20}), child: startProcess('galena-edge', settings, lines, report), lines,
 		};
 	}));
 
 	let isLoading = true;
-	const sendCall = (interrupted?: Call) => {
-		const {isAct, isKiller, idPrefix, promptParts} = pickRequest(seed, calls.length, random, crashRandom, interrupted);
+	/** Sends a request, which may resume a stream, or use a connection that is open to the given router. */
+	const sendCall = (interrupted?: Call, connection?: Readonly<{router: number; socket: Socket}>) => {
+		const {isAct, isKiller, segment, idPrefix, promptParts} = pickRequest(seed, calls.length, random, crashRandom, interrupted);
 		const organisation = interrupted?.organisation ?? (isKiller || random.pick(2) === 0 ? 'rich' : 'poor');
-		const index = random.pick(routers.length);
+		const index = connection?.router ?? random.pick(routers.length);
 		const router = routers[index]!;
 		const call: Call = {
 			id: `${idPrefix}-${seed}-${calls.length}`,
@@ -392,7 +418,8 @@
 		};
 
 		const outgoing = request({
-			agent: router.agent, host: '127.0.0.1', port: router.ports[0], path: `/${isAct ? 'act' : 'chat'}/${isKiller ? killerSegment : 'x'}`, method: 'POST', headers: {
+			...(connection === undefined ? {agent: router.agent} : {createConnection: () => connection.socket}),
+			host: '127.0.0.1', port: router.ports[0], path: `/${isAct ? 'act' : 'chat'}/${segment}`, method: 'POST', headers: {
 				host: 'h',
 				'attempt-id': call.id,
 				'request-deadline-ms': '2500',
@@ -430,6 +457,20 @@
 		}
 	};
 
+	const lateRandom = createRandom(seed + 7_000_000);
+
+	/** Opens connections to a router that is about to be stopped, and uses them late. */
+	const sendLate = (router: number) => {
+		Array.from({length: lateConnections.count}, () => connect(routers[router]!.ports[0]!, '127.0.0.1')).forEach(socket => {
+			socket.on('error', () => undefined);
+			setTimeout(() => {
+				if (!socket.destroyed) {
+					sendCall(undefined, {router, socket});
+				}
+			}, lateConnections.fromMs + lateRandom.pick(lateConnections.untilMs - lateConnections.fromMs));
+		});
+	};
+
 	const faults: string[] = [];
 	const shutdowns: Shutdown[] = [];
 	const recordFault = (fault: string) => {
@@ -451,7 +492,7 @@
 	};
 
 	const restartRouter = (router: Router) => {
-		router.child = startProcess('galena-edge', router.settings, router.lines);
+		router.child = startProcess('galena-edge', router.settings, router.lines, report);
 	};
 
 	const runProxyFault = async (index: number, mode: ProxyMode, durationMs: number) => runFault(`router ${index} ${mode}`, () => {
@@ -483,6 +524,7 @@
 			const {child} = router;
 			recordFault(`router ${index} stopped`);
 			const from = getNow();
+			sendLate(index);
 			child.kill('SIGTERM');
 			await awaitExit(child);
 			recordPause(index, 0);
@@ -517,7 +559,7 @@
 		async (_, durationMs) => runFault('relay killed', () => {
 			relay.kill('SIGKILL');
 		}, durationMs, () => {
-			relay = startProcess('galena-relay', relaySettings, relayLines);
+			relay = startProcess('galena-relay', relaySettings, relayLines, report);
 		}),
 	];
 
@@ -557,6 +599,21 @@
 		endpoints[index]!.crash();
 	};
 
+	const oddRandom = createRandom(seed + 8_000_000);
+	const writeOddEntry = () => {
+		const [, text] = oddEntries[oddRandom.pick(oddEntries.length)]!;
+		const isOver = oddRandom.pick(8) === 0;
+		const endpoint = endpoints[oddRandom.pick(endpoints.length)]!;
+		store.putText('servers', isOver ? endpoint.getId() : `odd-${oddRandom.pick(20)}`, text);
+		store.put('servers', oddIds[oddRandom.pick(oddIds.length)]!, soundEntry);
+		setTimeout(() => {
+			if (isOver) {
+				endpoint.renew();
+			}
+		}, oddEntry.renewMs);
+	};
+
+	const oddTimer = seed % oddEntry.oneIn === oddEntry.remainder ? setInterval(writeOddEntry, oddEntry.intervalMs) : undefined;
 	const seeded = [seed % 3 === restore.remainder ? restoreStore() : undefined, seed % 3 === leave.remainder ? leaveEndpoint() : undefined];
 	await Promise.all([...seeded, ...scheduled.map(async ({at, kind, index, durationMs}) => {
 		await wait(at);
@@ -564,6 +621,7 @@
 	})]);
 	await wait(Math.max(0, faultPhaseStartedAt + faultPhaseMs - getNow()));
 	limited.setRateLimit(undefined);
+	clearInterval(oddTimer);
 	await wait(recoveryPhaseMs);
 	clearInterval(callTimer);
 	isLoading = false;
