Play copied refusals and failed resumptions in the soak

On each fourth seed endpoints write a refusal once more on its kept connection, before the answer to the next request, and answer resumed streams with an error.

--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -73,6 +73,10 @@
 /** Answers that stop in their heads: one in so many. */
 const brokenHeadOneIn = 40;
 
+/** Refusals that are written once more, and resumed streams that get an error: one in so many. */
+const copiedRefusalOneIn = 3;
+const failedResumptionOneIn = 4;
+
 const brokenHead = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n';
 
 type EndpointOptions = Readonly<{
@@ -89,6 +93,8 @@
 	restRandom: Random | undefined;
 	/** Picks the requests whose answers stop in the middle of the head; undefined for none. */
 	breakRandom: Random | undefined;
+	/** Picks the refusals that it writes once more on their connections, and the resumed streams that it answers with an error; undefined for none. */
+	faultRandom: Random | undefined;
 	/** Called with each violation that the endpoint sees. */
 	report: (violation: string) => void;
 	/** Called with the id of each request that arrives on which endpoints crash, and again if this one crashes on it. */
@@ -101,7 +107,7 @@
 @param options - Its name, and what it shares with the other endpoints.
 @returns The endpoint.
 */
-export const startEndpoint = async ({name, softwareVersion, store, executions, senders, restRandom, breakRandom, report, onCrashCause}: EndpointOptions): Promise<FakeEndpoint> => {
+export const startEndpoint = async ({name, softwareVersion, store, executions, senders, restRandom, breakRandom, faultRandom, report, onCrashCause}: EndpointOptions): Promise<FakeEndpoint> => {
 	let incarnation = 0;
 	let isDown = false;
 	let isClosed = false;
@@ -195,6 +201,24 @@
 		return cause !== undefined;
 	};
 
+	/** The last refusal of each connection, as it was written. */
+	const refusals = new WeakMap<Socket, string>();
+
+	/** Writes an earlier refusal of a connection once more, before the answer to its next request. */
+	const copyRefusal = ({socket}: IncomingMessage) => {
+		const text = refusals.get(socket);
+		if (text !== undefined && faultRandom?.pick(copiedRefusalOneIn) === 0) {
+			socket.write(text);
+		}
+	};
+
+	const formatRefusal = (incoming: IncomingMessage, restMs: number): string => {
+		const headers = Object.entries({
+			...createHeaders(incoming), 'not-executed': '1', 'retry-after': String(restMs / 1000), 'content-length': '0',
+		});
+		return `HTTP/1.1 503 Service Unavailable\r\n${headers.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`;
+	};
+
 	/** Ends the answer in the middle of its head if it is picked; returns false otherwise. */
 	const breakHead = (incoming: IncomingMessage): boolean => {
 		const isBroken = breakRandom?.pick(brokenHeadOneIn) === 0;
@@ -282,6 +306,13 @@
 			const restMs = rests.receive(String(incoming.headers['attempt-id']));
 			if (restMs !== undefined) {
 				response.writeHead(503, {...createHeaders(incoming), 'not-executed': '1', 'retry-after': String(restMs / 1000)}).end();
+				refusals.set(incoming.socket, formatRefusal(incoming, restMs));
+				return;
+			}
+
+			copyRefusal(incoming);
+			if (Number(incoming.headers['last-event-id'] ?? 0) > 0 && faultRandom?.pick(failedResumptionOneIn) === 0) {
+				response.writeHead(500, createHeaders(incoming)).end('this endpoint has failed');
 				return;
 			}
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -158,6 +158,9 @@
 /** On seeds with this remainder by 3, some answers of endpoints stop in the middle of their heads. */
 const brokenHeads = {oneIn: 3, remainder: 1} as const;
 
+/** On seeds with this remainder by 4, endpoints write refusals once more on their connections, and answer resumed streams with errors. */
+const copiedAnswers = {oneIn: 4, remainder: 0} as const;
+
 /** Acts that take long: one in so many. */
 const slowActOneIn = 25;
 
@@ -368,6 +371,7 @@
 		senders: {findRouter, hasPaused},
 		onCrashCause: recordCrashCause,
 		restRandom: seed % rests.oneIn === rests.remainder ? restRandom : undefined,
+		faultRandom: seed % copiedAnswers.oneIn === copiedAnswers.remainder ? createRandom(seed + 9_000_000) : undefined,
 		breakRandom: seed % brokenHeads.oneIn === brokenHeads.remainder ? createRandom(seed + 6_000_000) : undefined,
 	})));
 	const relayPorts = await Promise.all([findPort(), findPort()]);
