--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -386,19 +386,20 @@
 			return;
 		}
 
-		const outgoing = openRequest(effect, activeRequest);
-		if (outgoing.err) {
+		const opened = openRequest(effect, activeRequest);
+		if (opened.err) {
 			post({
-				kind: 'endpoint-failed', call: effect.call, attempt: effect.attempt, stage: 'unsent', reason: outgoing.val.detail, events: 0, lastEventId: undefined, random: random(),
+				kind: 'endpoint-failed', call: effect.call, attempt: effect.attempt, stage: 'unsent', reason: opened.val.detail, events: 0, lastEventId: undefined, random: random(),
 			});
 			return;
 		}
 
+		const outgoing = opened.val;
 		const upstream: Upstream = {
 			attempt: effect.attempt,
 			endpoint: effect.endpoint,
 			key: activeRequest.head.key,
-			outgoing: outgoing.val,
+			outgoing,
 			isFinished: false,
 			isConnected: false,
 			initialBytesRead: 0,
@@ -412,16 +413,16 @@
 		};
 		activeRequest.upstream = upstream;
 		trackConnection(effect.call, upstream);
-		upstream.outgoing.on('response', incoming => {
+		outgoing.on('response', incoming => {
 			receiveResponseHead(effect.call, upstream, incoming);
 		});
-		upstream.outgoing.on('error', error => {
+		outgoing.on('error', error => {
 			// Surplus bytes after a complete response are a parse error that concerns no request.
 			if (upstream.response?.incoming.complete !== true) {
 				failAttempt(effect.call, upstream, getStage(upstream), error.message);
 			}
 		});
-		upstream.outgoing.end(activeRequest.body);
+		outgoing.end(activeRequest.body);
 	};
 
 	/**
