--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -2,8 +2,9 @@
 import type {ChildProcess} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {Agent, request} from 'node:http';
+import type {RequestOptions} from 'node:http';
 import {connect, createServer} from 'node:net';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -391,15 +392,19 @@
 	}));
 
 	let isLoading = true;
-	/** Sends a request, which may resume a stream, or use a connection that is open to the given router. */
-	const sendCall = (interrupted?: Call, connection?: Readonly<{router: number; socket: Socket}>) => {
+	const pickConnection = () => {
+		const router = random.pick(routers.length);
+		return {router, options: {agent: routers[router]!.agent}};
+	};
+
+	/** Sends a request, which may resume a stream, over a connection to the given router. */
+	const sendCall = (interrupted?: Call, getConnection: () => Readonly<{router: number; options: RequestOptions}> = pickConnection) => {
 		const {isAct, isKiller, segment, idPrefix, promptParts} = pickRequest(seed, calls.length, random, crashRandom, interrupted);
 		const organisation = interrupted?.organisation ?? (isKiller || random.pick(2) === 0 ? 'rich' : 'poor');
-		const index = connection?.router ?? random.pick(routers.length);
-		const router = routers[index]!;
+		const {router, options} = getConnection();
 		const call: Call = {
 			id: `${idPrefix}-${seed}-${calls.length}`,
-			router: index,
+			router,
 			organisation,
 			sentAt: getNow(),
 			resumed: interrupted === undefined ? undefined : {origin: interrupted.resumed?.origin ?? interrupted, lastEvent: findLastEvent(interrupted)},
@@ -422,8 +427,8 @@
 		};
 
 		const outgoing = request({
-			...(connection === undefined ? {agent: router.agent} : {createConnection: () => connection.socket}),
-			host: '127.0.0.1', port: router.ports[0], path: `/${isAct ? 'act' : 'chat'}/${segment}`, method: 'POST', headers: {
+			...options,
+			host: '127.0.0.1', port: routers[router]!.ports[0], path: `/${isAct ? 'act' : 'chat'}/${segment}`, method: 'POST', headers: {
 				host: 'h',
 				'attempt-id': call.id,
 				'request-deadline-ms': '2500',
@@ -469,7 +474,7 @@
 			socket.on('error', () => undefined);
 			setTimeout(() => {
 				if (!socket.destroyed) {
-					sendCall(undefined, {router, socket});
+					sendCall(undefined, () => ({router, options: {createConnection: () => socket}}));
 				}
 			}, lateConnections.fromMs + lateRandom.pick(lateConnections.untilMs - lateConnections.fromMs));
 		});
