--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -184,7 +184,6 @@
 const maxRememberedLeaving = 4096;
 const maxRememberedRemoved = 4096;
 
-/** Forgets which prompt parts an endpoint may have cached: they take most of its memory, and are a matter of speed alone. */
 /** Limit of prompt parts remembered per endpoint; above it the older half is evicted. */
 const maxPromptParts = 2000;
 
@@ -201,6 +200,7 @@
 	return {...endpoint, promptPartsSentAt: known.size <= maxPromptParts ? known : known.sortBy(at => -at).take(maxPromptParts / 2)};
 };
 
+/** Forgets which prompt parts an endpoint may have cached: they take most of its memory, and are a matter of speed alone. */
 const forgetPromptParts = (endpoint: Endpoint): Endpoint => ({...endpoint, promptPartsSentAt: Map()});
 
 /** Removes endpoints, and keeps what is known of them. */
