--- a/src/poison/judge.ts
+++ b/src/poison/judge.ts
@@ -174,8 +174,8 @@
 };
 
 /**
-Adds the crashes that a request shares with what is condemned. They are no evidence against a request that is in hardly any other, as it may be there by chance; one that has crashed
-endpoints alone is likely to have caused these, too.
+Adds the crashes that a request shares with what is condemned. They are no evidence against a request that is in hardly any other, as it may be there by chance; one without any proven
+output that has crashed endpoints alone is likely to have caused these, too.
 */
 const addSharedCrashes = (evidence: Evidence, request: Suspicion, all: readonly Crash[]): Suspicion =>
 	({...request, crashes: all.filter(({at, suspects}) => suspects.has(request.suspect) && !isCleared(evidence, request.suspect, at))});
@@ -205,7 +205,7 @@
 	const suspicions = listSuspicions(evidence, withoutPart);
 	const requests = listSuspicions(evidence, unexplained).filter(({kind}) => kind === 'request');
 	return [
-		...findRequests(requests.map(request => addSharedCrashes(evidence, request, crashes)), unexplained, now),
+		...findRequests(requests.map(request => request.wasProven ? request : addSharedCrashes(evidence, request, crashes)), unexplained, now),
 		...findParts(evidence, {parts: suspicions.filter(({kind}) => kind === 'part'), requests: suspicions.filter(({kind}) => kind === 'request')}, withoutPart, now),
 	];
 };
