Count a request's time from when it may have been sent, and reset an accept queue that is too old

Cause: what a process cannot see was taken for nothing. Node.js accepts one connection per iteration of its event loop. Observability: 'unread' in call-sent and call-ended, events accept-queue-reset and listen-failed, histograms galena_unread_milliseconds and galena_lag_milliseconds.

--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -154,6 +154,7 @@
 				outcome: requestOutcome.outcome,
 				status: requestOutcome.status,
 				elapsed: Math.round(now - request.arrivedAt),
+				unread: Math.round(request.unreadMs),
 				first: request.firstEventAt === undefined ? undefined : Math.round(request.firstEventAt - request.arrivedAt),
 				predicted: Math.round(request.predicted),
 				sends: request.attempt,
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -27,6 +27,7 @@
 import {verdictTable} from '../poison/index.js';
 import type {StoredRow} from '../store/index.js';
 import {locateOrigin, versionTable} from '../stream-origin/index.js';
+import {watchAcceptQueue} from './accept-queue.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
 import type {FeedEvent} from './table-feed.js';
@@ -105,6 +106,9 @@
 	let lagMs = 0;
 	let lastTickAt = clock();
 
+	/** Returns how long an event that is posted now waits, in ms. */
+	const getDelay = (): number => Math.max(lagMs, loop.delay());
+
 	/** The latest response of each connection, and whether it tells the client that the connection is closed after it. */
 	const connections = new WeakMap<object, Readonly<{latest: ServerResponse; isClosing: boolean}>>();
 
@@ -366,22 +370,26 @@
 		}
 
 		const receivedAt = clock();
+		const unreadMs = acceptQueue.boundWait(incoming);
+		metrics.apply({
+			kind: 'observe', metric: 'unread', labels: {connection: isFirstRequest ? 'new' : 'kept'}, milliseconds: unreadMs,
+		});
 		const {config} = loop.state();
 		const hostHeader = incoming.headers.host ?? '';
 		const route = config === undefined ? undefined : findRoute(config, head.val.host, head.val.url);
+		const timeLimitMs = Math.min(
+			head.val.clientTimeoutMs ?? Number.POSITIVE_INFINITY,
+			route?.timeout ?? config?.limits.idleTimeoutMs ?? defaultBodyTimeoutMs,
+		);
 		const limits = {
 			maxBytes: config?.limits.maxBodyBytes ?? defaultMaxBodyBytes,
-			timeoutMs: Math.min(
-				head.val.clientTimeoutMs ?? Number.POSITIVE_INFINITY,
-				route?.timeout ?? config?.limits.idleTimeoutMs ?? defaultBodyTimeoutMs,
-				Math.max(0, (answerBy ?? Number.POSITIVE_INFINITY) - receivedAt),
-			),
+			timeoutMs: Math.max(0, Math.min(timeLimitMs - unreadMs, (answerBy ?? Number.POSITIVE_INFINITY) - receivedAt)),
 		};
 		const acceptRequest = (body: Buffer) => {
 			requestCount += 1;
 			proxy.accept(requestCount, head.val, hostHeader, body, response);
 			loop.post({
-				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, random: random(),
+				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, unreadMs, random: random(),
 			});
 		};
 
@@ -394,22 +402,24 @@
 						if (response.socket?.writable === true) {
 							acceptRequest(body);
 						} else {
-							log.write('failure', 'call-left-unread', {call: head.val.key, lag: Math.round(lagMs)});
+							log.write('failure', 'call-left-unread', {call: head.val.key, lag: Math.round(lagMs), unread: Math.round(unreadMs)});
 						}
 					});
 				});
 			},
 			refuse() {
-				const retryAfter = suggestRetryAfter(head.val.clientTimeoutMs ?? 0, random());
+				const retryAfter = suggestRetryAfter(timeLimitMs - unreadMs, random());
 				log.write('failure', 'call-ended', {
-					call: head.val.key, outcome: 'overloaded', status: 503, reason: `event processing is delayed by ${Math.round(Math.max(lagMs, loop.delay()))} ms`, retryAfter,
+					call: head.val.key, outcome: 'overloaded', status: 503, reason: `event processing is delayed by ${Math.round(getDelay())} ms`, unread: Math.round(unreadMs), retryAfter,
 				});
 				sendErrorResponse(response, createFault('overloaded', 'the router is overloaded', retryAfter), isLastResponse(response));
 			},
 		};
 		const rejectBody = readRequestBody(incoming, limits, body => {
 			unreadBodies.delete(rejectBody);
-			intakeHandlers[decideAdmission(Math.max(lagMs, loop.delay()), isFirstRequest)](body);
+			intakeHandlers[decideAdmission({
+				lagMs: getDelay(), unreadMs, timeLimitMs, isFirstOnConnection: isFirstRequest,
+			})](body);
 		}, fault => {
 			unreadBodies.delete(rejectBody);
 			log.write('failure', 'call-malformed', {call: head.val.key, reason: fault.detail});
@@ -425,6 +435,17 @@
 		maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000, noDelay: true,
 	}, receiveRequest);
 	const responses = trackResponses(server);
+	const acceptQueue = watchAcceptQueue({
+		server,
+		address: settings.listen.callers,
+		clock,
+		onReset(ageMs) {
+			log.write('failure', 'accept-queue-reset', {age: Math.round(ageMs), lag: Math.round(lagMs)});
+		},
+		onListenFailure(error) {
+			log.write('failure', 'listen-failed', {reason: error.message});
+		},
+	});
 	const readyServer = createServer((incoming, response) => {
 		incoming.resume();
 		response.writeHead(isReady(loop.state()) ? 200 : 503, {'content-length': 0}).end();
@@ -452,6 +473,7 @@
 	peerSocket.bind(settings.listen.peers.port, settings.listen.peers.host);
 
 	await Promise.all([listen(server, settings.listen.callers), listen(readyServer, settings.listen.ready), listen(metricsServer, settings.listen.metrics)]);
+	acceptQueue.start();
 	const {user, system} = process.cpuUsage();
 	log.write('routine', 'started', {
 		incarnation, dataCentre: settings.host['data-centre'], uptime: Math.round(process.uptime() * 1000), processorTime: Math.round((user + system) / 1000),
@@ -479,6 +501,10 @@
 	runInBackground(async () => periodic(tickIntervalMs).observe(() => {
 		lagMs = clock() - lastTickAt - tickIntervalMs;
 		lastTickAt = clock();
+		acceptQueue.recordLag(lagMs);
+		metrics.apply({
+			kind: 'observe', metric: 'lag', labels: {}, milliseconds: Math.max(0, lagMs),
+		});
 		loop.post({kind: 'tick', random: random()});
 	}));
 	runInBackground(async () => periodic(1000).observe(() => {
@@ -529,6 +555,7 @@
 				});
 			}, answerBy - clock());
 			await sleep(listenGraceMs);
+			acceptQueue.close();
 			server.close();
 			await awaitDrained(deadline);
 			loop.post({kind: 'leave-wanted', random: random()});
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -77,9 +77,9 @@
 		return this.post({kind: 'catalog-read', config}).post({kind: 'endpoints-listed', entries: endpoints});
 	}
 
-	sendRequest(id: number, route: string, fields: Partial<RequestHead> = {}, receivedAt = this.now): this {
+	sendRequest(id: number, route: string, fields: Partial<RequestHead> = {}, receivedAt = this.now, unreadMs = 0): this {
 		return this.post({
-			kind: 'call-arrived', call: id, bodyDigest: `b${id}`, receivedAt, random: 0.5, head: {
+			kind: 'call-arrived', call: id, bodyDigest: `b${id}`, receivedAt, unreadMs, random: 0.5, head: {
 				key: `c${id}`, method: 'GET', url: `/${route}/x`, host: 'h', apiKey: 'k', clientTimeoutMs: 3000, modelRequest: undefined,
 				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [], ...fields,
 			},
@@ -728,6 +728,12 @@
 		expect(edge.advance(1).listEffects()).toEqual(['abort', 'refuse deadline']);
 	});
 
+	test('the timeout of its route also counts the time for which a request lay unread', () => {
+		const edge = new EdgeHarness().start().advance(5000).sendRequest(1, 'act', {}, 5000, 1000);
+		expect(edge.advance(1999).listEffects()).toEqual([]);
+		expect(edge.advance(1).listEffects()).toEqual(['abort', 'refuse deadline']);
+	});
+
 	test('a request gets its final response at the timeout of its route', () => {
 		expect(new EdgeHarness().start().sendRequest(1, 'act').advance(2999).listEffects()).toEqual([]);
 		expect(new EdgeHarness().start().sendRequest(1, 'act').advance(3000).listEffects()).toEqual(['abort', 'refuse deadline']);
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -22,8 +22,8 @@
 
 /** Events of the edge router. `call` is the number of a request; `random` is in [0, 1). */
 export type EdgeEvent =
-	/** A client's request was read completely; `bodyDigest` is undefined if its body is empty. Its head was read at `receivedAt`, in ms of the loop's clock. */
-	| Readonly<{kind: 'call-arrived'; call: number; head: RequestHead; bodyDigest: string | undefined; receivedAt: number; random: number}>
+	/** A client's request was read completely; `bodyDigest` is undefined if its body is empty. Its head was read at `receivedAt`, in ms of the loop's clock, and may have waited for `unreadMs` before. */
+	| Readonly<{kind: 'call-arrived'; call: number; head: RequestHead; bodyDigest: string | undefined; receivedAt: number; unreadMs: number; random: number}>
 	/** The client disconnected; `events` counts the events of the current attempt that it received. */
 	| Readonly<{kind: 'caller-left'; call: number; events: number}>
 	/** The endpoint ended a cancelled request; `hasNotRun` is true if there was no output before. */
@@ -109,4 +109,4 @@
 export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed';
 
 /** Names of histograms. */
-export type HistogramName = 'call' | 'firstOutput';
+export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -40,6 +40,12 @@
 		firstOutput: new Histogram({
 			name: 'galena_first_output_milliseconds', help: 'Time from a call\'s arrival to the first event, by route.', labelNames: ['route'], buckets: bucketsMs, registers,
 		}),
+		unread: new Histogram({
+			name: 'galena_unread_milliseconds', help: 'Longest time for which a request may have waited until it was read, by connection.', labelNames: ['connection'], buckets: bucketsMs, registers,
+		}),
+		lag: new Histogram({
+			name: 'galena_lag_milliseconds', help: 'Lag of a timer that fires every 20 ms: how long the event loop did not poll its sockets.', buckets: bucketsMs, registers,
+		}),
 	};
 	return {
 		apply(effect) {
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -78,6 +78,7 @@
 					resumedKey: request.head.resumedKey,
 					resumeAfter: request.lastEventId ?? request.head.resumeAfter,
 					waited: Math.round(now - request.arrivedAt),
+					unread: Math.round(request.unreadMs),
 					predicted: Math.round(predicted),
 					newTokens,
 					pending: endpoint.pending + (state.peerLoadTotals.get(endpoint.id)?.pending ?? 0),
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -54,7 +54,9 @@
 		priority: organisation?.priority ?? route.priority,
 		maxCostTokens,
 		arrivedAt: event.receivedAt,
-		expiresAt: event.receivedAt + Math.min(route.timeout, event.head.clientTimeoutMs ?? route.timeout),
+		unreadMs: event.unreadMs,
+		// The client's time runs from when it sent the request.
+		expiresAt: event.receivedAt - event.unreadMs + Math.min(route.timeout, event.head.clientTimeoutMs ?? route.timeout),
 		phaseAt: now,
 	});
 };
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -101,6 +101,8 @@
 	reserved: number;
 	/** When its head was read. */
 	arrivedAt: number;
+	/** Longest time for which it may have waited before, in ms. */
+	unreadMs: number;
 	/** Deadline of the final response. */
 	expiresAt: number;
 	phase: RequestPhase;
@@ -154,7 +156,7 @@
 @returns The request, without reserved tokens or attempts.
 */
 export const createInFlightRequest = (fields: Pick<
-	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'expiresAt' | 'phaseAt'
+	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
 	reserved: 0,
--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -2,5 +2,5 @@
 	decideDispatch, decideLimitedDispatch, decideAdmission, hasWaitedTooLong, orderQueue, pickNext, predictLimitedSendAt, spreadRetryAfter, suggestRetryAfter,
 } from './queue.js';
 export type {
-	Dispatch, DispatchQuery, LimitedQuery, AdmissionDecision,
+	AdmissionDecision, AdmissionQuery, Dispatch, DispatchQuery, LimitedQuery,
 } from './queue.js';
--- a/src/queue/queue.test.ts
+++ b/src/queue/queue.test.ts
@@ -28,6 +28,7 @@
 	priority: 1,
 	maxCostTokens: 0,
 	arrivedAt,
+	unreadMs: 0,
 	phaseAt: arrivedAt,
 	expiresAt: arrivedAt + 5000,
 });
@@ -129,19 +130,30 @@
 });
 
 describe('a process that lags behind its timers', () => {
+	/** A request that was read at once. */
+	const promptly = {
+		lagMs: 0, unreadMs: 0, timeLimitMs: 5000, isFirstOnConnection: false,
+	};
+
 	test.each([[0, 'take'], [99, 'take'], [150, 'check'], [399, 'check'], [400, 'refuse'], [5000, 'refuse']])('by %d ms: %s', (lagMs, intake) => {
-		expect(decideAdmission(lagMs, false)).toBe(intake);
+		expect(decideAdmission({...promptly, lagMs})).toBe(intake);
 	});
 
 	test.each([[0, 'check'], [399, 'check'], [400, 'refuse']] as const)('the first request of a connection, %i ms behind: %s', (lagMs, intake) => {
-		expect(decideAdmission(lagMs, true)).toBe(intake);
+		expect(decideAdmission({...promptly, lagMs, isFirstOnConnection: true})).toBe(intake);
+	});
+
+	test.each([
+		[0, 1200, 'take'], [99, 1200, 'take'], [100, 1200, 'check'], [1080, 1200, 'check'], [1081, 1200, 'refuse'], [1081, 5000, 'check'], [4501, 5000, 'refuse'],
+	])('a request that was read after %i of its %i ms: %s', (unreadMs, timeLimitMs, intake) => {
+		expect(decideAdmission({...promptly, unreadMs, timeLimitMs})).toBe(intake);
 	});
 
 	/** Simulates a process that serves 500 requests per second; clients that get no response within one second disconnect and retry twice at once. */
 	const simulateRetryStorm = (decide: typeof decideAdmission) => Array.from({length: 400}).reduce<Readonly<{backlog: number; wasted: number}>>(({backlog, wasted: inVain}) => {
 		const lagMs = backlog * 2;
 		const arrivals = lagMs > 1000 ? 15 : 6;
-		const isRefused = decide(lagMs, false) === 'refuse';
+		const isRefused = decide({...promptly, lagMs}) === 'refuse';
 		// Rejecting a request costs a quarter of the work of serving it.
 		const work = isRefused ? arrivals / 4 : arrivals;
 		return {backlog: Math.max(0, backlog + work - 5), wasted: inVain + (lagMs > 1000 && !isRefused ? arrivals : 0)};
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -135,29 +135,42 @@
 	| 'check'
 	| 'refuse';
 
-/** Timer lag from which a client may have disconnected before its request was read: clients wait at least one second. */
-const checkLagMs = 100;
+/** What an admission decision depends on. */
+export type AdmissionQuery = Readonly<{
+	/** Lag of the process behind its timers and events, in ms. */
+	lagMs: number;
+	/** Longest time for which the request may have waited before it was read, in ms. */
+	unreadMs: number;
+	/** Time from when the client sent the request until it must have its final response, in ms. */
+	timeLimitMs: number;
+	isFirstOnConnection: boolean;
+}>;
+
+/** Fraction of its time limit that must be left of a request when it is read: with less, it cannot be served. */
+const minRemainingFraction = 0.1;
+
+/** Delay from which a client may have disconnected before its request was read: clients wait at least one second. */
+const checkDelayMs = 100;
 
-/** Timer lag from which new requests are shed: they would take CPU time from those already admitted. */
+/** Lag from which new requests are shed: they would take CPU time from those already admitted. */
 const shedLagMs = 400;
 
 /**
 Decides whether a request is admitted.
 
 Load pattern: a retry storm overloads the CPU, and requests are read so late that
-their clients have disconnected. The first request of a connection is always checked:
-it may have waited for long before the connection was accepted, which cannot be measured.
+their clients have disconnected, or that they cannot be served before their deadline. The first request
+of a connection is always checked: it may have waited for long before the connection was accepted.
 
-@param lagMs - Lag of the process behind its timers, in ms.
-@param isFirstOnConnection - True for the first request of a connection.
+@param query - The request and the lag of the process.
 @returns The decision.
 */
-export const decideAdmission = (lagMs: number, isFirstOnConnection: boolean): AdmissionDecision => {
-	if (lagMs >= shedLagMs) {
+export const decideAdmission = ({lagMs, unreadMs, timeLimitMs, isFirstOnConnection}: AdmissionQuery): AdmissionDecision => {
+	if (lagMs >= shedLagMs || unreadMs > timeLimitMs * (1 - minRemainingFraction)) {
 		return 'refuse';
 	}
 
-	return isFirstOnConnection || lagMs >= checkLagMs ? 'check' : 'take';
+	return isFirstOnConnection || Math.max(lagMs, unreadMs) >= checkDelayMs ? 'check' : 'take';
 };
 
 /** Bounds of the time after which a rejected client may retry. */
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -431,7 +431,7 @@
 		const router = random.pick(load.routers);
 		calls.set(call, {request, router, isFirst});
 		post(router, {
-			kind: 'call-arrived', call, receivedAt: now, random: random.draw(), bodyDigest: request.bodyDigest, head: {
+			kind: 'call-arrived', call, receivedAt: now, unreadMs: 0, random: random.draw(), bodyDigest: request.bodyDigest, head: {
 				key: `c${call}`, method: 'GET', url: request.url, host: 'h', apiKey: undefined, clientTimeoutMs: 3000,
 				modelRequest: request.kind === 'model' ? createModelRequest(request.parts) : undefined,
 				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [],
--- a/test/limit-play.ts
+++ b/test/limit-play.ts
@@ -171,7 +171,7 @@
 		const router = load.routers === 1 || random.draw() < (load.firstRouterFraction ?? 1 / load.routers) ? 0 : 1 + random.pick(load.routers - 1);
 		arrivedAt[call] = now;
 		post(router, {
-			kind: 'call-arrived', call, bodyDigest: `b${call}`, receivedAt: now, random: random.draw(), head: {
+			kind: 'call-arrived', call, bodyDigest: `b${call}`, receivedAt: now, unreadMs: 0, random: random.draw(), head: {
 				key: `c${call}`, method: 'GET', url: '/x', host: 'h', apiKey: undefined, clientTimeoutMs: 3000, modelRequest: undefined,
 				resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [],
 			},
