Read which versions are in use before a stream without a record goes on

Cause: 'no other version is known' was taken for 'there is no other', if no read had failed: not how old the knowledge was. Change: such a stream waits for a reading of the registry and of the saved versions that began after its request came; one reading serves all that wait when it begins. If the store does not say, or another version shows, the request is rejected as not run. Evidence: handle.test.ts on: a router that watched one version for 40 s, then heard nothing for 0.6, 1.5 or 4 s; the store does not reply, the reply is lost, refused, has no record yet, or the client names no earlier request: 15 of 15 go on at the old version; none now. Tests changed: 'once its service has had only one version for long enough' stated the fault; it asks for the reading now. The others answer the new question; 'does not answer' ticks in steps.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -26,7 +26,7 @@
 import type {AdmissionDecision} from '../queue/index.js';
 import {verdictTable} from '../poison/index.js';
 import type {StoredRow} from '../store/index.js';
-import {locateOrigin, versionTable} from '../stream-origin/index.js';
+import {decodeOrigin, locateOrigin, versionTable} from '../stream-origin/index.js';
 import {watchAcceptQueue} from './accept-queue.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
@@ -159,6 +159,18 @@
 		return false;
 	};
 
+	/** Reads which software versions are in use. Entries of endpoints that are leaving count as well: streams have begun there. */
+	const readVersionsInUse = async (): Promise<void> => {
+		const [entries, versions] = await Promise.all([store.read(tables.endpoints), store.read(versionTable)]);
+		loop.post({
+			kind: 'versions-in-use-read',
+			reading: entries.kind === 'done' && versions.kind === 'done'
+				? [...entries.rows.flatMap(row => decodeRegistryEntry(row) ?? []), ...versions.rows.flatMap(({value}) => decodeOrigin(value) ?? [])]
+				: undefined,
+			random: random(),
+		});
+	};
+
 	const effectHandlers: Readonly<{[Kind in EdgeEffect['kind']]: (effect: EdgeEffect & {kind: Kind}) => void}> = {
 		send: proxy.send,
 		abort(effect) {
@@ -212,6 +224,9 @@
 				loop.post({kind: 'versions-saved', isDone: reply.kind === 'done'});
 			});
 		},
+		'read-versions-in-use'() {
+			runInBackground(readVersionsInUse);
+		},
 		'read-verdicts'() {
 			runInBackground(readVerdicts);
 		},
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -118,6 +118,15 @@
 		});
 	}
 
+	/** Answers the question which versions are in use, if it was asked; undefined if the store does not say. */
+	answerVersions(...versions: ReadonlyArray<string | undefined>): this {
+		return this.effects.some(({kind}) => kind === 'read-versions-in-use')
+			? this.post({
+				kind: 'versions-in-use-read', random: 0.5, reading: versions.includes(undefined) ? undefined : versions.map(softwareVersion => ({service: 's', softwareVersion: softwareVersion!})),
+			})
+			: this;
+	}
+
 	advance(milliseconds: number): this {
 		this.now += milliseconds;
 		return this.post({kind: 'tick', random: 0.5});
@@ -603,20 +612,68 @@
 		['cannot be reached', edge => edge.post({
 			kind: 'origin-read', call: 1, random: 0.5, reply: {kind: 'lost', reason: 'cut'},
 		})],
-		['does not answer', edge => edge.advance(301)],
+		['does not answer', edge => edge.advance(100).advance(100).advance(101)],
 	])('is rejected as not run if the store %s', (_, reply) => {
-		expect(reply(resumeForeign(oneOfEach)).listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
+		expect(reply(resumeForeign(oneOfEach)).answerVersions('v1', 'v2').listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
 	});
 
-	test('is taken up without a record once its service has had only one version for long enough', () => {
+	test('is taken up without a record if its service has had only one version', () => {
 		const reply: EdgeEvent = {
 			kind: 'origin-read', call: 1, random: 0.5, reply: createReply(),
 		};
 		const single = [createEntry('e1'), createEntry('e3')];
-		expect(resumeForeign(single).advance(80).post(reply).listEffects()).toContain('refuse stream-not-resumable');
-		expect(resumeForeign(single, edge => edge.advance(30_000)).advance(80).post(reply).getSentTo()).not.toBe('');
+		expect(resumeForeign(single).advance(80).post(reply).answerVersions(undefined).listEffects()).toContain('refuse stream-not-resumable');
+		expect(resumeForeign(single).advance(80).post(reply).answerVersions('v1').getSentTo()).not.toBe('');
 		const retired = resumeForeign(oneOfEach, edge => edge.advance(30_000).post({kind: 'endpoint-changed', id: 'e2', listing: undefined}));
-		expect(retired.advance(80).post(reply).listEffects()).toContain('refuse stream-not-resumable');
+		expect(retired.advance(80).post(reply).answerVersions('v1').listEffects()).toContain('refuse stream-not-resumable');
+	});
+
+	describe.each([600, 1500, 4000])('that began at a version of which a router has not heard, as its feed has been silent for %i ms', gapMs => {
+		/** A router has watched one version for a long time when a client resumes a stream that it did not begin. */
+		const resumeUnheard = (resumedKey: string | undefined): EdgeHarness => {
+			const started = new EdgeHarness().start([createEntry('e1'), createEntry('e3')]).post({kind: 'versions-read', rows: []});
+			const edge = Array.from({length: 2000}).reduce<EdgeHarness>(current => current.advance(20), started);
+			edge.now += gapMs;
+			return edge.sendRequest(1, 'stream', {resumeAfter: '3', resumedKey});
+		};
+
+		const replies: ReadonlyArray<[string, string | undefined, (edge: EdgeHarness) => EdgeHarness]> = [
+			['the store does not reply', 'c9', edge => edge.advance(20).advance(281)],
+			['the reply of the store is lost', 'c9', edge => edge.post({
+				kind: 'origin-read', call: 1, random: 0.5, reply: {kind: 'lost', reason: 'cut'},
+			})],
+			['the store refuses', 'c9', edge => edge.post({
+				kind: 'origin-read', call: 1, random: 0.5, reply: {kind: 'refused', reason: 'status 429'},
+			})],
+			['the store has no record yet', 'c9', edge => edge.advance(80).post({
+				kind: 'origin-read', call: 1, random: 0.5, reply: createReply(),
+			})],
+			['the client names no earlier request', undefined, edge => edge],
+		];
+
+		test.each(replies)('is not joined with another one: %s', (_, resumedKey, reply) => {
+			const edge = reply(resumeUnheard(resumedKey));
+			expect(edge.getSentTo()).toBe('');
+			expect(edge.answerVersions('v1', 'v2').listEffects()).toContain('refuse stream-not-resumable');
+		});
+
+		test.each(replies)('is rejected if the store does not say which versions are in use: %s', (_, resumedKey, reply) => {
+			expect(reply(resumeUnheard(resumedKey)).answerVersions(undefined).listEffects()).toContain('refuse stream-not-resumable');
+		});
+
+		test.each(replies)('goes on if that version was the only one after all: %s', (_, resumedKey, reply) => {
+			expect(reply(resumeUnheard(resumedKey)).answerVersions('v1').getSentTo()).not.toBe('');
+		});
+	});
+
+	test('is not judged by a reading that began before its client came', () => {
+		const edge = new EdgeHarness().start([createEntry('e1')]).sendRequest(1, 'stream', {resumeAfter: '3'});
+		const first = edge.effects;
+		edge.advance(10).sendRequest(2, 'stream', {resumeAfter: '3'});
+		expect(edge.done).toEqual([]);
+		edge.effects = first;
+		expect(edge.answerVersions('v1').listEffects()).toEqual(['send e1', 'read-versions-in-use']);
+		expect(edge.answerVersions('v1', 'v2').listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
 	});
 
 	const createVersionRows = (...softwareVersions: readonly string[]): EdgeEvent => ({
@@ -639,18 +696,18 @@
 		};
 
 		test('is rejected until it is known which versions had begun streams', () => {
-			expect(resume(edge => edge).listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
+			expect(resume(edge => edge).answerVersions(undefined).listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
 		});
 
 		test('is rejected if another version was in use before all routers were killed', () => {
-			const edge = resume(current => current.post(createVersionRows('v1', 'v2')));
+			const edge = resume(current => current.post(createVersionRows('v1', 'v2'))).answerVersions('v2', 'v1');
 			expect(edge.listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
-			expect(edge.advance(30_000).sendRequest(2, 'stream', {resumeAfter: '3'}).getSentTo()).not.toBe('');
+			expect(edge.advance(30_000).sendRequest(2, 'stream', {resumeAfter: '3'}).answerVersions('v2', 'v1').getSentTo()).not.toBe('');
 		});
 
 		test('goes on at once if there was no other version', () => {
-			expect(resume(edge => edge.post(createVersionRows('v2'))).getSentTo()).not.toBe('');
-			expect(resume(edge => edge.post(createVersionRows())).getSentTo()).not.toBe('');
+			expect(resume(edge => edge.post(createVersionRows('v2'))).answerVersions('v2').getSentTo()).not.toBe('');
+			expect(resume(edge => edge.post(createVersionRows())).answerVersions('v2').getSentTo()).not.toBe('');
 		});
 
 		test('is rejected while the store is away', () => {
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -24,7 +24,7 @@
 } from './attempt.js';
 import {expireTokenWait, applyTokenEvent} from './reserve.js';
 import {
-	expireLocating, receiveOrigin, receiveVersions, receiveVersionSave, resetVersions, saveOrigins, saveVersions,
+	expireLocating, expireVerifying, receiveOrigin, receiveVersions, receiveVersionsInUse, receiveVersionSave, resetVersions, saveOrigins, saveVersions,
 } from './resume.js';
 import {receivePeerLimits, updateShares} from './limits.js';
 import type {EdgeEvent} from './messages.js';
@@ -57,6 +57,7 @@
 const waitExpirers: Readonly<Partial<Record<RequestPhase, (state: EdgeState, call: number, random: number, now: number) => EdgeStep>>> = {
 	granting: expireTokenWait,
 	locating: expireLocating,
+	verifying: expireVerifying,
 };
 
 const expireRequests: Handler<'tick'> = (state, event, now) => {
@@ -184,6 +185,7 @@
 	'store-replied': (state, event, now) => applyTokenEvent(state, {kind: 'replied', reply: event.reply, random: event.random}, event.random, now),
 	'origin-read': receiveOrigin,
 	'versions-read': receiveVersions,
+	'versions-in-use-read': receiveVersionsInUse,
 	'versions-saved': receiveVersionSave,
 	'verdicts-read': receiveSavedVerdicts,
 	'verdicts-saved': receiveVerdictSave,
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -7,6 +7,7 @@
 import type {QuotaStoreCall} from '../quota/index.js';
 import type {Incarnation, RegistryEntry} from '../registry/index.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
+import type {StreamOrigin} from '../stream-origin/index.js';
 
 /** How far a failed attempt got. */
 export type FailureStage =
@@ -53,6 +54,8 @@
 	| Readonly<{kind: 'origins-saved'; isDone: boolean}>
 	/** The software versions that were in use lately were read. */
 	| Readonly<{kind: 'versions-read'; rows: readonly StoredRow[]}>
+	/** The versions of all entries of the registry, and the saved ones, were read; undefined if they could not be. */
+	| Readonly<{kind: 'versions-in-use-read'; reading: readonly StreamOrigin[] | undefined; random: number}>
 	| Readonly<{kind: 'versions-saved'; isDone: boolean}>
 	/** The verdicts that outlast processes were read, at the given time of the store's clock. */
 	| Readonly<{kind: 'verdicts-read'; rows: readonly StoredRow[]; storeTime: number}>
@@ -93,6 +96,8 @@
 	| Readonly<{kind: 'store'; call: QuotaStoreCall}>
 	/** Asks the store, after a delay, where the stream of the given key began. */
 	| Readonly<{kind: 'read-origin'; call: number; key: string; delayMs: number}>
+	/** Reads the entries of the registry and the saved versions. */
+	| Readonly<{kind: 'read-versions-in-use'}>
 	| Readonly<{kind: 'save-origins'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'save-versions'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'save-verdicts'; writes: readonly StoreWrite[]}>
--- a/src/edge/resume.ts
+++ b/src/edge/resume.ts
@@ -1,9 +1,10 @@
+import {Set} from 'immutable';
 import {createFault} from '../errors/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
-import {keepState} from '../loop/step.js';
+import {chain, chainAll, keepState} from '../loop/step.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {
-	completeVersionSave, decodeOrigin, findOrigin, findSoleVersion, planSave, planVersionSave, recordSavedVersions, resetSavedVersions, retentionMs,
+	completeVersionSave, decodeOrigin, findOrigin, findSoleVersion, planSave, planVersionSave, recordSavedVersions, recordSeenVersions, resetSavedVersions,
 } from '../stream-origin/index.js';
 import type {StreamOrigin} from '../stream-origin/index.js';
 import {applyToRequest, putRequest, rejectRequest} from './common.js';
@@ -43,21 +44,71 @@
 	return reserveForRequest(putRequest(state, located), located, random, now);
 };
 
+/** Rejects a request because the store does not say which versions are in use. */
+const rejectUnverified = (state: EdgeState, request: InFlightRequest, reason: string, random: number, now: number): EdgeStep =>
+	countResumption(rejectResumption(state, request, `it is not known where the stream began: ${reason}`, random, now), request, 'none');
+
+/** Begins to read which versions are in use, unless such a reading is in progress: that one began too early for requests that have come since. */
+const startVersionReading = (state: EdgeState): EdgeStep => {
+	const waiting = Set(state.requests.valueSeq().filter(({phase}) => phase === 'verifying').map(({id}) => id));
+	return state.versionReading !== undefined || waiting.isEmpty()
+		? keepState(state)
+		: {state: {...state, versionReading: waiting}, effects: [{kind: 'read-versions-in-use'}]};
+};
+
 /**
-Tells whether all versions that a service has had lately are known: from the store, or because this process has
-watched the registry for long enough. Without the store, it is not known which ones have come.
+Asks the store which versions are in use, for a stream whose origin is not recorded. That no other version is known to
+this process proves nothing: it may not have read the registry since the stream began.
 */
-const isVersionHistoryKnown = ({registry, registryReadAt, savedVersions}: EdgeState, now: number): boolean =>
-	!registry.isUnavailable && registryReadAt !== undefined && (savedVersions.isRead || now - registryReadAt >= retentionMs);
+const verifyVersions = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => state.registry.isUnavailable
+	? rejectUnverified(state, request, 'the store is away', random, now)
+	: startVersionReading(putRequest(state, {...request, phase: 'verifying', phaseAt: now}));
 
 /** Continues a stream whose origin is not recorded if its service has only one version, and rejects it otherwise. */
-const continueAtSoleVersion = (state: EdgeState, request: InFlightRequest, reason: string, random: number, now: number): EdgeStep => {
-	const softwareVersion = isVersionHistoryKnown(state, now) ? findSoleVersion(state.registry, state.retiredVersions, request.service, now) : undefined;
+const continueAtSoleVersion = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
+	const softwareVersion = findSoleVersion(state.registry, state.retiredVersions, request.service, now);
 	return softwareVersion === undefined
-		? countResumption(rejectResumption(state, request, reason, random, now), request, 'none')
+		? countResumption(rejectResumption(state, request, `it is not known where the stream began, and service ${request.service} has or had several versions`, random, now), request, 'none')
 		: countResumption(continueStream(state, request, {service: request.service, softwareVersion}, random, now), request, 'sole-version');
 };
 
+/**
+Handles the store's reply to the question which versions are in use.
+
+@param state - The edge state.
+@param event - The entries of the registry and the saved versions; undefined if they could not be read.
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const receiveVersionsInUse = (state: EdgeState, {reading, random}: EdgeEvent & {kind: 'versions-in-use-read'}, now: number): EdgeStep => {
+	const waiting = [...(state.versionReading ?? Set<number>())];
+	// Rows that were written since an older copy was made may be missing.
+	const isKnown = reading !== undefined && !state.registry.isUnavailable && !state.registry.isRestored;
+	const read: EdgeState = {
+		...state, versionReading: undefined, retiredVersions: recordSeenVersions(state.retiredVersions, state.registry, reading ?? [], now),
+	};
+	const settled = chainAll(read, waiting, (current, id) => applyToRequest(current, id, request => {
+		if (request.phase !== 'verifying') {
+			return keepState(current);
+		}
+
+		return isKnown ? continueAtSoleVersion(current, request, random, now) : rejectUnverified(current, request, 'the versions in use cannot be read', random, now);
+	}));
+	return chain(settled, startVersionReading);
+};
+
+/**
+Ends the wait for the store's reply to the question which versions are in use.
+
+@param state - The edge state.
+@param call - The request's number.
+@param random - A random number in [0, 1).
+@param now - The current time in ms.
+@returns The new state and the effects.
+*/
+export const expireVerifying = (state: EdgeState, call: number, random: number, now: number): EdgeStep => applyToRequest(state, call, request =>
+	rejectUnverified(state, request, 'the store does not say which versions are in use', random, now));
+
 /**
 Sends a new request on; if its client resumes a stream, first finds out where that began.
 
@@ -74,7 +125,7 @@
 	}
 
 	if (resumedKey === undefined) {
-		return continueAtSoleVersion(state, request, 'the request names no earlier one, and its service has or may have had several versions', random, now);
+		return verifyVersions(state, request, random, now);
 	}
 
 	const origin = findOrigin(state.origins, resumedKey);
@@ -113,12 +164,12 @@
 	}
 
 	return origin === undefined
-		? continueAtSoleVersion(state, request, `where the stream ${resumedKey} began is not known: ${'reason' in reply ? reply.reason : 'no readable record'}`, random, now)
+		? verifyVersions(state, request, random, now)
 		: countResumption(continueStream(state, request, origin, random, now), request, 'store');
 });
 
 /**
-Ends the wait for the store's reply to the question where a stream began.
+Ends the wait for the store's reply to the question where a stream began. Which versions are in use may be answered, be it over another path.
 
 @param state - The edge state.
 @param call - The request's number.
@@ -127,7 +178,7 @@
 @returns The new state and the effects.
 */
 export const expireLocating = (state: EdgeState, call: number, random: number, now: number): EdgeStep => applyToRequest(state, call, request =>
-	continueAtSoleVersion(state, request, `the store does not say where the stream ${request.head.resumedKey} began`, random, now));
+	verifyVersions(state, request, random, now));
 
 /**
 Saves the origins of streams that began lately.
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -1,4 +1,5 @@
 import {Map} from 'immutable';
+import type {Set} from 'immutable';
 import {createRetryBudget} from '../retry-budget/index.js';
 import type {RetryBudget, RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
@@ -32,6 +33,8 @@
 	retiredVersions: RetiredVersions;
 	/** Software versions that the store knows to have been in use lately. */
 	savedVersions: SavedVersions;
+	/** Numbers of the requests that wait for the reading of the versions in use that is in progress; undefined if none is. */
+	versionReading: Set<number> | undefined;
 	/** Origins of the streams that this router began. */
 	origins: StreamOrigins;
 	/** Tokens that this router holds of the budgets. */
@@ -104,6 +107,7 @@
 	registryReadAt: undefined,
 	retiredVersions: Map(),
 	savedVersions: createSavedVersions(),
+	versionReading: undefined,
 	origins: createStreamOrigins(),
 	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress),
 	retryBudget: createRetryBudget(),
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -71,6 +71,8 @@
 export type RequestPhase =
 	/** Its client resumes a stream, and the store is asked where that began. */
 	| 'locating'
+	/** It is not recorded where that began, and the store is asked which versions are in use. */
+	| 'verifying'
 	/** It waits for tokens of its organisation. */
 	| 'granting'
 	/** It waits for an endpoint. */
--- a/src/stream-origin/index.ts
+++ b/src/stream-origin/index.ts
@@ -6,5 +6,5 @@
 	completeVersionSave, createSavedVersions, planVersionSave, recordSavedVersions, resetSavedVersions, versionTable,
 } from './saved-versions.js';
 export type {SavedVersions} from './saved-versions.js';
-export {findSoleVersion, recordRetiredVersions, retentionMs} from './versions.js';
+export {findSoleVersion, recordRetiredVersions, recordSeenVersions} from './versions.js';
 export type {RetiredVersions} from './versions.js';
--- a/src/stream-origin/versions.ts
+++ b/src/stream-origin/versions.ts
@@ -1,5 +1,6 @@
 import {Map} from 'immutable';
 import type {Registry} from '../registry/index.js';
+import type {StreamOrigin} from './origins.js';
 
 /** Time for which streams are remembered: longer than a client waits for a stream and its resumption. */
 export const retentionMs = 30_000;
@@ -21,6 +22,20 @@
 		.filter(({id, softwareVersion}) => after.endpoints.get(id)?.softwareVersion !== softwareVersion)
 		.reduce((versions, {service, softwareVersion}) => versions.setIn([service, softwareVersion], now), retired);
 
+/**
+Records the versions that a reading of the store shows and that this process does not know: they may have left since.
+
+@param retired - The versions recorded so far.
+@param registry - The registry.
+@param seen - The versions that the reading shows.
+@param now - The current time in ms.
+@returns The versions.
+*/
+export const recordSeenVersions = (retired: RetiredVersions, registry: Registry, seen: readonly StreamOrigin[], now: number): RetiredVersions => seen
+	.filter(({service, softwareVersion}) => !retired.hasIn([service, softwareVersion])
+		&& !registry.endpoints.some(endpoint => endpoint.service === service && endpoint.softwareVersion === softwareVersion))
+	.reduce((versions, {service, softwareVersion}) => versions.setIn([service, softwareVersion], now), retired);
+
 /**
 Finds the only software version that can have begun a stream of a service.
 
