Read replies that came during a standstill before a timer gives up on them

Callers saw: a resumed stream refused, or continued without the record that had been read, after a router stood still; attempts failed although the connection had opened. Timers fire before the sockets are polled, so the reply that lay there was thrown away. Change: waits for the store end at a tick only if it is not late; time-outs of the store's client and of connections to endpoints expire after the sockets have been polled once more. Test: handle.test.ts, 'is judged by a reply that came while the process stood still', fails without the change.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -676,6 +676,16 @@
 		expect(edge.answerVersions('v1', 'v2').listEffects()).toEqual(['abort', 'refuse stream-not-resumable']);
 	});
 
+	test('is judged by a reply that came while the process stood still, not by the timer that fires first', () => {
+		const edge = resumeForeign(oneOfEach).advance(20);
+		edge.advance(1500);
+		expect(edge.done).toEqual([]);
+		edge.post({
+			kind: 'origin-read', call: 1, random: 0.5, reply: createReply('{"service":"s","softwareVersion":"v2"}'),
+		});
+		expect(edge.getSentTo()).toBe('e2');
+	});
+
 	const createVersionRows = (...softwareVersions: readonly string[]): EdgeEvent => ({
 		kind: 'versions-read', rows: softwareVersions.map(softwareVersion => ({
 			table: 'versions', key: softwareVersion, version: 1, value: JSON.stringify({service: 's', softwareVersion}),
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -60,10 +60,16 @@
 	verifying: expireVerifying,
 };
 
+/** Time since the latest tick from which a tick is late: the process stood still, and replies that have come meanwhile are read after the tick. */
+const lateTickMs = 150;
+
+/** Whether waits for the store may be ended: not at a late tick, unless the one before it was late as well. */
+const canEndWaits = ({tick}: EdgeState, now: number): boolean => now - tick.at < lateTickMs || tick.isLate;
+
 const expireRequests: Handler<'tick'> = (state, event, now) => {
 	const requests = [...state.requests.values()].filter(request => request.phase !== 'leaving');
 	const expired = requests.filter(request => now >= request.expiresAt);
-	const waitedTooLong = requests.filter(request => now < request.expiresAt && waitExpirers[request.phase] !== undefined && now - request.phaseAt >= maxStoreWaitMs);
+	const waitedTooLong = canEndWaits(state, now) ? requests.filter(request => now < request.expiresAt && waitExpirers[request.phase] !== undefined && now - request.phaseAt >= maxStoreWaitMs) : [];
 	return chain(
 		chainAll(state, expired, (current, request) => expireRequest(current, request, event.random, now)),
 		current => chainAll(current, waitedTooLong, (later, request) => waitExpirers[request.phase]!(later, request.id, event.random, now)),
@@ -133,7 +139,7 @@
 };
 
 const receiveTick: Handler<'tick'> = (state, event, now) => {
-	const expired = expireRequests(state, event, now);
+	const expired = chain(expireRequests(state, event, now), current => keepState({...current, tick: {at: now, isLate: now - state.tick.at >= lateTickMs}}));
 	const settled = chain(expired, current => now - current.quota.tickedAtMs < tokenSyncIntervalMs ? keepState(current) : applyTokenEvent(current, {kind: 'tick'}, event.random, now));
 	const checked = chain(settled, current => checkEndpoints(current, event.random, now));
 	const gossiped = chain(checked, current => sendGossip(current, now));
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -13,6 +13,7 @@
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
 import type {Incarnation} from '../registry/index.js';
 import {runInBackground} from '../loop/background.js';
+import {startTimeout} from '../loop/timeout.js';
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {findBufferExcess} from './buffer-limits.js';
@@ -341,23 +342,21 @@
 	};
 
 	const trackConnection = (requestId: number, upstream: Upstream): void => {
-		const timer = setTimeout(() => {
+		const cancelTimeout = startTimeout(() => {
 			failAttempt(requestId, upstream, 'unsent', `no connection within ${connectTimeoutMs} ms`);
 		}, connectTimeoutMs);
-		upstream.outgoing.on('close', () => {
-			clearTimeout(timer);
-		});
+		upstream.outgoing.on('close', cancelTimeout);
 		upstream.outgoing.on('socket', socket => {
 			if (!socket.connecting) {
 				upstream.isConnected = true;
 				upstream.initialBytesRead = socket.bytesRead;
-				clearTimeout(timer);
+				cancelTimeout();
 				return;
 			}
 
 			socket.once('connect', () => {
 				upstream.isConnected = true;
-				clearTimeout(timer);
+				cancelTimeout();
 			});
 		});
 	};
@@ -443,7 +442,7 @@
 		const report = (hasNotRun: boolean) => {
 			if (!isReported) {
 				isReported = true;
-				clearTimeout(timer);
+				cancelTimeout();
 				outgoing.destroy();
 				post({
 					kind: 'call-withdrawn', call: requestId, attempt, hasNotRun,
@@ -451,7 +450,9 @@
 			}
 		};
 
-		const timer = setTimeout(report, cancelTimeoutMs, false);
+		const cancelTimeout = startTimeout(() => {
+			report(false);
+		}, cancelTimeoutMs);
 		if (!upstream.isConnected || socket === null) {
 			report(true);
 			return;
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -64,6 +64,8 @@
 	/** Time of the last such message that told of crashes, in ms, and whether the next one must. */
 	poisonToldAt: number;
 	isPoisonNewsUrgent: boolean;
+	/** Time of the latest tick, in ms, and whether it was late. */
+	tick: Readonly<{at: number; isLate: boolean}>;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
 	endpointsCheckedAt: number;
 	/** How long requests take, by route. */
@@ -124,6 +126,7 @@
 	promptNews: [],
 	poisonToldAt: 0,
 	isPoisonNewsUrgent: false,
+	tick: {at: 0, isLate: false},
 	endpointsCheckedAt: 0,
 	serviceTimes: Map(),
 	answerBy: undefined,
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -3,6 +3,7 @@
 import {createByteBuffer} from '../byte-buffer/index.js';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
+import {startTimeout} from '../loop/timeout.js';
 import {parseAddress} from '../server/address.js';
 import type {SocketAddress} from '../server/address.js';
 import {getEra} from '../store/index.js';
@@ -119,12 +120,14 @@
 			headers: body === undefined ? {} : {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)},
 		});
 		const resolveLost = (reason: string, isTooLarge = false) => {
-			clearTimeout(timer);
+			cancelTimeout();
 			outgoing.destroy();
 			resolve({reply: {kind: 'lost', reason}, hasMore: false, isTooLarge});
 		};
 
-		const timer = setTimeout(resolveLost, timeoutMs, `no answer within ${timeoutMs} ms`);
+		const cancelTimeout = startTimeout(() => {
+			resolveLost(`no answer within ${timeoutMs} ms`);
+		}, timeoutMs);
 		outgoing.on('error', error => {
 			resolveLost(error.message);
 		});
@@ -140,7 +143,7 @@
 				resolveLost(error.message);
 			});
 			incoming.on('end', () => {
-				clearTimeout(timer);
+				cancelTimeout();
 				const status = incoming.statusCode ?? 0;
 				try {
 					const text = buffer.getBytes().toString('utf8');
