Hash each software version once a tick, not once an endpoint

The key of a version's row was computed for every endpoint at every tick of 20 ms: 44 endpoints, 2,200 hashes a second.

--- a/src/stream-origin/saved-versions.ts
+++ b/src/stream-origin/saved-versions.ts
@@ -43,12 +43,15 @@
 	isRead: false, saved: Set(), saving: [], nextSaveAt: 0,
 });
 
-const locateVersion = ({service, softwareVersion}: StreamOrigin): RowKey => ({
-	table: versionTable, key: hash('sha256', JSON.stringify([service, softwareVersion]), 'base64url'),
+const formatVersion = ({service, softwareVersion}: StreamOrigin): string => JSON.stringify([service, softwareVersion]);
+
+const locateVersion = (origin: StreamOrigin): RowKey => ({
+	table: versionTable, key: hash('sha256', formatVersion(origin), 'base64url'),
 });
 
-const listPresent = (registry: Registry): ReadonlyArray<StreamOrigin & RowKey> => registry.endpoints.valueSeq().toArray()
-	.map(({service, softwareVersion}) => ({service, softwareVersion, ...locateVersion({service, softwareVersion})}));
+/** Lists each version once: many endpoints have the same, and a hash takes long. */
+const listPresent = (registry: Registry): ReadonlyArray<StreamOrigin & RowKey> => Map(registry.endpoints.valueSeq().map(each => [formatVersion(each), each] as const))
+	.valueSeq().toArray().map(({service, softwareVersion}) => ({service, softwareVersion, ...locateVersion({service, softwareVersion})}));
 
 /** Saved and retired versions after the rows were read, and the keys of rows that cannot be read. */
 type ReadVersions = Readonly<{versions: SavedVersions; retired: RetiredVersions; unreadable: readonly string[]}>;
