Count a version that is listed again as in use, whenever it had left

A reading of the store that shows an endpoint of a version which this router saw leave more than 30 s ago was not held against the only version known: the stream was joined from two versions. Found in reading the diff. Listed versions count whatever is known of them; saved ones only if this router does not know when they left. The log line of a shed request says how late it was read.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -165,7 +165,7 @@
 		loop.post({
 			kind: 'versions-in-use-read',
 			reading: entries.kind === 'done' && versions.kind === 'done'
-				? [...entries.rows.flatMap(row => decodeRegistryEntry(row) ?? []), ...versions.rows.flatMap(({value}) => decodeOrigin(value) ?? [])]
+				? {listed: entries.rows.flatMap(row => decodeRegistryEntry(row) ?? []), saved: versions.rows.flatMap(({value}) => decodeOrigin(value) ?? [])}
 				: undefined,
 			random: random(),
 		});
@@ -425,7 +425,7 @@
 			refuse() {
 				const retryAfter = suggestRetryAfter(timeLimitMs - unreadMs, random());
 				log.write('failure', 'call-ended', {
-					call: head.val.key, outcome: 'overloaded', status: 503, reason: `event processing is delayed by ${Math.round(getDelay())} ms`, unread: Math.round(unreadMs), retryAfter,
+					call: head.val.key, outcome: 'overloaded', status: 503, reason: `it was read ${Math.round(unreadMs)} ms late, and events are handled ${Math.round(getDelay())} ms late`, retryAfter,
 				});
 				sendErrorResponse(response, createFault('overloaded', 'the router is overloaded', retryAfter), isLastResponse(response));
 			},
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -7,7 +7,7 @@
 import type {QuotaStoreCall} from '../quota/index.js';
 import type {Incarnation, RegistryEntry} from '../registry/index.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
-import type {StreamOrigin} from '../stream-origin/index.js';
+import type {VersionReading} from '../stream-origin/index.js';
 
 /** How far a failed attempt got. */
 export type FailureStage =
@@ -55,7 +55,7 @@
 	/** The software versions that were in use lately were read. */
 	| Readonly<{kind: 'versions-read'; rows: readonly StoredRow[]}>
 	/** The versions of all entries of the registry, and the saved ones, were read; undefined if they could not be. */
-	| Readonly<{kind: 'versions-in-use-read'; reading: readonly StreamOrigin[] | undefined; random: number}>
+	| Readonly<{kind: 'versions-in-use-read'; reading: VersionReading | undefined; random: number}>
 	| Readonly<{kind: 'versions-saved'; isDone: boolean}>
 	/** The verdicts that outlast processes were read, at the given time of the store's clock. */
 	| Readonly<{kind: 'verdicts-read'; rows: readonly StoredRow[]; storeTime: number}>
--- a/src/edge/resume.ts
+++ b/src/edge/resume.ts
@@ -85,7 +85,9 @@
 	// Rows that were written since an older copy was made may be missing.
 	const isKnown = reading !== undefined && !state.registry.isUnavailable && !state.registry.isRestored;
 	const read: EdgeState = {
-		...state, versionReading: undefined, retiredVersions: recordSeenVersions(state.retiredVersions, state.registry, reading ?? [], now),
+		...state,
+		versionReading: undefined,
+		retiredVersions: reading === undefined ? state.retiredVersions : recordSeenVersions(state.retiredVersions, state.registry, reading, now),
 	};
 	const settled = chainAll(read, waiting, (current, id) => applyToRequest(current, id, request => {
 		if (request.phase !== 'verifying') {
--- a/src/stream-origin/index.ts
+++ b/src/stream-origin/index.ts
@@ -7,4 +7,4 @@
 } from './saved-versions.js';
 export type {SavedVersions} from './saved-versions.js';
 export {findSoleVersion, recordRetiredVersions, recordSeenVersions} from './versions.js';
-export type {RetiredVersions} from './versions.js';
+export type {RetiredVersions, VersionReading} from './versions.js';
--- a/src/stream-origin/versions.ts
+++ b/src/stream-origin/versions.ts
@@ -22,19 +22,23 @@
 		.filter(({id, softwareVersion}) => after.endpoints.get(id)?.softwareVersion !== softwareVersion)
 		.reduce((versions, {service, softwareVersion}) => versions.setIn([service, softwareVersion], now), retired);
 
+/** Versions that a reading of the store shows: of entries in the registry, and saved ones, whose endpoints may have left. */
+export type VersionReading = Readonly<{listed: readonly StreamOrigin[]; saved: readonly StreamOrigin[]}>;
+
 /**
-Records the versions that a reading of the store shows and that this process does not know: they may have left since.
+Records the versions that a reading of the store shows and that the registry does not have: streams may have begun there.
+When the endpoints of a saved version left is not asked if this process knows it.
 
 @param retired - The versions recorded so far.
 @param registry - The registry.
-@param seen - The versions that the reading shows.
+@param reading - The reading.
 @param now - The current time in ms.
 @returns The versions.
 */
-export const recordSeenVersions = (retired: RetiredVersions, registry: Registry, seen: readonly StreamOrigin[], now: number): RetiredVersions => seen
-	.filter(({service, softwareVersion}) => !retired.hasIn([service, softwareVersion])
-		&& !registry.endpoints.some(endpoint => endpoint.service === service && endpoint.softwareVersion === softwareVersion))
-	.reduce((versions, {service, softwareVersion}) => versions.setIn([service, softwareVersion], now), retired);
+export const recordSeenVersions = (retired: RetiredVersions, registry: Registry, {listed, saved}: VersionReading, now: number): RetiredVersions =>
+	[...listed, ...saved.filter(({service, softwareVersion}) => !retired.hasIn([service, softwareVersion]))]
+		.filter(({service, softwareVersion}) => !registry.endpoints.some(endpoint => endpoint.service === service && endpoint.softwareVersion === softwareVersion))
+		.reduce((versions, {service, softwareVersion}) => versions.setIn([service, softwareVersion], now), retired);
 
 /**
 Finds the only software version that can have begun a stream of a service.
