--- a/src/read-delay/read-delay.test.ts
+++ b/src/read-delay/read-delay.test.ts
@@ -39,8 +39,9 @@
 		const delay = recordQueuePoll(recordPoll(accepted.delay));
 		const action = decideQueueAction(delay, now);
 		if (action === 'reset') {
+			const resetWaits = accepted.queue.filter(({isProbe}) => !isProbe).map(({openedAt: at}) => now - at);
 			return {
-				...accepted, delay: {...createReadDelay(), polls: delay.polls}, queue: [], resetWaits: [...accepted.resetWaits, ...accepted.queue.filter(({isProbe}) => !isProbe).map(({openedAt: at}) => now - at)],
+				...accepted, delay: {...createReadDelay(), polls: delay.polls}, queue: [], resetWaits: [...accepted.resetWaits, ...resetWaits],
 			};
 		}
 
