--- a/src/edge/resume.ts
+++ b/src/edge/resume.ts
@@ -44,14 +44,18 @@
 	return reserveForRequest(putRequest(state, located), located, random, now);
 };
 
-/** Rejects a request because the store does not say which versions are in use. */
+/** Rejects a request because it is not known which version began its stream. */
 const rejectUnverified = (state: EdgeState, request: InFlightRequest, reason: string, random: number, now: number): EdgeStep =>
 	countResumption(rejectResumption(state, request, `it is not known where the stream began: ${reason}`, random, now), request, 'none');
 
 /** Begins to read which versions are in use, unless such a reading is in progress: that one began too early for requests that have come since. */
 const startVersionReading = (state: EdgeState): EdgeStep => {
+	if (state.versionReading !== undefined) {
+		return keepState(state);
+	}
+
 	const waiting = Set(state.requests.valueSeq().filter(({phase}) => phase === 'verifying').map(({id}) => id));
-	return state.versionReading !== undefined || waiting.isEmpty()
+	return waiting.isEmpty()
 		? keepState(state)
 		: {state: {...state, versionReading: waiting}, effects: [{kind: 'read-versions-in-use'}]};
 };
@@ -68,7 +72,7 @@
 const continueAtSoleVersion = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const softwareVersion = findSoleVersion(state.registry, state.retiredVersions, request.service, now);
 	return softwareVersion === undefined
-		? countResumption(rejectResumption(state, request, `it is not known where the stream began, and service ${request.service} has or had several versions`, random, now), request, 'none')
+		? rejectUnverified(state, request, `service ${request.service} has or had several versions, or none`, random, now)
 		: countResumption(continueStream(state, request, {service: request.service, softwareVersion}, random, now), request, 'sole-version');
 };
 
