--- a/review/1/play.js
+++ b/review/1/play.js
@@ -1,8 +1,8 @@
 import {Agent} from 'node:http';
-import {formatAnswer, startReplica} from '../lib/replica.js';
+import {formatAnswer, startReplica} from '../replica.js';
 import {
 	manifestLimits, runPlay, sendRequest, sleep,
-} from '../lib/system.js';
+} from '../system.js';
 
 /** Clients with kept channels, whose requests a sound replica is serving when the answer with the wrong byte comes. */
 const clientCount = 12;
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 for program in galena-edge galena-relay; do
 	[ -f "target/bin/$program.js" ] || { echo "target/bin/$program.js is missing: run the build of the deploy file first" >&2; exit 2; }
 done
-for file in review/lib/*.js review/[0-9]/play.js; do
+for file in review/*.js review/[1-5]/*.js; do
 	node --check "$file"
 done
--- a/review/lib/system.js
+++ b/review/system.js
@@ -12,7 +12,7 @@
 import {startStore} from './store.js';
 
 /** Root of the repository. */
-const root = fileURLToPath(new URL('../..', import.meta.url));
+const root = fileURLToPath(new URL('..', import.meta.url));
 
 /** Longest time of a script, in ms. */
 const maxPlayMs = 110_000;
