Fail an attempt whose head cannot be forwarded, instead of ending the router

Cause: Node.js reads header names that are empty or have a blank, and statuses from 000 to 999, and throws when it is to write them. Statuses from 101 to 199 reached clients as interim responses. Nothing said of a head that it can be written and is final.

Change: platform decodes it into a FinalHead, which only a check by Node's own rules creates, and a client's response takes nothing else.

--- a/src/edge/client-response.ts
+++ b/src/edge/client-response.ts
@@ -1,13 +1,14 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {FinalHead} from '../http-head/index.js';
 
 /** A response of which nothing has been sent. */
 export type OpenResponse = Readonly<{
 	state: 'open';
-	/** Sends a whole response. */
-	answer: (status: number, headers: readonly string[], body: Buffer) => void;
+	/** Sends a whole response, and its length. */
+	answer: (head: FinalHead, body: Buffer) => void;
 	/** Sends the head of a stream. */
-	begin: (status: number, headers: readonly string[]) => StreamResponse;
+	begin: (head: FinalHead) => StreamResponse;
 	/** Closes the connection without a response. */
 	break: () => void;
 }>;
@@ -45,6 +46,18 @@
 	}
 };
 
+/**
+Writes the head of a response.
+
+@param response - The response to the client.
+@param head - Status and headers.
+@param framing - Raw headers that state the length of the body, if it is known.
+@param isLast - True to ask the client to close its connection.
+*/
+export const writeHead = (response: ServerResponse, {status, headers}: FinalHead, framing: readonly string[], isLast: boolean): void => {
+	response.writeHead(status, [...headers, ...framing, ...(isLast ? ['Connection', 'close'] : [])]);
+};
+
 const createStreamResponse = (response: ServerResponse): StreamResponse => ({
 	state: 'streaming',
 	write: events => response.write(events),
@@ -61,17 +74,17 @@
 
 @param response - The response, of which nothing has been sent.
 @param onDrain - Called when the client of a stream reads again.
+@param isLast - Called as the head is written: whether the response closes the client's connection.
 @returns The response.
 */
-export const openClientResponse = (response: ServerResponse, onDrain: () => void): OpenResponse => ({
+export const openClientResponse = (response: ServerResponse, onDrain: () => void, isLast: () => boolean): OpenResponse => ({
 	state: 'open',
-	answer(status, headers, body) {
-		// Raw headers, alternating names and values.
-		response.writeHead(status, [...headers]);
+	answer(head, body) {
+		writeHead(response, head, ['Content-Length', String(body.length)], isLast());
 		response.end(body);
 	},
-	begin(status, headers) {
-		response.writeHead(status, [...headers]);
+	begin(head) {
+		writeHead(response, head, [], isLast());
 		response.on('drain', onDrain);
 		return createStreamResponse(response);
 	},
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -1,6 +1,7 @@
 import {Map} from 'immutable';
 import {describe, expect, test} from 'vitest';
 import {succeed} from '../errors/index.js';
+import {checkFinalHead} from '../http-head/index.js';
 import {parseLoads} from '../gossip/index.js';
 import type {RoutingConfig, Route} from '../routing-config/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
@@ -90,7 +91,7 @@
 	createHead(id: number, fields: Partial<ResponseHead>): ResponseHead {
 		return {
 			status: 200, key: `c${id}`, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined,
-			rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
+			rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwarded: checkFinalHead(200, []), ...fields,
 		};
 	}
 
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -10,6 +10,8 @@
 	createErrorResponse, createFault, fail, succeed,
 } from '../errors/index.js';
 import type {Fault, Result} from '../errors/index.js';
+import {checkFinalHead} from '../http-head/index.js';
+import type {FinalHead} from '../http-head/index.js';
 import type {ResponseHead, RequestHead} from '../in-flight/index.js';
 import type {Incarnation} from '../registry/index.js';
 import {runInBackground} from '../loop/background.js';
@@ -17,7 +19,7 @@
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {findBufferExcess} from './buffer-limits.js';
-import {openClientResponse} from './client-response.js';
+import {openClientResponse, writeHead} from './client-response.js';
 import type {ClientResponse, StreamResponse} from './client-response.js';
 import {canEndAfter, createEventSplitter} from './event-stream.js';
 import type {CompleteEvents, EventSplitter} from './event-stream.js';
@@ -43,14 +45,12 @@
 	readonly hostHeader: string;
 	readonly body: Buffer;
 	client: ClientResponse;
-	/** Called as the head of the response is written: whether it closes the client's connection. */
-	readonly isLast: () => boolean;
 	/** The in-flight request to the endpoint. */
 	upstream: Upstream | undefined;
 };
 
-/** A response of an endpoint whose head has been read. */
-type EndpointResponse = Readonly<{head: ResponseHead; incoming: IncomingMessage}>;
+/** A response of an endpoint whose head has been read, and the head that its client gets. */
+type EndpointResponse = Readonly<{head: ResponseHead; forwarded: FinalHead; incoming: IncomingMessage}>;
 
 type Upstream = {
 	readonly attempt: number;
@@ -97,13 +97,9 @@
 	random: () => number;
 }>;
 
-/** Returns an error response with raw headers. */
-const formatErrorResponse = (fault: Fault, shouldClose: boolean): Readonly<{status: number; headers: readonly string[]; body: Buffer}> => {
+const formatErrorResponse = (fault: Fault): Readonly<{head: FinalHead; body: Buffer}> => {
 	const {status, headers, problem} = createErrorResponse(fault);
-	const body = Buffer.from(JSON.stringify(problem));
-	return {
-		status, body, headers: [...Object.entries(headers).flat(), 'content-length', String(body.length), ...(shouldClose ? ['connection', 'close'] : [])],
-	};
+	return {head: checkFinalHead(status, Object.entries(headers).flat()).unwrap(), body: Buffer.from(JSON.stringify(problem))};
 };
 
 /**
@@ -114,8 +110,8 @@
 @param shouldClose - True to ask the client to close its connection.
 */
 export const writeErrorResponse = (response: ServerResponse, fault: Fault, shouldClose: boolean): void => {
-	const {status, headers, body} = formatErrorResponse(fault, shouldClose);
-	response.writeHead(status, [...headers]);
+	const {head, body} = formatErrorResponse(fault);
+	writeHead(response, head, ['Content-Length', String(body.length)], shouldClose);
 	response.write(body);
 };
 
@@ -277,7 +273,7 @@
 		});
 	};
 
-	const collectResponse = (requestId: number, upstream: Upstream, head: ResponseHead, incoming: IncomingMessage): void => {
+	const collectResponse = (requestId: number, upstream: Upstream, {head, incoming}: EndpointResponse): void => {
 		incoming.on('data', (chunk: Buffer) => {
 			if (upstream.isFinished) {
 				return;
@@ -314,8 +310,9 @@
 		const activeRequest = activeRequests.get(requestId);
 		const head = decodeResponse(incoming);
 		const reason = findInvalidHead(head, upstream, incoming.socket);
+		const checked = reason === undefined ? head.forwarded.mapErr(({detail}) => detail) : fail(reason);
 		post({
-			kind: 'response-began', endpoint: upstream.endpoint, head, isDoubted: reason !== undefined,
+			kind: 'response-began', endpoint: upstream.endpoint, head, isDoubted: checked.err,
 		});
 		if (head.hasNotRun && !refusals.record(incoming.socket, upstream.key)) {
 			upstream.outgoing.shouldKeepAlive = false;
@@ -327,17 +324,21 @@
 			return;
 		}
 
-		upstream.response = {head, incoming};
+		if (checked.err) {
+			failAttempt(requestId, upstream, 'sent', checked.val);
+			return;
+		}
+
+		const response = {head, forwarded: checked.val, incoming};
+		upstream.response = response;
 		detectReset(upstream, activeRequest.head.method, incoming);
-		if (reason !== undefined) {
-			failAttempt(requestId, upstream, 'sent', reason);
-		} else if (head.isStream && head.status === 200) {
+		if (head.isStream && head.status === 200) {
 			incoming.on('error', () => undefined);
 			post({
 				kind: 'endpoint-answered', call: requestId, attempt: upstream.attempt, head, random: random(),
 			});
 		} else {
-			collectResponse(requestId, upstream, head, incoming);
+			collectResponse(requestId, upstream, response);
 		}
 	};
 
@@ -482,24 +483,24 @@
 	};
 
 	/** Sends the head together with the first event, so that a stream without events can be retried at another endpoint. */
-	const beginClientStream = (activeRequest: ActiveRequest, head: ResponseHead): StreamResponse => {
+	const beginClientStream = (activeRequest: ActiveRequest, {forwarded}: EndpointResponse): StreamResponse => {
 		const {client} = activeRequest;
 		if (client.state === 'streaming') {
 			return client;
 		}
 
-		const stream = client.begin(head.status, formatHeaders(head, activeRequest.isLast()));
+		const stream = client.begin(forwarded);
 		activeRequest.client = stream;
 		return stream;
 	};
 
-	const forwardEvents = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, {head, incoming}: EndpointResponse, events: CompleteEvents): void => {
+	const forwardEvents = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, response: EndpointResponse, events: CompleteEvents): void => {
 		const isFirst = upstream.eventCount === 0;
-		const stream = beginClientStream(activeRequest, head);
+		const stream = beginClientStream(activeRequest, response);
 		upstream.eventCount += events.count;
 		upstream.lastEventId = events.lastEventId ?? upstream.lastEventId;
 		if (!stream.write(events.bytes)) {
-			incoming.pause();
+			response.incoming.pause();
 		}
 
 		if (isFirst) {
@@ -519,8 +520,8 @@
 		}
 	};
 
-	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, {head, incoming}: EndpointResponse): void => {
-		const framing = getFraming(activeRequest.head.method, incoming);
+	const endStream = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, response: EndpointResponse): void => {
+		const framing = getFraming(activeRequest.head.method, response.incoming);
 		const reason = findBreak(upstream, framing);
 		if (reason !== undefined) {
 			failAttempt(requestId, upstream, 'streaming', reason);
@@ -529,7 +530,7 @@
 
 		upstream.isFinished = true;
 		removeRequest(requestId);
-		beginClientStream(activeRequest, head).end(upstream.splitter.getPartialEvent());
+		beginClientStream(activeRequest, response).end(upstream.splitter.getPartialEvent());
 		post({
 			kind: 'stream-ended', call: requestId, attempt: upstream.attempt, events: upstream.eventCount, framing,
 		});
@@ -575,8 +576,7 @@
 				body,
 				client: openClientResponse(response, () => {
 					activeRequests.get(requestId)?.upstream?.response?.incoming.resume();
-				}),
-				isLast: () => options.isLastResponse(response),
+				}, () => options.isLastResponse(response)),
 				upstream: undefined,
 			});
 			response.on('close', () => {
@@ -600,16 +600,14 @@
 				return;
 			}
 
-			const {head} = upstream.response;
-			const body = upstream.body.getBytes();
-			answerOrBreak(activeRequest.client, head.status, [...formatHeaders(head, activeRequest.isLast()), 'Content-Length', String(body.length)], body);
+			answerOrBreak(activeRequest.client, upstream.response.forwarded, upstream.body.getBytes());
 		},
 		streamResponse,
 		reject(requestId, fault) {
 			const activeRequest = removeRequest(requestId);
 			if (activeRequest !== undefined) {
-				const {status, headers, body} = formatErrorResponse(fault, activeRequest.isLast());
-				answerOrBreak(activeRequest.client, status, headers, body);
+				const {head, body} = formatErrorResponse(fault);
+				answerOrBreak(activeRequest.client, head, body);
 			}
 		},
 		closeClient(requestId) {
@@ -629,13 +627,10 @@
 };
 
 /** Sends a whole response, or breaks a stream that has begun, which nothing but its own events can follow. */
-const answerOrBreak = (client: ClientResponse, status: number, headers: readonly string[], body: Buffer): void => {
+const answerOrBreak = (client: ClientResponse, head: FinalHead, body: Buffer): void => {
 	if (client.state === 'open') {
-		client.answer(status, headers, body);
+		client.answer(head, body);
 	} else {
 		client.break();
 	}
 };
-
-/** Returns the raw headers of a response to a client. */
-const formatHeaders = (head: ResponseHead, isClosing: boolean): string[] => [...head.forwardedHeaders, ...(isClosing ? ['Connection', 'close'] : [])];
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -1,4 +1,5 @@
 import type {Result} from '../errors/index.js';
+import type {FinalHead} from '../http-head/index.js';
 import type {Incarnation} from '../registry/index.js';
 import type {Route} from '../routing-config/index.js';
 
@@ -50,8 +51,8 @@
 	/** True if the endpoint states that it is leaving. */
 	isLeaving: boolean;
 	isStream: boolean;
-	/** Raw headers that are forwarded to the client. */
-	forwardedHeaders: readonly string[];
+	/** The head that is forwarded to the client; a fault if the client cannot get it. */
+	forwarded: Result<FinalHead>;
 }>;
 
 /** Metadata that the router adds to a request to an endpoint. */
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -210,7 +210,7 @@
 	test('is passed to the client without the headers of a single connection', () => {
 		const raw = ['Response-Seal', 's', 'Transfer-Encoding', 'chunked', 'Keep-Alive', 'timeout=5', 'Replica-Load', '3,0,8', 'X-Own', 'kept'];
 		const response = decodeResponse({statusCode: 200, headers: {'response-seal': 's', 'replica-load': '3,0,8'}, rawHeaders: raw});
-		expect(response.forwardedHeaders).toEqual(['Response-Seal', 's', 'X-Own', 'kept']);
+		expect(response.forwarded.unwrap()).toEqual({status: response.status, headers: ['Response-Seal', 's', 'X-Own', 'kept']});
 		expect(response.load).toEqual({running: 3, waiting: 0, slots: 8});
 	});
 });
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -2,6 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
+import {checkFinalHead} from '../http-head/index.js';
 import type {
 	ResponseHead, RequestHead, ForwardingMetadata, ModelRequest,
 } from '../in-flight/index.js';
@@ -257,6 +258,6 @@
 		pushbackMs: status === unavailableStatus ? decodePushback(headers) : succeed(undefined),
 		isLeaving: readHeader(headers, headerNames.leaving)?.trim() === '1',
 		isStream: (headers['content-type'] ?? '').startsWith('text/event-stream'),
-		forwardedHeaders: omitHeaders(incoming.rawHeaders, strippedFromResponses),
+		forwarded: checkFinalHead(status, omitHeaders(incoming.rawHeaders, strippedFromResponses)),
 	};
 };
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -1,5 +1,6 @@
 import {Map} from 'immutable';
 import {succeed} from '../src/errors/index.js';
+import {checkFinalHead} from '../src/http-head/index.js';
 import {handleEdge} from '../src/edge/handle.js';
 import type {EdgeEffect, EdgeEvent} from '../src/edge/messages.js';
 import {createEdge} from '../src/edge/state.js';
@@ -148,7 +149,7 @@
 
 const createHead = (fields: Partial<ResponseHead>): ResponseHead => ({
 	status: 200, key: undefined, hasNotRun: false, isOtherIncarnation: false, isSigned: true,
-	load: undefined, rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwardedHeaders: [], ...fields,
+	load: undefined, rateLimit: succeed(undefined), isLeaving: false, pushbackMs: succeed(undefined), isStream: false, forwarded: checkFinalHead(200, []), ...fields,
 });
 
 /**
--- a/test/limit-play.ts
+++ b/test/limit-play.ts
@@ -1,5 +1,6 @@
 import {Map} from 'immutable';
 import {succeed} from '../src/errors/index.js';
+import {checkFinalHead} from '../src/http-head/index.js';
 import {parseLoads} from '../src/gossip/index.js';
 import type {ResponseHead} from '../src/in-flight/index.js';
 import type {PeerRouter} from '../src/quota/index.js';
@@ -113,7 +114,7 @@
 		const restMs = isRejected ? load.restMs : undefined;
 		const head: ResponseHead = {
 			status: isRejected ? 503 : (isFailed ? 500 : 200), key: undefined, hasNotRun: isRejected, isOtherIncarnation: false, isSigned: true,
-			load: undefined, rateLimit: succeed(rateLimit), isLeaving: false, pushbackMs: succeed(restMs), isStream: false, forwardedHeaders: [],
+			load: undefined, rateLimit: succeed(rateLimit), isLeaving: false, pushbackMs: succeed(restMs), isStream: false, forwarded: checkFinalHead(200, []),
 		};
 		arrivals.push({
 			endpoint: endpoint.id, router, at: now, restMs,
