Fail an attempt whose endpoint switches to another protocol

Callers saw: no answer until their deadline, 504 after 3.3 s, where an endpoint answered at once with a switch of protocols.

Cause: Node.js closes such a connection with no event but close, for which the proxy did not listen.

Measured: two cases of test/unwritable-heads.test.ts got 504 before, and get 502.

--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -422,6 +422,12 @@
 				failAttempt(effect.call, upstream, getStage(upstream), error.message);
 			}
 		});
+		outgoing.on('close', () => {
+			// Node.js reports no error if it closes the connection because of a switch to another protocol.
+			if (upstream.response === undefined) {
+				failAttempt(effect.call, upstream, getStage(upstream), 'connection closed before a response');
+			}
+		});
 		outgoing.end(activeRequest.body);
 	};
 
--- a/test/unwritable-heads.test.ts
+++ b/test/unwritable-heads.test.ts
@@ -60,6 +60,7 @@
 	['the status 000', '000', ''],
 	['the status 099', '099', ''],
 	['a switch of protocols', '101', ''],
+	['a switch of protocols that names one', '101', 'Connection: Upgrade\r\nUpgrade: x\r\n'],
 	['the status 700', '700', ''],
 ];
 
