Reject a request whose headers cannot be written, and eject no endpoint for it

Callers saw: a client that sent a header whose name is empty or has a blank got 503, and requests of other clients found their endpoints ejected: Node.js throws as the request is written, and each attempt counted as an endpoint that cannot be reached.

Change: such a request gets 400, which names the header, before it is routed.

Measured: the two new cases of test/unwritable-heads.test.ts got 503 before.

--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
-import {checkFinalHead} from '../http-head/index.js';
+import {checkFinalHead, checkHeaders} from '../http-head/index.js';
 import type {
 	ResponseHead, RequestHead, ForwardingMetadata, ModelRequest,
 } from '../in-flight/index.js';
@@ -136,6 +136,7 @@
 	const key = readHeader(headers, headerNames.attemptId);
 	const timeout = decodeTimeout(headers);
 	const modelRequest = decodeModelRequest(headers);
+	const forwardedHeaders = checkHeaders(omitHeaders(incoming.rawHeaders, strippedFromRequests));
 	if (key === undefined || key === '') {
 		return fail(createFault('bad-request', `${headerNames.attemptId}: is missing`));
 	}
@@ -148,6 +149,10 @@
 		return modelRequest;
 	}
 
+	if (forwardedHeaders.err) {
+		return forwardedHeaders;
+	}
+
 	return succeed({
 		key,
 		method: incoming.method,
@@ -158,7 +163,7 @@
 		modelRequest: modelRequest.val,
 		resumeAfter: readHeader(headers, headerNames.lastEventId),
 		resumedKey: readHeader(headers, headerNames.resumes),
-		forwardedHeaders: omitHeaders(incoming.rawHeaders, strippedFromRequests),
+		forwardedHeaders: forwardedHeaders.val,
 	});
 };
 
--- a/test/unwritable-heads.test.ts
+++ b/test/unwritable-heads.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {expect, test} from 'vitest';
 import {createRandom} from '../src/random/index.js';
 import {startRouter} from './edge-system.js';
@@ -97,3 +97,26 @@
 
 	await expect.poll(async () => send(port, '/odd', 'last')).toMatch(/^\d{3}/v);
 }, 60_000);
+
+/** Sends a request with a raw header line. Returns the status line. */
+const sendRaw = async (port: number, line: string): Promise<string> => new Promise(resolve => {
+	const socket = connect(port, '127.0.0.1');
+	socket.on('error', error => {
+		resolve(error.message);
+	});
+	socket.on('data', bytes => {
+		resolve(String(bytes).split('\r\n')[0]!);
+		socket.destroy();
+	});
+	socket.write(`GET /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: raw\r\n${line}\r\n\r\n`);
+});
+
+// Guards against a client's header, which cannot be written to any endpoint, that ejects one endpoint after the other.
+test.each(['X Odd: 1', ': 1'])('a request with the header %j is rejected, and ejects no endpoint', async line => {
+	const {port} = await startRouter({
+		endpoints: [{server: startEndpoint('safe', key => formatHead('safe', key))}], route: {kind: 'safe', maxAttempts: 1},
+	});
+	const statuses = await Promise.all(Array.from({length: 4}, async () => sendRaw(port, line)));
+	expect(new Set(statuses)).toEqual(new Set(['HTTP/1.1 400 Bad Request']));
+	expect(await send(port, '/odd', 'sound')).toBe(`200 ${body.trim()}`);
+}, 20_000);
