Forget the requests of clients that have left

Callers would see: a router that runs out of memory and ends. Each client that left while its request waited, or in the middle of a stream, left its body and response behind.

Cause: the proxy forgot a request only with its response; a client that leaves ends it with an abort of the attempt.

Measured: 300 bodies of 100 KB left 39 MB behind in both cases of test/left-requests.test.ts; both pass now.

--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -45,6 +45,8 @@
 	readonly hostHeader: string;
 	readonly body: Buffer;
 	client: ClientResponse;
+	/** True once the client has disconnected: nothing but the end of its attempt is left to do. */
+	hasLeft: boolean;
 	/** The in-flight request to the endpoint. */
 	upstream: Upstream | undefined;
 };
@@ -78,6 +80,7 @@
 export type HttpProxy = Readonly<{
 	accept: (requestId: number, head: RequestHead, hostHeader: string, body: Buffer, response: ServerResponse) => void;
 	send: (effect: SendEffect) => void;
+	/** Aborts the current attempt, and forgets the request if its client has left. */
 	abort: (requestId: number) => void;
 	/** Cancels the request at the endpoint, and posts whether it is known not to have run. */
 	cancel: (requestId: number) => void;
@@ -583,20 +586,28 @@
 				client: openClientResponse(response, () => {
 					activeRequests.get(requestId)?.upstream?.response?.incoming.resume();
 				}, () => options.isLastResponse(response)),
+				hasLeft: false,
 				upstream: undefined,
 			});
 			response.on('close', () => {
-				if (!response.writableFinished && activeRequests.has(requestId)) {
-					post({kind: 'caller-left', call: requestId, events: activeRequests.get(requestId)?.upstream?.eventCount ?? 0});
+				const activeRequest = activeRequests.get(requestId);
+				if (!response.writableFinished && activeRequest !== undefined) {
+					activeRequest.hasLeft = true;
+					post({kind: 'caller-left', call: requestId, events: activeRequest.upstream?.eventCount ?? 0});
 				}
 			});
 		},
 		send,
 		abort(requestId) {
-			const upstream = activeRequests.get(requestId)?.upstream;
+			const activeRequest = activeRequests.get(requestId);
+			const upstream = activeRequest?.upstream;
 			if (upstream !== undefined && !upstream.isFinished) {
 				destroyUpstream(upstream);
 			}
+
+			if (activeRequest?.hasLeft === true) {
+				activeRequests.delete(requestId);
+			}
 		},
 		cancel,
 		deliver(requestId) {
