End only the request of an effect that throws, not the loop

The loop had no notion of whose failure an effect's exception is.

Change: an exception of an effect that names a request closes that client and ends that request, as if the client had left; any other one, and one of a handler, still ends the process. The failure is logged as effect-failed.

Measured: the new test of loop/loop.test.ts ends its process before (uncaught exception) and passes now.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -72,6 +72,9 @@
 /** Interval at which a stopping process checks for remaining requests and reservations, in ms. */
 const drainPollIntervalMs = 50;
 
+/** Effects that end a request. */
+const endingEffects: ReadonlySet<EdgeEffect['kind']> = new Set(['deliver', 'refuse', 'cut']);
+
 /** A running edge process. */
 export type Edge = Readonly<{stop: () => Promise<void>; reload: (settings: Result<EdgeSettings>) => void}>;
 
@@ -251,6 +254,16 @@
 		observe: metrics.apply,
 	};
 
+	/** A failure of an effect that concerns one request ends that request, and any other one the process. */
+	const handleFailure = (effect: EdgeEffect, error: unknown): void => {
+		if (!('call' in effect) || typeof effect.call !== 'number') {
+			throw error;
+		}
+
+		log.write('failure', 'effect-failed', {call: effect.call, effect: effect.kind, reason: error instanceof Error ? error.message : String(error)});
+		proxy.fail(effect.call, endingEffects.has(effect.kind));
+	};
+
 	const loop = startLoop<ReturnType<typeof createEdge>, EdgeEvent, EdgeEffect>({
 		initial: createEdge({
 			dataCentre: settings.host['data-centre'],
@@ -264,6 +277,7 @@
 		perform(effect) {
 			(effectHandlers[effect.kind] as (effect: EdgeEffect) => void)(effect);
 		},
+		onFailure: handleFailure,
 		clock,
 		slice: workSliceMs,
 	});
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -419,6 +419,23 @@
 	});
 });
 
+// Guards against a failure of one effect that leaves its client waiting, or its request unended.
+test.each([['has ended', true], ['has not ended', false]])('after a failure, the client of a request that %s is disconnected', async (_, isEnded) => {
+	const events: string[] = [];
+	const result = await proxyRequest(socket => {
+		socket.write(`${signedHead}Content-Length: 5\r\n\r\nwhole`);
+	}, (event, proxy) => {
+		events.push(event.kind);
+		if (event.kind === 'endpoint-answered' && 'call' in event) {
+			proxy.fail(event.call, isEnded);
+		}
+
+		return isEnded || event.kind === 'caller-left';
+	});
+	expect(result).toMatchObject({status: undefined, isComplete: false});
+	await expect.poll(() => events).toEqual(isEnded ? ['endpoint-answered'] : ['endpoint-answered', 'caller-left']);
+});
+
 describe('bytes without end from an endpoint', () => {
 	const chunk = (bytes: Buffer): Buffer => Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]);
 	const filler = Buffer.alloc(60_000, 'x');
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -88,6 +88,8 @@
 	streamResponse: (requestId: number) => void;
 	reject: (requestId: number, fault: Fault) => void;
 	closeClient: (requestId: number) => void;
+	/** Closes the client's connection after a failure of this process; forgets the request if nothing else is to come of it. */
+	fail: (requestId: number, isEnded: boolean) => void;
 	/** Closes the idle connections to an address. */
 	closeIdleConnections: (address: string) => void;
 	close: () => void;
@@ -611,25 +613,31 @@
 		},
 		cancel,
 		deliver(requestId) {
-			const activeRequest = removeRequest(requestId);
+			const activeRequest = activeRequests.get(requestId);
 			const upstream = activeRequest?.upstream;
-			if (activeRequest === undefined || upstream?.response === undefined) {
-				return;
+			if (activeRequest !== undefined && upstream?.response !== undefined) {
+				answerOrBreak(activeRequest.client, upstream.response.forwarded, upstream.body.getBytes());
 			}
 
-			answerOrBreak(activeRequest.client, upstream.response.forwarded, upstream.body.getBytes());
+			activeRequests.delete(requestId);
 		},
 		streamResponse,
 		reject(requestId, fault) {
-			const activeRequest = removeRequest(requestId);
+			const activeRequest = activeRequests.get(requestId);
 			if (activeRequest !== undefined) {
 				const {head, body} = formatErrorResponse(fault);
 				answerOrBreak(activeRequest.client, head, body);
 			}
+
+			activeRequests.delete(requestId);
 		},
 		closeClient(requestId) {
 			removeRequest(requestId)?.client.break();
 		},
+		fail(requestId, isEnded) {
+			// The close of a request that has not ended is posted, and ends it.
+			(isEnded ? removeRequest(requestId) : activeRequests.get(requestId))?.client.break();
+		},
 		closeIdleConnections(address) {
 			Object.values(agents.get(address)?.freeSockets ?? {}).flatMap(sockets => sockets ?? []).forEach(socket => {
 				socket.destroy();
--- a/src/loop/loop.test.ts
+++ b/src/loop/loop.test.ts
@@ -51,3 +51,36 @@
 	expect(handled()).toEqual([...events, 10]);
 	expect(loop.delay()).toBe(0);
 });
+
+/** Starts a loop whose effects are the events, of which negative ones throw. */
+const startFailingLoop = (onFailure: (effect: number, error: unknown) => void) => {
+	const performed: number[] = [];
+	const loop = startLoop<State, number, number>({
+		initial: {handled: []},
+		handle: (state, event) => ({state: {handled: [...state.handled, event]}, effects: [event, Math.abs(event)]}),
+		perform(effect) {
+			if (effect < 0) {
+				throw new Error(`effect ${effect}`);
+			}
+
+			performed.push(effect);
+		},
+		clock: () => 0,
+		onFailure,
+	});
+	loop.post(-1);
+	loop.post(2);
+	return {loop, performed};
+};
+
+// Guards against an effect of one request that ends all others with the loop.
+test('an effect that throws is reported, and the loop goes on', async () => {
+	const failures: unknown[] = [];
+	const {loop, performed} = startFailingLoop((effect, error) => {
+		failures.push([effect, String(error)]);
+	});
+	await awaitNextIteration();
+	expect(failures).toEqual([[-1, 'Error: effect -1']]);
+	expect(performed).toEqual([1, 2, 2]);
+	expect(loop.state().handled).toEqual([-1, 2]);
+});
--- a/src/loop/loop.ts
+++ b/src/loop/loop.ts
@@ -16,7 +16,7 @@
 	state: () => State;
 	/** Returns the queueing delay of the oldest event, in ms; 0 if the queue is empty. */
 	delay: () => number;
-	/** Resolves when the loop has stopped; rejects if a handler threw. */
+	/** Resolves when the loop has stopped. What a handler throws is thrown out of the loop, and ends the process. */
 	finished: Promise<void>;
 	stop: () => void;
 }>;
@@ -25,6 +25,8 @@
 	initial: State;
 	handle: Handler<State, Event, Effect>;
 	perform: (effect: Effect) => void;
+	/** Handles an effect that threw; may throw to end the process, as happens without it. */
+	onFailure?: (effect: Effect, error: unknown) => void;
 	clock: () => number;
 	/** Time slice in ms, after which the loop yields to Node's sockets and timers; unlimited by default. */
 	slice?: number;
@@ -33,6 +35,10 @@
 /** A queued event, and the time at which it was posted, in ms. */
 type QueuedEvent<Event> = Readonly<{event: Event; postedAt: number}>;
 
+const rethrow = (_effect: unknown, error: unknown): never => {
+	throw error;
+};
+
 /**
 Runs a pure handler over a `most` stream of events.
 
@@ -43,11 +49,16 @@
 per iteration of its event loop, so n new client connections take n iterations to accept.
 With a time slice, iterations stay short however many events are queued.
 
-@param options - The initial state, the handler, the function that performs effects, the clock in ms, and the time slice in ms.
+An effect that throws belongs to one request or to the process, which `onFailure` decides; the effects after it are
+performed all the same. A handler that throws ends the process: its state can no longer be relied on.
+
+@param options - The initial state, the handler, the functions that perform effects and handle their failures, the clock in ms, and the time slice in ms.
 @returns The running loop.
 */
 export const startLoop = <State, Event, Effect>(options: LoopOptions<State, Event, Effect>): Loop<State, Event> => {
-	const {initial, handle, perform, clock, slice = Number.POSITIVE_INFINITY} = options;
+	const {
+		initial, handle, perform, onFailure = rethrow, clock, slice = Number.POSITIVE_INFINITY,
+	} = options;
 	let state = initial;
 	let emit: (event: Event) => void = () => undefined;
 	let end: () => void = () => undefined;
@@ -101,7 +112,11 @@
 		.observe((step: Step<State, Effect>) => {
 			state = step.state;
 			step.effects.forEach(effect => {
-				perform(effect);
+				try {
+					perform(effect);
+				} catch (error) {
+					onFailure(effect, error);
+				}
 			});
 		});
 
