Bound the work and the memory of bytes that come in small pieces

Cause: all limits count bytes. Node.js parses a whole read of 64 KiB, with a callback for each piece, before anything else runs, and a paused response is read on into pieces of hundreds of bytes of heap.

Change: small reads below the parser, an allowance of small pieces, turns between connections that use much of it, a limit of interim responses; a paused response pauses its connection; surplus bytes close an idle connection.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -129,7 +129,7 @@
 	const proxy = openHttpProxy({
 		post(event) {
 			loop.post(event);
-		}, isLastResponse, random,
+		}, isLastResponse, random, clock,
 	});
 
 	const requestStore = async (effect: EdgeEffect & {kind: 'store'}) => {
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -1,11 +1,15 @@
 import {Buffer} from 'node:buffer';
-import {Agent, request} from 'node:http';
+import {request} from 'node:http';
 import type {
-	ClientRequest, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
+	Agent, ClientRequest, IncomingMessage, OutgoingHttpHeaders, ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {createByteBuffer} from '../byte-buffer/index.js';
 import type {ByteBuffer} from '../byte-buffer/index.js';
+import {
+	createAllowance, findPieceExcess, isAllowanceLow, takePiece,
+} from '../byte-buffer/pieces.js';
+import type {PieceAllowance} from '../byte-buffer/pieces.js';
 import {
 	createErrorResponse, createFault, fail, succeed,
 } from '../errors/index.js';
@@ -18,6 +22,9 @@
 import {startTimeout} from '../loop/timeout.js';
 import {decodeResponse, encodeRequestHeaders} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
+import {
+	createAgent, limitResponses, pauseReading, resumeReading, takeTurns,
+} from '../server/http-client.js';
 import {findBufferExcess} from './buffer-limits.js';
 import {openClientResponse, writeHead} from './client-response.js';
 import type {ClientResponse, StreamResponse} from './client-response.js';
@@ -37,6 +44,9 @@
 /** Time that an idle connection is kept, in ms. An endpoint may announce a shorter keep-alive time. */
 const idleTimeoutMs = 20_000;
 
+/** Bytes that are read from an endpoint at a time. Small, since each few of them may be a piece of a response that is handled by itself. */
+const endpointReadBytes = 1024;
+
 type SendEffect = EdgeEffect & {kind: 'send'};
 
 /** A client request whose response is not complete. */
@@ -65,6 +75,8 @@
 	/** Bytes received on the connection before the request was sent. */
 	initialBytesRead: number;
 	response: EndpointResponse | undefined;
+	/** Pieces of its response that may still come. */
+	allowance: PieceAllowance;
 	/** Body of a response that is not a stream. */
 	readonly body: ByteBuffer;
 	/** True if the request asks for the rest of a stream, which may be empty. */
@@ -100,6 +112,8 @@
 	/** Decides as the head of a response is written whether it closes the client's connection, as it does during a graceful shutdown so that clients use another router. */
 	isLastResponse: (response: ServerResponse) => boolean;
 	random: () => number;
+	/** The current time in ms. */
+	clock: () => number;
 }>;
 
 const formatErrorResponse = (fault: Fault): Readonly<{head: FinalHead; body: Buffer}> => {
@@ -161,6 +175,21 @@
 	return framing === 'close' && upstream.eventCount === 0 && !upstream.isResumed ? 'stream ended with its connection before its first event' : undefined;
 };
 
+const pauseResponse = (incoming: IncomingMessage): void => {
+	incoming.pause();
+	// The connection of a complete response may carry another one.
+	if (!incoming.complete) {
+		pauseReading(incoming.socket);
+	}
+};
+
+const resumeResponse = (incoming: IncomingMessage): void => {
+	incoming.resume();
+	if (!incoming.complete) {
+		resumeReading(incoming.socket);
+	}
+};
+
 /**
 Opens a proxy between clients and endpoints.
 
@@ -168,7 +197,7 @@
 @returns The proxy.
 */
 export const openHttpProxy = (options: HttpProxyOptions): HttpProxy => {
-	const {post, random} = options;
+	const {post, random, clock} = options;
 	const activeRequests = new Map<number, ActiveRequest>();
 	const agents = new Map<string, Agent>();
 	const refusals = createRefusalHistory();
@@ -180,9 +209,9 @@
 			return existing;
 		}
 
-		const agent = new Agent({
+		const agent = createAgent({
 			keepAlive: true, maxSockets: maxConnections, timeout: idleTimeoutMs, scheduling: 'lifo',
-		});
+		}, endpointReadBytes);
 		agents.set(address, agent);
 		return agent;
 	};
@@ -218,6 +247,16 @@
 	const countBufferedBytes = (): number => [...activeRequests.values()].flatMap(({upstream}) => upstream ?? [])
 		.reduce((sum, {body, splitter}) => sum + body.countMemory() + splitter.countMemory(), 0);
 
+	/** Charges a response for a piece; returns why it may not go on, if so. */
+	const chargePiece = (upstream: Upstream, {socket}: IncomingMessage, bytes: number): string | undefined => {
+		upstream.allowance = takePiece(upstream.allowance, bytes, clock());
+		if (isAllowanceLow(upstream.allowance)) {
+			takeTurns(socket);
+		}
+
+		return findPieceExcess(upstream.allowance);
+	};
+
 	const destroyUpstream = (upstream: Upstream): void => {
 		upstream.isFinished = true;
 		upstream.body.clear();
@@ -285,7 +324,7 @@
 			}
 
 			const hasGrown = upstream.body.add(chunk);
-			const excess = findBufferExcess('response', upstream.body.countBytes(), hasGrown ? countBufferedBytes : () => 0);
+			const excess = findBufferExcess('response', upstream.body.countBytes(), hasGrown ? countBufferedBytes : () => 0) ?? chargePiece(upstream, incoming, chunk.length);
 			if (excess !== undefined) {
 				failAttempt(requestId, upstream, 'sent', excess);
 			}
@@ -339,6 +378,7 @@
 		detectReset(upstream, activeRequest.head.method, incoming);
 		if (head.isStream && head.status === 200) {
 			incoming.on('error', () => undefined);
+			pauseResponse(incoming);
 			post({
 				kind: 'endpoint-answered', call: requestId, attempt: upstream.attempt, head, random: random(),
 			});
@@ -409,6 +449,7 @@
 			isConnected: false,
 			initialBytesRead: 0,
 			response: undefined,
+			allowance: createAllowance(clock()),
 			body: createByteBuffer(),
 			isResumed: effect.metadata.resumeAfter !== undefined,
 			splitter: createEventSplitter(),
@@ -418,6 +459,9 @@
 		};
 		activeRequest.upstream = upstream;
 		trackConnection(effect.call, upstream);
+		limitResponses(outgoing, reason => {
+			failAttempt(effect.call, upstream, 'sent', reason);
+		});
 		outgoing.on('response', incoming => {
 			receiveResponseHead(effect.call, upstream, incoming);
 		});
@@ -511,7 +555,7 @@
 		upstream.eventCount += events.count;
 		upstream.lastEventId = events.lastEventId ?? upstream.lastEventId;
 		if (!stream.write(events.bytes)) {
-			response.incoming.pause();
+			pauseResponse(response.incoming);
 		}
 
 		if (isFirst) {
@@ -521,7 +565,7 @@
 
 	const receiveChunk = (requestId: number, activeRequest: ActiveRequest, upstream: Upstream, response: EndpointResponse, chunk: Buffer): void => {
 		const {events, hasGrown} = upstream.splitter.add(chunk);
-		const excess = findBufferExcess('event', upstream.splitter.getPartialEvent().length, hasGrown ? countBufferedBytes : () => 0);
+		const excess = findBufferExcess('event', upstream.splitter.getPartialEvent().length, hasGrown ? countBufferedBytes : () => 0) ?? chargePiece(upstream, response.incoming, chunk.length);
 		if (events !== undefined) {
 			forwardEvents(requestId, activeRequest, upstream, response, events);
 		}
@@ -577,6 +621,7 @@
 				failAttempt(requestId, upstream, 'streaming', 'connection closed before the stream was complete');
 			}
 		});
+		resumeResponse(incoming);
 	};
 
 	return {
@@ -586,7 +631,10 @@
 				hostHeader,
 				body,
 				client: openClientResponse(response, () => {
-					activeRequests.get(requestId)?.upstream?.response?.incoming.resume();
+					const incoming = activeRequests.get(requestId)?.upstream?.response?.incoming;
+					if (incoming !== undefined) {
+						resumeResponse(incoming);
+					}
 				}, () => options.isLastResponse(response)),
 				hasLeft: false,
 				upstream: undefined,
--- a/src/edge/request-body.ts
+++ b/src/edge/request-body.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createByteBuffer} from '../byte-buffer/index.js';
+import {createAllowance, findPieceExcess, takePiece} from '../byte-buffer/pieces.js';
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
 import {writeErrorResponse} from './http-proxy.js';
@@ -14,7 +15,7 @@
 /**
 Reads the body of a client's request.
 
-Load pattern: clients send without end, or stop in the middle.
+Load pattern: clients send without end, in pieces of any size, or stop in the middle.
 
 @param incoming - The request.
 @param limits - Bounds of the body.
@@ -25,6 +26,7 @@
 export const readRequestBody = (incoming: IncomingMessage, limits: BodyLimits, onComplete: (body: Buffer) => void, onFault: (fault: Fault) => void): ((fault: Fault) => void) => {
 	const buffer = createByteBuffer();
 	let isSettled = false;
+	let allowance = createAllowance(performance.now());
 	const settle = (report: () => void) => {
 		if (!isSettled) {
 			isSettled = true;
@@ -44,6 +46,14 @@
 		fail(createFault('body-late', `body: not complete within ${limits.timeoutMs} ms`));
 	}, limits.timeoutMs);
 	incoming.on('data', (chunk: Buffer) => {
+		allowance = takePiece(allowance, chunk.length, performance.now());
+		const excess = findPieceExcess(allowance);
+		if (excess !== undefined) {
+			// The client can still read its response, but nothing more is read of it.
+			incoming.pause();
+			fail(createFault('too-large', `body: ${excess}`));
+		}
+
 		if (isSettled) {
 			return;
 		}
--- a/src/loop/loop.ts
+++ b/src/loop/loop.ts
@@ -35,7 +35,7 @@
 /** A queued event, and the time at which it was posted, in ms. */
 type QueuedEvent<Event> = Readonly<{event: Event; postedAt: number}>;
 
-const rethrow = (_effect: unknown, error: unknown): never => {
+const failLoop = (_effect: unknown, error: unknown): never => {
 	throw error;
 };
 
@@ -57,7 +57,7 @@
 */
 export const startLoop = <State, Event, Effect>(options: LoopOptions<State, Event, Effect>): Loop<State, Event> => {
 	const {
-		initial, handle, perform, onFailure = rethrow, clock, slice = Number.POSITIVE_INFINITY,
+		initial, handle, perform, onFailure = failLoop, clock, slice = Number.POSITIVE_INFINITY,
 	} = options;
 	let state = initial;
 	let emit: (event: Event) => void = () => undefined;
--- /dev/null
+++ b/src/loop/turns.ts
@@ -0,0 +1,22 @@
+/**
+Creates a queue of functions that run one in each iteration of the event loop, in order. Sockets and timers are served between
+any two of them.
+
+@returns A function that adds a function to the queue.
+*/
+export const createTurnQueue = (): ((run: () => void) => void) => {
+	const waiting: Array<() => void> = [];
+	const runNext = () => {
+		waiting.shift()?.();
+		if (waiting.length > 0) {
+			setImmediate(runNext);
+		}
+	};
+
+	return run => {
+		waiting.push(run);
+		if (waiting.length === 1) {
+			setImmediate(runNext);
+		}
+	};
+};
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,11 +1,13 @@
 import {Buffer} from 'node:buffer';
-import {Agent, request} from 'node:http';
+import {request} from 'node:http';
 import {createByteBuffer} from '../byte-buffer/index.js';
+import {createAllowance, findPieceExcess, takePiece} from '../byte-buffer/pieces.js';
 import {createFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {startTimeout} from '../loop/timeout.js';
 import {parseAddress} from '../server/address.js';
 import type {SocketAddress} from '../server/address.js';
+import {createAgent, limitResponses} from '../server/http-client.js';
 import {getEra} from '../store/index.js';
 import type {
 	RowKey, StoredRow, StoreReply, StoreWrite,
@@ -42,6 +44,9 @@
 /** Maximum number of rows in a page. */
 const maxPageRows = 500;
 
+/** Bytes that are read from a connection at a time. */
+const readBytes = 16_384;
+
 /** Maximum size of a reply, in bytes. */
 const maxReplyBytes = 16 * 1024 * 1024;
 
@@ -111,7 +116,7 @@
 @returns The client.
 */
 export const openStoreClient = (): StoreClient => {
-	const agent = new Agent({keepAlive: true, maxFreeSockets: 4});
+	const agent = createAgent({keepAlive: true, maxFreeSockets: 4}, readBytes);
 
 	const send = async ({host, port}: SocketAddress, storeRequest: StoreRequest): Promise<DecodedReply> => new Promise(resolve => {
 		const {method, path, timeoutMs, body} = storeRequest;
@@ -131,12 +136,21 @@
 		outgoing.on('error', error => {
 			resolveLost(error.message);
 		});
+		outgoing.on('close', () => {
+			resolveLost('connection closed before a reply');
+		});
+		limitResponses(outgoing, resolveLost);
 		outgoing.on('response', incoming => {
 			const buffer = createByteBuffer();
+			let allowance = createAllowance(performance.now());
 			incoming.on('data', (chunk: Buffer) => {
 				buffer.add(chunk);
+				allowance = takePiece(allowance, chunk.length, performance.now());
+				const excess = findPieceExcess(allowance);
 				if (buffer.countBytes() > maxReplyBytes) {
 					resolveLost(`reply is larger than ${maxReplyBytes} bytes`, true);
+				} else if (excess !== undefined) {
+					resolveLost(excess);
 				}
 			});
 			incoming.on('error', error => {
--- a/test/edge-bodies.test.ts
+++ b/test/edge-bodies.test.ts
@@ -27,6 +27,10 @@
 	['has no end', 413, ['Request-Deadline-Ms: 6000', 'Transfer-Encoding: chunked'], socket => {
 		writeWithoutEnd(socket, Buffer.from(`ea60\r\n${'x'.repeat(60_000)}\r\n`));
 	}],
+	// Guards against a client whose pieces keep a router from all else.
+	['has no end, in chunks of a byte', 413, ['Request-Deadline-Ms: 6000', 'Transfer-Encoding: chunked'], socket => {
+		writeWithoutEnd(socket, Buffer.from('1\r\na\r\n'.repeat(1000)));
+	}],
 ])('a request whose body %s is answered %i, and its connection is closed', async (_, status, headers, writeBody) => {
 	const {edge, port} = await startSystem(Buffer.alloc(1));
 	const received = await sendUnfinished(port, headers, writeBody);
