Keep following the store's tables after a key that no URL can hold

Callers would see: a router that never hears of another change, while it says that it is ready: configuration accepted by the operator is not in force there.

Cause: encodeURIComponent throws on half of a surrogate pair, as a row's key may have it at the end of a page, and a failure of work in the background was ignored.

Change: parameters that take any text; a loop that is to go on until the process ends now ends it by its failure, so that it starts again. A reply with a row without a key is lost as a whole.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -12,7 +12,7 @@
 import {parseLoads} from '../gossip/index.js';
 import {digestBody} from '../in-flight/index.js';
 import type {BoundedLog} from '../log/bounded.js';
-import {runInBackground} from '../loop/background.js';
+import {runForever, runInBackground} from '../loop/background.js';
 import {startLoop} from '../loop/loop.js';
 import {sleep} from '../loop/sleep.js';
 import {
@@ -508,11 +508,11 @@
 		incarnation, dataCentre: settings.host['data-centre'], uptime: Math.round(process.uptime() * 1000), processorTime: Math.round((user + system) / 1000),
 	});
 
-	runInBackground(async () => followTable(store, tables.configuration, event => {
+	runForever(async () => followTable(store, tables.configuration, event => {
 		logFeed(tables.configuration, event);
 		(configurationHandlers[event.kind] as (event: FeedEvent) => void)(event);
 	}));
-	runInBackground(async () => followTable(store, tables.endpoints, event => {
+	runForever(async () => followTable(store, tables.endpoints, event => {
 		logFeed(tables.endpoints, event);
 		(registryHandlers[event.kind] as (event: FeedEvent) => void)(event);
 	}));
@@ -527,7 +527,7 @@
 
 	runInBackground(async () => retryRead(readVerdicts));
 	runInBackground(async () => retryRead(readVersions));
-	runInBackground(async () => periodic(tickIntervalMs).observe(() => {
+	runForever(async () => periodic(tickIntervalMs).observe(() => {
 		lagMs = clock() - lastTickAt - tickIntervalMs;
 		lastTickAt = clock();
 		acceptQueue.recordLag(lagMs);
@@ -536,7 +536,7 @@
 		});
 		loop.post({kind: 'tick', random: random()});
 	}));
-	runInBackground(async () => periodic(1000).observe(() => {
+	runForever(async () => periodic(1000).observe(() => {
 		log.tick(clock());
 	}));
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -69,12 +69,16 @@
 	nowMs?: number;
 }>;
 
-const decodeRow = (row: WireRow): StoredRow => ({
-	table: row.table,
-	key: row.key,
-	version: row.ver,
-	value: row.removed === true || row.value === undefined ? undefined : Buffer.from(row.value, 'base64').toString('utf8'),
-});
+/** Throws if a row has no key. */
+const decodeRow = ({table, key, ver, value, removed}: WireRow): StoredRow => {
+	if (typeof key !== 'string') {
+		throw new TypeError('a row has no key');
+	}
+
+	return {
+		table, key, version: ver, value: removed === true || value === undefined ? undefined : Buffer.from(value, 'base64').toString('utf8'),
+	};
+};
 
 const encodeKey = ({table, part = '', key}: RowKey) => ({table, part, key});
 
@@ -173,8 +177,9 @@
 	});
 
 	const readPage = async (endpoint: SocketAddress, table: string, startKey: string | undefined): Promise<DecodedReply> => {
-		const startParameter = startKey === undefined ? '' : `&from=${encodeURIComponent(startKey)}`;
-		return send(endpoint, {method: 'GET', path: `/v1/rows-get?table=${encodeURIComponent(table)}&part=&limit=${maxPageRows}${startParameter}`, timeoutMs: requestTimeoutMs});
+		// Unlike `encodeURIComponent`, this takes any text.
+		const parameters = new URLSearchParams({table, part: '', limit: String(maxPageRows), ...(startKey !== undefined && {from: startKey})});
+		return send(endpoint, {method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs});
 	};
 
 	const readAll = async (endpoint: SocketAddress, table: string, previousRows: readonly StoredRow[], first: (StoreReply & {kind: 'done'}) | undefined): Promise<StoreReply> => {
--- a/test/odd-rows.test.ts
+++ b/test/odd-rows.test.ts
@@ -73,6 +73,22 @@
 		expect(await listOutcomes()).toEqual(['i-1', 'i-2']);
 	}, 20_000);
 
+	// Guards against a feed that ends in silence: nothing that the operator changes comes into force any more.
+	test('does not stop the feed by a key that no URL can hold, at the end of a page', async () => {
+		const {store, listOutcomes} = await startSystem();
+		Array.from({length: 600}).forEach((_, index) => {
+			store.putText('servers', `odd-${index}-\uD800`, 'x');
+		});
+		// Changes that do not fit into one reply make the router read all rows, in pages.
+		const value = Buffer.alloc(60_000, 'x').toString();
+		Array.from({length: 300}).forEach((_, index) => {
+			store.putText('servers', `large-${index}`, value);
+		});
+		await sleep(readMs);
+		store.put('servers', 'i-1', undefined);
+		await expect.poll(listOutcomes, {timeout: 20_000}).toEqual(['i-2']);
+	}, 40_000);
+
 	test('does not stop the feed, however many there are', async () => {
 		const {store, listOutcomes} = await startSystem();
 		const value = Buffer.alloc(60_000, 'x').toString();
