Answer 502 for an agent's answer that cannot be written, or whose outcome is not known

Callers would see: a galena-router that ends, with all their requests.

Change: the answer's head is checked as on the edge; an outcome that is not known counts as unknown, a refusal as not ready.

Measured: four new cases of router/response-forwarder.test.ts failed before.

--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -305,7 +305,7 @@
 		},
 		isLastResponse: () => false,
 		random: () => 0,
-			clock: () => performance.now(),
+		clock: () => performance.now(),
 	});
 	const port = await listen(createFrontServer(proxy, endpoint));
 	const fetchBody = async (id: string): Promise<string> => new Promise(resolve => {
@@ -395,7 +395,7 @@
 		},
 		isLastResponse: () => false,
 		random: () => 0,
-			clock: () => performance.now(),
+		clock: () => performance.now(),
 	});
 	const port = await listen(createFrontServer(proxy, await startEndpoint(() => undefined), 100, 'after an odd event \u0001'));
 	const client = request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end();
@@ -413,7 +413,7 @@
 		},
 		isLastResponse: () => false,
 		random: () => 0,
-			clock: () => performance.now(),
+		clock: () => performance.now(),
 	});
 	const port = await listen(createFrontServer(proxy, endpoint, 1));
 	const clients = [1, 2].map(() => request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end());
@@ -481,7 +481,7 @@
 		},
 		isLastResponse: () => false,
 		random: () => 0,
-			clock: () => performance.now(),
+		clock: () => performance.now(),
 	});
 	const port = await listen(createFrontServer(proxy, endpoint));
 	const clients = Array.from({length: streamCount}, () => request({port, host: '127.0.0.1', headers: {'attempt-id': 'call-1'}}).on('error', () => undefined).end());
@@ -567,7 +567,7 @@
 				},
 				isLastResponse: () => false,
 				random: () => 0,
-			clock: () => performance.now(),
+				clock: () => performance.now(),
 			});
 			const front = createFrontServer(proxy, endpoint);
 			const sendRequest = async () => {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -178,7 +178,9 @@
 
 	const readPage = async (endpoint: SocketAddress, table: string, startKey: string | undefined): Promise<DecodedReply> => {
 		// Unlike `encodeURIComponent`, this takes any text.
-		const parameters = new URLSearchParams({table, part: '', limit: String(maxPageRows), ...(startKey !== undefined && {from: startKey})});
+		const parameters = new URLSearchParams({
+			table, part: '', limit: String(maxPageRows), ...(startKey !== undefined && {from: startKey}),
+		});
 		return send(endpoint, {method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs});
 	};
 
--- a/src/router/pending-request.ts
+++ b/src/router/pending-request.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Answer} from '../attempt/index.js';
-import {createErrorResponse} from '../errors/index.js';
+import {createErrorResponse, createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
+import {checkFinalHead} from '../http-head/index.js';
 import type {CheckedRequest} from './validate-request.js';
 
 /** The destination of a response: an HTTP response, or the stream to a peer that forwarded the request. */
@@ -188,16 +189,23 @@
 };
 
 /**
-Sends a complete response.
+Sends a complete response; an error response if it has a head that cannot be written, as a faulty endpoint or agent may send it.
 
 @param pending - The request.
 @param answer - The endpoint's response.
 */
 export const sendAnswer = (pending: PendingRequest, answer: Answer): void => {
+	const contentType = answer.contentType || 'application/octet-stream';
+	const head = checkFinalHead(answer.status, ['content-type', contentType]);
 	pending.isEnded = true;
+	if (head.err) {
+		sendFault(pending.sink, createFault('endpoint-failed', head.val.detail), pending.hasSentHead, pending.checked.spec.billId);
+		return;
+	}
+
 	pending.hasSentHead = true;
 	pending.sink.writeHead(answer.status, {
-		'content-type': answer.contentType || 'application/octet-stream',
+		'content-type': contentType,
 		'content-length': String(answer.body.byteLength),
 		'galena-request-id': pending.checked.spec.billId,
 		'galena-outcome': 'complete',
--- a/src/router/response-forwarder.test.ts
+++ b/src/router/response-forwarder.test.ts
@@ -1,8 +1,11 @@
 import {Buffer} from 'node:buffer';
+import {validateHeaderValue} from 'node:http';
 import {create} from '@bufbuild/protobuf';
 import {describe, expect, test} from 'vitest';
 import {ChunkSchema, EndSchema} from '../gen/galena/v1/agent_pb.js';
-import {buildAttemptBody, canResume, endStream} from './pending-request.js';
+import {
+	buildAttemptBody, canResume, endStream, sendAnswer,
+} from './pending-request.js';
 import type {PendingRequest} from './pending-request.js';
 import {createResponseForwarder} from './response-forwarder.js';
 import type {RouterEvent} from './messages.js';
@@ -180,3 +183,32 @@
 		expect(canResume(createFixture(2).pending)).toBe(false);
 	});
 });
+
+// Guards against a router that ends at a head which its agents pass on and Node.js does not write.
+test.each([
+	['a status below 100', 42, 'text/plain'],
+	['a status of an interim response', 101, 'text/plain'],
+	['a type that no header can hold', 200, 'text/\u20AC'],
+])('a response with %s is an error response to its client', (_, status, contentType) => {
+	const statuses: number[] = [];
+	const response = {
+		writeHead(written: number, headers: Readonly<Record<string, string>>) {
+			statuses.push(written);
+			Object.entries(headers).forEach(([name, value]) => {
+				validateHeaderValue(name, value);
+			});
+		},
+		write: () => true,
+		end: () => undefined,
+		onDrain: () => undefined,
+	};
+	sendAnswer({...createFixture().pending, sink: response}, {status, contentType, body: Buffer.from('x')});
+	expect(statuses).toEqual([502]);
+});
+
+// Guards against a decision on an outcome that an agent of another version states.
+test('an outcome that is not known counts as unknown', () => {
+	const {forwarder, getEnds} = createFixture();
+	forwarder.receiveEnd('a', create(EndSchema, {attemptId: 'r.1', outcome: 'odd', chunkCount: 0}));
+	expect(getEnds()).toMatchObject([{kind: 'attempt-ended', outcome: 'unknown'}]);
+});
--- a/src/router/response-forwarder.ts
+++ b/src/router/response-forwarder.ts
@@ -23,6 +23,11 @@
 /** Written bytes after which credit is returned to the agent. */
 const creditThresholdBytes = 32 * 1024;
 
+const outcomes: ReadonlySet<string> = new Set<AttemptOutcome>(['done', 'not-run', 'failed', 'unknown', 'cancelled']);
+
+/** An agent of another version may state an outcome of which nothing is known. */
+const decodeOutcome = (text: string): AttemptOutcome => outcomes.has(text) ? text as AttemptOutcome : 'unknown';
+
 /**
 Creates the response forwarder of a router.
 
@@ -87,7 +92,8 @@
 			// The endpoint may answer a streaming request with an ordinary body, such as an error, which cannot follow events.
 			const isBuffered = pending !== undefined && (!pending.checked.spec.isStream || end.contentType !== 'text/event-stream');
 			const isDeliverable = isComplete && !(isBuffered && pending.hasSentHead);
-			const outcome = (end.outcome === 'done' && !isDeliverable ? 'failed' : end.outcome) as AttemptOutcome;
+			const stated = decodeOutcome(end.outcome);
+			const outcome = stated === 'done' && !isDeliverable ? 'failed' : stated;
 			ports.post({
 				kind: 'attempt-ended',
 				attempt: end.attemptId,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -7,7 +7,7 @@
 import {listRevisions} from '../config/index.js';
 import type {Revision} from '../config/index.js';
 import {
-	createFault, createErrorResponse, fail, succeed,
+	createFault, createErrorResponse, errorResponses, fail, succeed,
 } from '../errors/index.js';
 import type {ErrorKind, Fault, Result} from '../errors/index.js';
 import type {Log} from '../log/index.js';
@@ -164,7 +164,7 @@
 				responseForwarder.receiveChunk(chunk);
 			});
 			batch.refusals.forEach(refusal => {
-				post({kind: 'attempt-refused', attempt: refusal.attemptId, error: refusal.kind as ErrorKind});
+				post({kind: 'attempt-refused', attempt: refusal.attemptId, error: Object.hasOwn(errorResponses, refusal.kind) ? refusal.kind as ErrorKind : 'not-ready'});
 			});
 			batch.ends.forEach(end => {
 				responseForwarder.receiveEnd(agent, end);
