Recognize the rows of all predecessors after the store was restored

Cause: a router knew one predecessor; the row in the copy was of the one before, and was taken for that of a process that has taken over.

Change: a router's row names the processes that had it before.

--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -101,6 +101,8 @@
 	peer: z.string().default(''),
 	/** Era of the store in which the row was written. */
 	era: z.number().optional(),
+	/** Incarnations that wrote the row before, the latest first. Older routers write none. */
+	predecessors: z.array(z.string()).default([]),
 	holds: z.record(z.string(), holdEntrySchema),
 });
 
@@ -297,7 +299,7 @@
 		id,
 		writes: [
 			buildRowWrite(tables.holds, quota.router, quota.version, {
-				change: id, at: estimateStoreTime(quota, now), peer: quota.peerAddress, era: quota.era, holds,
+				change: id, at: estimateStoreTime(quota, now), peer: quota.peerAddress, era: quota.era, predecessors: quota.predecessors, holds,
 			}),
 			...taken.entrySeq().toArray().map(([organisation, total]) =>
 				buildRowWrite(tables.budgets, organisation, quota.budgets.get(organisation)?.version ?? 0, {taken: total})),
@@ -327,6 +329,21 @@
 const computeInheritedTokens = (entry: HoldEntry, elapsed: number): number =>
 	Math.max(0, Math.floor(entry.held - computeReleased(entry, elapsed)));
 
+/** Splits the id of a change into the incarnation that made it and its number. */
+const parseChangeId = (id: string): Readonly<{incarnation: string; change: number}> => {
+	const end = id.lastIndexOf('.');
+	return {incarnation: id.slice(0, end), change: Number(id.slice(end + 1))};
+};
+
+/** Limit of the predecessors that a row names: more than a host starts processes within the age of a copy of the store. */
+const maxPredecessors = 16;
+
+/** Lists the processes that had a row before the one that takes it over. */
+const listPredecessors = (row: StoredRow | undefined): readonly string[] => {
+	const value = decodeRowValue(holdsRowSchema, row?.value);
+	return value === undefined ? [] : [parseChangeId(value.change).incarnation, ...value.predecessors].slice(0, maxPredecessors);
+};
+
 /**
 Plans the takeover of this router's row from an earlier process. That process ended before this one started, so it
 cannot have spent anything since then.
@@ -347,7 +364,7 @@
 	return {
 		id,
 		writes: [buildRowWrite(tables.holds, quota.router, ownRow?.version ?? 0, {
-			change: id, at: time, peer: quota.peerAddress, era: quota.era, holds,
+			change: id, at: time, peer: quota.peerAddress, era: quota.era, predecessors: quota.predecessors, holds,
 		})],
 		settled: Map(),
 		drawn: Map(),
@@ -476,12 +493,6 @@
 	},
 }));
 
-/** Splits the id of a change into the incarnation that made it and its number. */
-const parseChangeId = (id: string): Readonly<{incarnation: string; change: number}> => {
-	const end = id.lastIndexOf('.');
-	return {incarnation: id.slice(0, end), change: Number(id.slice(end + 1))};
-};
-
 const recordTransfer = (transfers: readonly Transfer[], {id, drawn}: PendingChange, now: number): readonly Transfer[] => drawn.isEmpty()
 	? transfers
 	: [...transfers.filter(transfer => now - transfer.atMs <= maxCopyAgeMs), {change: parseChangeId(id).change, atMs: now, drawn}];
@@ -556,13 +567,13 @@
 };
 
 /**
-Compares the older row of this router with what it has drawn since. A row that neither this process nor its predecessor
+Compares the older row of this router with what it has drawn since. A row that neither this process nor any of its predecessors
 has written is that of a process that has taken over.
 */
 const restoreOwnRow = (quota: LocalQuota, restoration: Restoration, ownRow: StoredRow | undefined): LocalQuota | undefined => {
 	const {incarnation, change} = parseChangeId(decodeRowValue(holdsRowSchema, ownRow?.value)?.change ?? '');
 	const isOwn = incarnation === quota.incarnation;
-	if (ownRow !== undefined && !isOwn && incarnation !== quota.predecessor) {
+	if (ownRow !== undefined && !isOwn && !quota.predecessors.includes(incarnation)) {
 		return undefined;
 	}
 
@@ -605,8 +616,8 @@
 const receiveHolds = (quota: LocalQuota, rows: readonly StoredRow[], now: number): QuotaStep => {
 	if (!quota.hasTakenOver) {
 		const ownRow = findRow(rows, tables.holds, quota.router);
-		const {incarnation: predecessor} = parseChangeId(decodeRowValue(holdsRowSchema, ownRow?.value)?.change ?? '');
-		const takeover = writeChange({...quota, predecessor}, planTakeover(quota, ownRow, now), 0);
+		const succeeding = {...quota, predecessors: listPredecessors(ownRow)};
+		const takeover = writeChange(succeeding, planTakeover(succeeding, ownRow, now), 0);
 		return {state: takeover.state, effects: [...logUnreadableRows(ownRow === undefined ? [] : [ownRow], holdsRowSchema), ...takeover.effects]};
 	}
 
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -290,6 +290,29 @@
 		expect(getBudgetHold(fleet.getQuota('a'), organisation).held).toBe(fleet.store.taken() - taken);
 	});
 
+	// Guards against a router that fences itself for good at the row of a process before its predecessor.
+	test.each([1, 2, 3, 8])('from before %i starts of the processes fences no router', starts => {
+		const fleet = createRouterFleet(['a', 'b'], createRandom(4), replyAlways);
+		const stepsPerStart = 8;
+		sendRequests(fleet, ['a', 'b'], 300, () => 1000);
+		fleet.store.copy(fleet.now());
+		const copiedAt = fleet.now();
+		Array.from({length: starts}).forEach(() => {
+			fleet.kill('a');
+			fleet.kill('b');
+			Array.from({length: stepsPerStart}).forEach(() => {
+				fleet.step();
+			});
+		});
+		fleet.restore(fleet.now() - copiedAt);
+		Array.from({length: 700}).forEach(() => {
+			fleet.step();
+		});
+		expect(fleet.countLogged('holds-fenced')).toBe(0);
+		expect(sendRequests(fleet, ['a', 'b'], 300, () => 1000)).toBe(0);
+		expect(fleet.spent()).toBeLessThanOrEqual(limit);
+	});
+
 	test.each(seeds)('keeps no router from its budget, seed %i', seed => {
 		const {fleet} = runRestores(seed, 0.2, replyAlways);
 		expect(routers.filter(router => !fleet.sendRequest(router, 1000))).toEqual([]);
--- a/src/quota/state.ts
+++ b/src/quota/state.ts
@@ -156,8 +156,8 @@
 	isLeaving: boolean;
 	/** Latest era that the store has named. */
 	era: number | undefined;
-	/** Incarnation whose row this process has taken over; empty if there was no row. */
-	predecessor: string;
+	/** Incarnations of the processes that had this router's row before, the latest first. */
+	predecessors: readonly string[];
 	/** The latest transfers, as long as the store may come back from a copy without them. */
 	transfers: readonly Transfer[];
 	/** Undefined unless the store has come back from an older copy. */
@@ -201,7 +201,7 @@
 	storeClock: {timeMs: 0, receivedAtMs: 0},
 	isLeaving: false,
 	era: undefined,
-	predecessor: '',
+	predecessors: [],
 	transfers: [],
 	restoration: undefined,
 });
