--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -44,8 +44,8 @@
 /** Time that an idle connection is kept, in ms. An endpoint may announce a shorter keep-alive time. */
 const idleTimeoutMs = 20_000;
 
-/** Bytes that are read from an endpoint at a time. Small, since each few of them may be a piece of a response that is handled by itself. */
-const endpointReadBytes = 1024;
+/** Bytes that are read from an endpoint at a time. Most responses take one read; a smaller one takes more processor time, and a larger one has more pieces. */
+const endpointReadBytes = 4096;
 
 type SendEffect = EdgeEffect & {kind: 'send'};
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -45,7 +45,7 @@
 const maxPageRows = 500;
 
 /** Bytes that are read from a connection at a time. */
-const readBytes = 16_384;
+const readBytes = 65_536;
 
 /** Maximum size of a reply, in bytes. */
 const maxReplyBytes = 16 * 1024 * 1024;
