Keep one run of the turn queue scheduled

A function that adds another one while it runs, as the only one in the queue, would have scheduled a second run in each iteration. Nothing does so now; found by reading. The tests of small pieces and of the proxy pass.

--- a/src/loop/turns.ts
+++ b/src/loop/turns.ts
@@ -7,7 +7,9 @@
 export const createTurnQueue = (): ((run: () => void) => void) => {
 	const waiting: Array<() => void> = [];
 	const runNext = () => {
-		waiting.shift()?.();
+		// Stays in the queue while it runs, so that what it adds schedules no second run.
+		waiting[0]?.();
+		waiting.shift();
 		if (waiting.length > 0) {
 			setImmediate(runNext);
 		}
