Prefer urgent requests where there is too little capacity for all

Cause: a request with a long target is sent to an endpoint whose backlog makes urgent requests with a short target late, so the most urgent class was refused as often as the least urgent one. Change: src/admission bounds the predicted time up to which a less urgent request is sent by the targets of the more urgent classes that arrive at present, without starving a class, and holds back an organisation that surges. Requests that come back after a rejection here go before new ones. Endpoints are told the urgency. Active where the contracts in the settings say that clients compete for capacity.

--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -1,3 +1,5 @@
+import {recordRejected} from '../admission/index.js';
+import type {Candidate} from '../admission/index.js';
 import {recordPushbackClose} from '../pushback/index.js';
 import {spreadRetryAfter, suggestRetryAfter} from '../queue/index.js';
 import {chargeTokens} from '../quota/index.js';
@@ -70,6 +72,16 @@
 */
 export const putRequest = (state: EdgeState, request: InFlightRequest): EdgeState => ({...state, requests: state.requests.set(request.id, request)});
 
+/**
+Selects the fields of a request on which its admission depends.
+
+@param request - The request in flight.
+@returns The fields.
+*/
+export const describeCandidate = ({service, priority, organisation, route}: InFlightRequest): Candidate => ({
+	service, priority, organisation, targetMs: route.targetMs,
+});
+
 /**
 Updates the statistics of an endpoint, if it is known.
 
@@ -213,7 +225,9 @@
 		outcome: fault.kind, status: errorResponses[fault.kind].status, events: 0, fields: {reason: fault.detail, retryAfter: fault.retryAfter},
 	}, now);
 	return {
-		state: ended.state,
+		state: state.prioritizesUrgent && fault.retryAfter !== undefined
+			? {...ended.state, demand: recordRejected(ended.state.demand, request.fingerprint, request.firstArrivedAt, now)}
+			: ended.state,
 		effects: [{kind: 'abort', call: request.id}, {kind: 'refuse', call: identifyUnanswered(request), fault}, ...ended.effects],
 	};
 };
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -16,7 +16,7 @@
 import {startLoop} from '../loop/loop.js';
 import {sleep} from '../loop/sleep.js';
 import {
-	configurationKey, decodeRequest, decodeRoutingConfig, decodeEntry, openStoreClient, tables,
+	configurationKey, decodeRequest, decodeRoutingConfig, decodeEntry, hasContention, openStoreClient, tables,
 } from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {listen} from '../server/http.js';
@@ -272,6 +272,7 @@
 			peerAddress: `${settings.listen.peers.host}:${settings.listen.peers.port}`,
 			retryBudgetBounds: getRetryBounds(settings),
 			drainMs: settings.bounds.drain,
+			prioritizesUrgent: hasContention(settings.host.contracts),
 		}),
 		handle: handleEdge,
 		perform(effect) {
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -1,3 +1,4 @@
+import {computeDispatchBound, predictRoomAfterMs, recordSent} from '../admission/index.js';
 import {createFault} from '../errors/index.js';
 import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
@@ -16,7 +17,7 @@
 } from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
-	computeRetryAfter, updateKnownEndpoint, putRequest, rejectRequest,
+	computeRetryAfter, describeCandidate, updateKnownEndpoint, putRequest, rejectRequest,
 } from './common.js';
 import {checkPoison, rejectPoison, startRequestTrial} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -26,6 +27,9 @@
 	return service === undefined ? 0 : computeConnectionShare(service.maxConnections, state.liveRouters.length);
 };
 
+/** The least urgent value that endpoints know. */
+const maxUrgency = 9;
+
 const sendRequest = (state: EdgeState, request: InFlightRequest, placement: Placement & {kind: 'endpoint'}, now: number): EdgeStep => {
 	const {endpoint, predicted, newTokens} = placement;
 	const sent: InFlightRequest = {
@@ -42,7 +46,11 @@
 		sentVersion: endpoint.softwareVersion,
 	};
 	const parts = request.head.modelRequest?.parts ?? [];
-	const told: EdgeState = {...putRequest(state, sent), promptNews: addPromptNews(state.promptNews, endpoint, parts)};
+	const told: EdgeState = {
+		...putRequest(state, sent),
+		demand: state.prioritizesUrgent && request.attempt === 0 ? recordSent(state.demand, describeCandidate(request), now) : state.demand,
+		promptNews: addPromptNews(state.promptNews, endpoint, parts),
+	};
 	const updated = updateKnownEndpoint(told, endpoint, current => ({
 		...recordPromptParts(current, parts.map(({id}) => id), now),
 		open: current.open + 1,
@@ -64,7 +72,7 @@
 					endpoint: endpoint.id,
 					remainingMs: request.expiresAt - now,
 					organisation: request.organisation,
-					urgency: undefined,
+					urgency: state.prioritizesUrgent ? Math.min(maxUrgency, Math.max(0, Math.floor(request.priority))) : undefined,
 					resumeAfter: request.lastEventId ?? request.head.resumeAfter,
 				},
 			},
@@ -107,6 +115,11 @@
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
+/** Suggests when the client of a request returns that its endpoints cannot serve in time. */
+const suggestRoomAfter = (state: EdgeState, request: InFlightRequest, waiting: number, random: number, now: number): number => state.prioritizesUrgent
+	? computeRetryAfter(request, predictRoomAfterMs(state.demand, request.service, waiting, now), random, now)
+	: suggestRetryAfter(request.expiresAt - now, random);
+
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
 	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && canServe(endpoint, request));
@@ -128,6 +141,7 @@
 	const dispatch = ({predicted, predictedIdleMs}: Placement & {kind: 'endpoint'}): Dispatch => isModelRequest
 		? decideDispatch({
 			request, predicted, predictedIdleMs, waiting: countQueued(), endpointCount: endpoints.length, now,
+			dispatchBoundMs: state.prioritizesUrgent ? computeDispatchBound(state.demand, describeCandidate(request), now) : undefined,
 		})
 		: 'send';
 	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
@@ -135,7 +149,7 @@
 		wait: () => queueRequest(state, request, now),
 		refuse(placement) {
 			const detail = `the first output would take ${Math.round(placement.predicted)} ms`;
-			return rejectRequest(state, request, createFault('overloaded', detail, suggestRetryAfter(request.expiresAt - now, random)), now);
+			return rejectRequest(state, request, createFault('overloaded', detail, suggestRoomAfter(state, request, countQueued(), random, now)), now);
 		},
 	};
 	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -1,3 +1,4 @@
+import {findFirstArrival, recordOffered} from '../admission/index.js';
 import {creditRequest} from '../retry-budget/index.js';
 import {findOrganisation, findRoute, pickService} from '../routing-config/index.js';
 import type {RoutingConfig, Organisation, Route} from '../routing-config/index.js';
@@ -8,7 +9,7 @@
 import {computeFingerprint, createInFlightRequest} from '../in-flight/index.js';
 import type {RequestHead, InFlightRequest} from '../in-flight/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
-import {identifyUnanswered, putRequest} from './common.js';
+import {describeCandidate, identifyUnanswered, putRequest} from './common.js';
 import {checkPoison, rejectPoison} from './poison.js';
 import {locateStream} from './resume.js';
 import {admitDuringShutdown} from './shutdown.js';
@@ -99,9 +100,13 @@
 		return rejectArrival(state, event, requestResult.val);
 	}
 
-	const request = requestResult.val;
+	const request: InFlightRequest = state.prioritizesUrgent
+		? {...requestResult.val, firstArrivedAt: findFirstArrival(state.demand, requestResult.val.fingerprint, now) ?? requestResult.val.arrivedAt}
+		: requestResult.val;
 	const counted: EdgeState = {
-		...state, retryBudget: creditRequest(state.retryBudget, request.service, state.retryBudgetBounds, state.liveRouters.length),
+		...state,
+		demand: state.prioritizesUrgent ? recordOffered(state.demand, describeCandidate(request), now) : state.demand,
+		retryBudget: creditRequest(state.retryBudget, request.service, state.retryBudgetBounds, state.liveRouters.length),
 	};
 	const known = putRequest(counted, request);
 	const decision = checkPoison(known, request, now);
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {
-	address, addresses, wholeNumber, duration, label, fraction,
+	address, addresses, wholeNumber, duration, label, fraction, names,
 } from '../settings/settings.js';
 
 /** Schema of the `galena-edge` settings, by section. */
@@ -11,6 +11,8 @@
 		/** Distinguishes this host from an earlier one of the same name. */
 		address: z.string(),
 		'data-centre': label,
+		/** Parts of the service agreement that are in force; they switch on what only some deployments need. */
+		contracts: names.default([]),
 	}),
 	listen: z.object({
 		callers: address,
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -1,5 +1,7 @@
 import {Map} from 'immutable';
 import type {Set} from 'immutable';
+import {emptyDemand} from '../admission/index.js';
+import type {Demand} from '../admission/index.js';
 import {createRetryBudget} from '../retry-budget/index.js';
 import type {RetryBudget, RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
@@ -68,6 +70,10 @@
 	tick: Readonly<{at: number; isLate: boolean}>;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
 	endpointsCheckedAt: number;
+	/** True if urgent requests take precedence over others where there is too little capacity for all. */
+	prioritizesUrgent: boolean;
+	/** Demand for the services; not recorded unless urgent requests take precedence. */
+	demand: Demand;
 	/** How long requests take, by route. */
 	serviceTimes: ServiceTimes;
 	/** During the shutdown, when the last responses must have been sent, in ms; undefined before. */
@@ -89,6 +95,8 @@
 	retryBudgetBounds: RetryBudgetBounds;
 	/** Time for which an endpoint that leaves goes on serving, in ms. */
 	drainMs: number;
+	/** True if urgent requests take precedence over others where there is too little capacity for all; false by default. */
+	prioritizesUrgent?: boolean;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -128,6 +136,8 @@
 	isPoisonNewsUrgent: false,
 	tick: {at: 0, isLate: false},
 	endpointsCheckedAt: 0,
+	prioritizesUrgent: options.prioritizesUrgent ?? false,
+	demand: emptyDemand,
 	serviceTimes: Map(),
 	answerBy: undefined,
 });
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -104,6 +104,8 @@
 	reserved: number;
 	/** When its head was read. */
 	arrivedAt: number;
+	/** When an earlier repetition arrived that was rejected here; `arrivedAt` if none is known. */
+	firstArrivedAt: number;
 	/** Longest time for which it may have waited before, in ms. */
 	unreadMs: number;
 	/** Deadline of the final response. */
@@ -162,6 +164,7 @@
 	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
+	firstArrivedAt: fields.arrivedAt,
 	reserved: 0,
 	phase: 'granting',
 	attempt: 0,
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -1,7 +1,10 @@
 import type {InFlightRequest} from '../in-flight/index.js';
 
+/** Tells whether a request was rejected here and has come back. */
+const isReturning = ({firstArrivedAt, arrivedAt}: InFlightRequest): boolean => firstArrivedAt < arrivedAt;
+
 /**
-Orders queued requests by priority, then by target time, then by arrival.
+Orders queued requests by priority; then those that come back after a rejection go first, in the order of their first arrival; then by target time, then by arrival.
 
 Load pattern: a burst fills every endpoint; urgent requests must not wait behind
 others.
@@ -11,6 +14,8 @@
 */
 export const orderQueue = (requests: readonly InFlightRequest[]): readonly InFlightRequest[] => requests.toSorted((a, b) =>
 	(a.priority - b.priority)
+	|| (Number(isReturning(b)) - Number(isReturning(a)))
+	|| (isReturning(a) ? a.firstArrivedAt - b.firstArrivedAt : 0)
 	|| ((a.arrivedAt + a.route.targetMs) - (b.arrivedAt + b.route.targetMs))
 	|| (a.id - b.id));
 
@@ -49,6 +54,8 @@
 	waiting: number;
 	/** Number of endpoints of the service. */
 	endpointCount: number;
+	/** Predicted time up to which it may be sent, in ms, so that more urgent requests find room; undefined if only its own target counts. */
+	dispatchBoundMs?: number | undefined;
 	now: number;
 }>;
 
@@ -71,7 +78,8 @@
 export const hasWaitedTooLong = (request: InFlightRequest, now: number): boolean =>
 	request.expiresAt - now < (request.expiresAt - request.arrivedAt) * serviceTimeFraction;
 
-const isOnTime = ({request, predicted, now}: DispatchQuery): boolean => now + predicted <= request.arrivedAt + request.route.targetMs;
+const isOnTime = ({request, predicted, dispatchBoundMs = Number.POSITIVE_INFINITY, now}: DispatchQuery): boolean =>
+	now + predicted <= request.arrivedAt + request.route.targetMs && predicted <= dispatchBoundMs;
 
 /**
 Decides whether a request is sent to the best endpoint now.
@@ -93,7 +101,7 @@
 	}
 
 	const isNewArrival = request.phase !== 'queued';
-	return (isNewArrival && query.waiting >= maxLateQueuedPerEndpoint * query.endpointCount) || hasWaitedTooLong(request, now) ? 'refuse' : 'wait';
+	return (isNewArrival && !isReturning(request) && query.waiting >= maxLateQueuedPerEndpoint * query.endpointCount) || hasWaitedTooLong(request, now) ? 'refuse' : 'wait';
 };
 
 /** Input of a decision on a request while all its endpoints have turned requests away for some time, or their rate limits are used up. */
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -43,6 +43,9 @@
 /** A comma-separated list of addresses; an empty text is an empty list. */
 export const addresses = z.string().transform(text => text.split(',').map(part => part.trim()).filter(part => part !== '')).pipe(z.array(address));
 
+/** A comma-separated list of names; an empty text is an empty list. */
+export const names = z.string().transform(text => text.split(',').map(part => part.trim()).filter(part => part !== ''));
+
 /** An HTTP or HTTPS URL with an IP address as host, such as `http://10.0.0.5:7400`. */
 export const httpAddress = z.string().refine(text => {
 	try {
