--- a/src/admission/admission.test.ts
+++ b/src/admission/admission.test.ts
@@ -10,8 +10,12 @@
 
 /** A kind of request: an urgent one with a short prompt, and a less urgent one with a long prompt and a long target. */
 const kinds = [
-	{priority: 0, targetMs: 800, timeLimitMs: 4000, tokens: 2400},
-	{priority: 2, targetMs: 2000, timeLimitMs: 5000, tokens: 9000},
+	{
+		priority: 0, targetMs: 800, timeLimitMs: 4000, tokens: 2400,
+	},
+	{
+		priority: 2, targetMs: 2000, timeLimitMs: 5000, tokens: 9000,
+	},
 ] as const;
 
 type Arrival = Readonly<{at: number; kind: 0 | 1; organisation: string}>;
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -30,11 +30,13 @@
 	organisations: Map<string, OrganisationDemand>;
 	/** When the requests that were rejected lately arrived for the first time, in ms, by fingerprint, the latest ones last. */
 	rejected: Map<string, Readonly<{firstArrivedAt: number; rejectedAt: number}>>;
+	/** When requests of a class were last held back, in ms, by service and priority. */
+	heldBackAt: Map<string, number>;
 }>;
 
 /** The demand that a new process knows. */
 export const emptyDemand: Demand = {
-	since: undefined, classes: Map(), organisations: Map(), rejected: Map(),
+	since: undefined, classes: Map(), organisations: Map(), rejected: Map(), heldBackAt: Map(),
 };
 
 /** The fields of a request on which its admission depends. */
@@ -219,6 +221,25 @@
 	return isStarving ? targetMs : Math.min(targetMs, headroomFraction * shortestTarget);
 };
 
+/** Time after which a class that was held back counts as admitted again, in ms: an overload comes and goes from one request to the next. */
+const heldBackTtlMs = 2000;
+
+/**
+Records that a request is held back for the sake of others.
+
+@param demand - The demand.
+@param candidate - The request.
+@param now - The current time in ms.
+@returns The demand, and whether requests of that class were admitted just before.
+*/
+export const recordHeldBack = (demand: Demand, {service, priority}: Candidate, now: number): Readonly<{demand: Demand; isChange: boolean}> => {
+	const key = `${service}/${priority}`;
+	return {
+		demand: {...demand, heldBackAt: demand.heldBackAt.set(key, now)},
+		isChange: now - (demand.heldBackAt.get(key) ?? Number.NEGATIVE_INFINITY) > heldBackTtlMs,
+	};
+};
+
 /**
 Predicts when there will be room for a further request.
 
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,4 +1,4 @@
 export {
-	computeDispatchBound, emptyDemand, findFirstArrival, isSurging, predictRoomAfterMs, recordOffered, recordRejected, recordSent,
+	computeDispatchBound, emptyDemand, findFirstArrival, isSurging, predictRoomAfterMs, recordHeldBack, recordOffered, recordRejected, recordSent,
 } from './admission.js';
 export type {Candidate, Demand} from './admission.js';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -23,6 +23,9 @@
 		calls: new Counter({
 			name: 'galena_calls_total', help: 'Calls by route and outcome.', labelNames: ['route', 'outcome'], registers,
 		}),
+		heldBack: new Counter({
+			name: 'galena_held_back_total', help: 'Decisions to hold back a request for the sake of more urgent ones, by service and priority.', labelNames: ['service', 'priority'], registers,
+		}),
 		attemptsFailed: new Counter({
 			name: 'galena_attempts_failed_total', help: 'Failed attempts, by service and how far they got.', labelNames: ['service', 'stage'], registers,
 		}),
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -1,4 +1,6 @@
-import {computeDispatchBound, predictRoomAfterMs, recordSent} from '../admission/index.js';
+import {
+	computeDispatchBound, predictRoomAfterMs, recordHeldBack, recordSent,
+} from '../admission/index.js';
 import {createFault} from '../errors/index.js';
 import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
@@ -17,7 +19,7 @@
 } from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
-	computeRetryAfter, describeCandidate, updateKnownEndpoint, putRequest, rejectRequest,
+	computeRetryAfter, createLogEffect, describeCandidate, updateKnownEndpoint, putRequest, rejectRequest,
 } from './common.js';
 import {checkPoison, rejectPoison, startRequestTrial} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -120,6 +122,19 @@
 	? computeRetryAfter(request, predictRoomAfterMs(state.demand, request.service, waiting, now), random, now)
 	: suggestRetryAfter(request.expiresAt - now, random);
 
+/** Counts a request that is held back for the sake of others, and logs that its class is from now on. */
+const holdBack = (state: EdgeState, request: InFlightRequest, boundMs: number, now: number): EdgeStep => {
+	const {demand, isChange} = recordHeldBack(state.demand, describeCandidate(request), now);
+	const {service, priority} = request;
+	return {
+		state: {...state, demand},
+		effects: [
+			{kind: 'count', metric: 'heldBack', labels: {service, priority: String(priority)}},
+			...(isChange ? [createLogEffect('class-held-back', {service, priority, bound: Math.round(boundMs)})] : []),
+		],
+	};
+};
+
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
 	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && canServe(endpoint, request));
@@ -138,10 +153,11 @@
 	const countQueued = () => state.requests.count(other =>
 		other.phase === 'queued' && other.service === request.service && other.id !== request.id);
 	const isModelRequest = request.head.modelRequest !== undefined && service?.engine !== undefined;
+	const dispatchBoundMs = state.prioritizesUrgent && isModelRequest ? computeDispatchBound(state.demand, describeCandidate(request), now) : undefined;
 	const dispatch = ({predicted, predictedIdleMs}: Placement & {kind: 'endpoint'}): Dispatch => isModelRequest
 		? decideDispatch({
 			request, predicted, predictedIdleMs, waiting: countQueued(), endpointCount: endpoints.length, now,
-			dispatchBoundMs: state.prioritizesUrgent ? computeDispatchBound(state.demand, describeCandidate(request), now) : undefined,
+			dispatchBoundMs,
 		})
 		: 'send';
 	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
@@ -153,7 +169,13 @@
 		},
 	};
 	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
-		endpoint: placement => dispatchers[dispatch(placement)](placement),
+		endpoint(placement) {
+			const decision = dispatch(placement);
+			const step = dispatchers[decision](placement);
+			return decision === 'send' || dispatchBoundMs === undefined || dispatchBoundMs >= request.route.targetMs
+				? step
+				: chain(step, current => holdBack(current, request, dispatchBoundMs, now));
+		},
 		busy: () => queueRequest(state, request, now),
 		limited({nextSendAt, requestsPerSecond}) {
 			const query: LimitedQuery = {
