Send nothing new to evacuated data centres

An operator may empty a data centre by a row `evacuate/NAME` beside the configuration. Such rows were ignored, and endpoints there were chosen as before.

The feed of the table now brings the evacuations as events, before the configuration that was read with them, so that a router is not ready without them. One predicate, applied where the endpoints of a request are listed, leaves out those of evacuated data centres. Requests without any endpoint left are rejected with a Retry-After of 1 to 5 s.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -16,7 +16,7 @@
 import {startLoop} from '../loop/loop.js';
 import {sleep} from '../loop/sleep.js';
 import {
-	configurationKey, decodeRequest, decodeRoutingConfig, decodeEntry, openStoreClient, tables,
+	decodeRequest, decodeRoutingConfig, decodeEntry, openStoreClient, splitOperatorRows, tables,
 } from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {listen} from '../server/http.js';
@@ -282,9 +282,7 @@
 		slice: workSliceMs,
 	});
 
-	const applyConfiguration = (rows: readonly StoredRow[]) => {
-		// A change feed may contain several versions of a row, oldest first.
-		const row = rows.findLast(each => each.key === configurationKey);
+	const applyConfiguration = (row: StoredRow | undefined) => {
 		if (row === undefined) {
 			return;
 		}
@@ -341,10 +339,18 @@
 
 	const configurationHandlers: Readonly<{[Kind in FeedEvent['kind']]: (event: FeedEvent & {kind: Kind}) => void}> = {
 		all(event) {
-			applyConfiguration(event.rows);
+			const {configuration, evacuations} = splitOperatorRows(event.rows);
+			// Before the configuration, so that a process is never ready without them.
+			loop.post({kind: 'evacuations-read', evacuations});
+			applyConfiguration(configuration);
 		},
 		changes(event) {
-			applyConfiguration(event.rows);
+			const {configuration, evacuations} = splitOperatorRows(event.rows);
+			if (evacuations.length > 0) {
+				loop.post({kind: 'evacuations-changed', evacuations});
+			}
+
+			applyConfiguration(configuration);
 		},
 		lost: () => undefined,
 		'history-lost': () => undefined,
--- /dev/null
+++ b/src/edge/eligibility.test.ts
@@ -0,0 +1,143 @@
+import {Map} from 'immutable';
+import {describe, expect, test} from 'vitest';
+import {succeed} from '../errors/index.js';
+import {checkFinalHead} from '../http-head/index.js';
+import {splitOperatorRows} from '../platform/index.js';
+import type {RegistryEntry} from '../registry/index.js';
+import type {Organisation, Route, RoutingConfig} from '../routing-config/index.js';
+import {handleEdge} from './handle.js';
+import type {EdgeEffect, EdgeEvent} from './messages.js';
+import {createEdge} from './state.js';
+import type {EdgeOptions, EdgeState} from './state.js';
+
+const createConfig = (routeFields: Partial<Route>, organisationFields: Partial<Organisation>): RoutingConfig => ({
+	version: 1,
+	routes: Map([['h', [{
+		name: 'r', host: 'h', prefix: '/', kind: 'safe', timeout: 3000, targetMs: 300, priority: 1, services: [{name: 's', weight: 1}],
+		maxAttempts: 5, isAnonymous: true, isResumable: false, eventGapTargetMs: undefined, ...routeFields,
+	}]]]),
+	services: Map([['s', {name: 's', maxConnections: 100, engine: undefined}]]),
+	organisations: Map([['k', {
+		name: 'o', priority: undefined, budget: undefined, ...organisationFields,
+	}]]),
+	budgets: Map(),
+	needsAuthentication: false,
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+});
+
+const createEntry = (id: string, dataCentre: string): RegistryEntry => ({
+	id, service: 's', address: `10.0.0.${id.slice(1)}:80`, dataCentre, softwareVersion: 'v1', slots: 1, isLeaving: false, slowStartMs: 0, startedAt: 1, rowVersion: 1,
+});
+
+type Fields = Readonly<{route?: Partial<Route>; organisation?: Partial<Organisation>; options?: Partial<EdgeOptions>}>;
+
+/** A router with an endpoint of one slot in each of the data centres a and b, under virtual time. */
+const openRouter = ({route = {}, organisation = {}, options = {}}: Fields = {}) => {
+	let state: EdgeState = createEdge({
+		dataCentre: 'a', router: 'r', incarnation: 'r#1', peerAddress: '', retryBudgetBounds: {ratio: 1, slack: 40}, drainMs: 2000, ...options,
+	});
+	let now = 0;
+	let effects: readonly EdgeEffect[] = [];
+	const post = (event: EdgeEvent): readonly EdgeEffect[] => {
+		const step = handleEdge(state, event, now);
+		state = step.state;
+		effects = [...effects, ...step.effects];
+		return step.effects;
+	};
+
+	post({kind: 'evacuations-read', evacuations: []});
+	post({kind: 'catalog-read', config: createConfig(route, organisation)});
+	post({kind: 'endpoints-listed', entries: [createEntry('e1', 'a'), createEntry('e2', 'b')], version: 1});
+	return {
+		post,
+		readAll(...keys: readonly string[]) {
+			post({
+				kind: 'evacuations-read', evacuations: splitOperatorRows(keys.map(key => ({
+					table: 'op', key, version: 1, value: '{}',
+				}))).evacuations,
+			});
+		},
+		change(key: string, value: string | undefined) {
+			post({
+				kind: 'evacuations-changed', evacuations: splitOperatorRows([{
+					table: 'op', key, version: 2, value,
+				}]).evacuations,
+			});
+		},
+		request(call: number, random = 0.5) {
+			post({
+				kind: 'call-arrived', call, bodyDigest: undefined, receivedAt: now, unreadMs: 0, random, head: {
+					key: `c${call}`, method: 'GET', url: '/x', host: 'h', apiKey: 'k', clientTimeoutMs: undefined, modelRequest: undefined,
+					resumeAfter: undefined, resumedKey: undefined, forwardedHeaders: [],
+				},
+			});
+		},
+		respond(call: number, attempt: number, status: number) {
+			post({
+				kind: 'endpoint-answered', call, attempt, random: 0.5, head: {
+					status, key: undefined, hasNotRun: false, isOtherIncarnation: false, isSigned: true, load: undefined, rateLimit: succeed(undefined), isLeaving: false,
+					pushbackMs: succeed(undefined), isStream: false, forwarded: checkFinalHead(status, []),
+				},
+			});
+		},
+		tick() {
+			now += 20;
+			post({kind: 'tick', random: 0.5});
+		},
+		listSends: () => effects.flatMap(effect => effect.kind === 'send' ? [effect.endpoint.id] : []),
+		listRefusals: () => effects.flatMap(effect => effect.kind === 'refuse' ? [effect.fault] : []),
+		listEvents: () => effects.flatMap(effect => effect.kind === 'log' && effect.event.startsWith('evacuation') ? [`${effect.event} ${effect.fields.dataCentre}`] : []),
+	};
+};
+
+describe('an evacuated data centre gets no new request,', () => {
+	test('neither as the nearest one nor as a last resort; clients are told to return at different times', () => {
+		const router = openRouter();
+		router.change('evacuate/a', '{}');
+		router.request(1);
+		expect(router.listSends()).toEqual(['e2']);
+		router.change('evacuate/b', '{}');
+		router.request(2, 0.1);
+		router.request(3, 0.9);
+		expect(router.listSends()).toEqual(['e2']);
+		expect(router.listRefusals().map(({kind, retryAfter}) => [kind, retryAfter])).toEqual([['not-ready', 1.4], ['not-ready', 4.6]]);
+	});
+
+	test('by retries', () => {
+		const router = openRouter();
+		router.request(1);
+		router.change('evacuate/b', '{}');
+		router.respond(1, 1, 500);
+		router.change('evacuate/a', '{}');
+		router.respond(1, 2, 500);
+		expect(router.listSends()).toEqual(['e1', 'e1']);
+	});
+
+	test('from the queue', () => {
+		const router = openRouter();
+		[1, 2, 3].forEach(call => {
+			router.request(call);
+		});
+		router.change('evacuate/a', '{}');
+		router.respond(1, 1, 200);
+		router.tick();
+		expect(router.listSends()).toEqual(['e1', 'e2']);
+		router.respond(2, 1, 200);
+		expect(router.listSends()).toEqual(['e1', 'e2', 'e2']);
+	});
+
+	test('until its row is removed; a read of all rows replaces what is known, as after a lost history', () => {
+		const router = openRouter();
+		router.change('evacuate/a', '{}');
+		router.change('evacuate/a', undefined);
+		router.readAll('config', 'evacuate/b');
+		router.request(1);
+		router.respond(1, 1, 200);
+		router.readAll('evacuate/a');
+		router.request(2);
+		expect(router.listSends()).toEqual(['e1', 'e2']);
+		expect(router.listEvents()).toEqual(['evacuation-began a', 'evacuation-ended a', 'evacuation-began b', 'evacuation-began a', 'evacuation-ended b']);
+	});
+});
--- /dev/null
+++ b/src/edge/eligibility.ts
@@ -0,0 +1,42 @@
+import type {InFlightRequest} from '../in-flight/index.js';
+import {suggestRetryAfter} from '../queue/index.js';
+import {isUsable} from '../registry/index.js';
+import type {Endpoint} from '../registry/index.js';
+import type {EdgeState} from './state.js';
+
+type EligibilityContext = Pick<EdgeState, 'evacuations'>;
+
+/** What two software versions write does not fit together in one stream. */
+const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
+	endpoint.service === request.service && (request.streamVersion === undefined || endpoint.softwareVersion === request.streamVersion);
+
+/**
+Tells whether an endpoint may get a request now, be it as its first attempt, a retry, the
+rest of a stream, from the queue or as a last resort.
+
+@param context - The evacuated data centres.
+@param endpoint - The endpoint.
+@param request - The request.
+@returns False if the endpoint is of another service or software version, or its data centre is evacuated.
+*/
+export const mayServe = ({evacuations}: EligibilityContext, endpoint: Endpoint, request: InFlightRequest): boolean =>
+	canServe(endpoint, request) && !evacuations.has(endpoint.dataCentre);
+
+/** Bounds of the time after which clients return that no endpoint may serve, in seconds: an evacuation lasts minutes, and all clients of a service are rejected together. */
+const returnBoundsSeconds = {min: 1, max: 5} as const;
+
+/**
+Explains why no endpoint may serve a request, and when its client returns.
+
+@param state - The edge state.
+@param request - The request.
+@param random - A random number in [0, 1).
+@param now - The current time in ms.
+@returns The reason, and the time in seconds, which is spread out so that the clients do not return together.
+*/
+export const explainNoEndpoint = (state: EdgeState, request: InFlightRequest, random: number, now: number): Readonly<{detail: string; retryAfter: number}> => {
+	const {min, max} = returnBoundsSeconds;
+	return state.registry.endpoints.some(endpoint => isUsable(endpoint, now) && canServe(endpoint, request))
+		? {detail: `no endpoint of service ${request.service} may serve the request: its data centres are evacuated`, retryAfter: Math.round((min + ((max - min) * random)) * 1000) / 1000}
+		: {detail: `service ${request.service} has no endpoint`, retryAfter: suggestRetryAfter(request.expiresAt - now, random)};
+};
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -18,6 +18,7 @@
 import {
 	logIgnoredEntries, receivePeerLeaving, receiveStatements, setRegistry,
 } from './endpoints.js';
+import {receiveEvacuationChanges, receiveEvacuations} from './evacuate.js';
 import {receiveRequest} from './receive.js';
 import {
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
@@ -183,6 +184,8 @@
 	'stream-began': receiveFirstOutput,
 	'stream-ended': receiveStreamEnd,
 	'catalog-read': receiveConfig,
+	'evacuations-read': receiveEvacuations,
+	'evacuations-changed': receiveEvacuationChanges,
 	'endpoints-listed': receiveList,
 	'endpoint-changed': receiveEntry,
 	'registry-lost': state => keepState({...state, registry: markUnavailable(state.registry)}),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -1,3 +1,4 @@
+import type {EvacuationChange} from '../evacuation/index.js';
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
 import type {Fault} from '../errors/index.js';
@@ -40,6 +41,10 @@
 	/** The stream ended normally, after a complete event. */
 	| Readonly<{kind: 'stream-ended'; call: number; attempt: number; events: number; framing: Framing}>
 	| Readonly<{kind: 'catalog-read'; config: RoutingConfig}>
+	/** All rows that evacuate data centres were read. They are posted before a configuration that was read with them. */
+	| Readonly<{kind: 'evacuations-read'; evacuations: readonly EvacuationChange[]}>
+	/** Rows that evacuate data centres were written or removed, the oldest change first. */
+	| Readonly<{kind: 'evacuations-changed'; evacuations: readonly EvacuationChange[]}>
 	/** All entries were read, at the given version of the store. */
 	| Readonly<{kind: 'endpoints-listed'; entries: readonly RegistryEntry[]; version: number}>
 	/** An entry changed with the given version of the store. */
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -14,10 +14,10 @@
 import {
 	decaySlowness, getIncarnation, isUsable, recordPromptParts,
 } from '../registry/index.js';
-import type {Endpoint} from '../registry/index.js';
 import {
 	computeRetryAfter, updateKnownEndpoint, putRequest, rejectRequest,
 } from './common.js';
+import {explainNoEndpoint, mayServe} from './eligibility.js';
 import {checkPoison, rejectPoison, startRequestTrial} from './poison.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
@@ -95,10 +95,6 @@
 const queueRequest = (state: EdgeState, request: InFlightRequest, now: number): EdgeStep =>
 	keepState(putRequest(state, request.phase === 'queued' ? request : {...request, phase: 'queued', phaseAt: now}));
 
-/** Tells whether an endpoint may serve a request. What two software versions write does not fit together in one stream. */
-const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
-	endpoint.service === request.service && (request.streamVersion === undefined || endpoint.softwareVersion === request.streamVersion);
-
 /** Rejects a request that its endpoints do not take in time. */
 const rejectLimited = (state: EdgeState, request: InFlightRequest, sendAt: number, random: number, now: number): EdgeStep => {
 	const isKnown = Number.isFinite(sendAt);
@@ -109,7 +105,7 @@
 
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
-	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && canServe(endpoint, request));
+	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && mayServe(state, endpoint, request));
 	const choice: Placement = service === undefined
 		? {kind: 'none'}
 		: chooseEndpoint(endpoints, {
@@ -147,9 +143,12 @@
 			};
 			return decideLimitedDispatch(query) === 'wait' ? queueRequest(state, request, now) : rejectLimited(state, request, predictLimitedSendAt(query), random, now);
 		},
-		none: () => rejectRequest(state, request, request.hasPossiblyRun
-			? createFault('endpoint-failed', 'the endpoint failed, and the service has no other endpoint')
-			: createFault('not-ready', `service ${request.service} has no endpoint`, suggestRetryAfter(request.expiresAt - now, random)), now),
+		none() {
+			const {detail, retryAfter} = explainNoEndpoint(state, request, random, now);
+			return rejectRequest(state, request, request.hasPossiblyRun
+				? createFault('endpoint-failed', `the endpoint failed, and ${detail}`)
+				: createFault('not-ready', detail, retryAfter), now);
+		},
 	};
 	return (handlers[choice.kind] as (placement: Placement) => EdgeStep)(choice);
 };
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -1,5 +1,7 @@
 import {Map} from 'immutable';
 import type {Set} from 'immutable';
+import {noEvacuations} from '../evacuation/index.js';
+import type {Evacuations} from '../evacuation/index.js';
 import {createRetryBudget} from '../retry-budget/index.js';
 import type {RetryBudget, RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
@@ -26,6 +28,8 @@
 	drainMs: number;
 	/** The active configuration; undefined until one has been read. */
 	config: RoutingConfig | undefined;
+	/** Data centres whose endpoints get nothing new. Read together with the configuration. */
+	evacuations: Evacuations;
 	registry: Registry;
 	/** When the endpoint registry was first read, in ms; undefined before. */
 	registryReadAt: number | undefined;
@@ -105,6 +109,7 @@
 	retryBudgetBounds: options.retryBudgetBounds,
 	drainMs: options.drainMs,
 	config: undefined,
+	evacuations: noEvacuations,
 	registry: emptyRegistry,
 	registryReadAt: undefined,
 	retiredVersions: Map(),
@@ -136,7 +141,7 @@
 Tells whether the process accepts new connections.
 
 @param state - The edge state.
-@returns True once configuration and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown.
+@returns True once configuration, evacuations (which are read before it) and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown.
 */
 export const isReady = (state: EdgeState): boolean =>
 	state.answerBy === undefined && state.config !== undefined && state.registryReadAt !== undefined && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
--- /dev/null
+++ b/src/evacuation/index.ts
@@ -0,0 +1,2 @@
+export {noEvacuations, replaceEvacuations, updateEvacuations} from './evacuation.js';
+export type {EvacuationChange, Evacuations} from './evacuation.js';
--- a/src/platform/tables.ts
+++ b/src/platform/tables.ts
@@ -9,3 +9,5 @@
 /** Key of the configuration row. */
 export const configurationKey = 'config';
 
+/** Keys of the rows beside the configuration that name evacuated data centres begin with this. */
+export const evacuationKeyPrefix = 'evacuate/';
