Use all four figures of an endpoint's load, each with its age

A Replica-Load header with four figures was dropped entirely, so that a router knew nothing of queues at endpoints. Each readable figure is now kept with its own age; the work factor is averaged by its logarithm, has half its weight after 100 ms, and then gives way to what was measured. Stated slots replace those of the registry entry while they are recent.

--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -1,3 +1,4 @@
+import {recordStatedLoad} from '../endpoint-performance/index.js';
 import type {ResponseHead} from '../in-flight/index.js';
 import {chain, keepState} from '../loop/step.js';
 import {explainAbsence, findIncarnation, removeLeaving} from '../registry/index.js';
@@ -61,7 +62,7 @@
 	updateKnownEndpoint(state, incarnation, endpoint => load === undefined
 		? {...endpoint, lastResponseAt: now}
 		: {
-			...endpoint, lastResponseAt: now, load: {...load, at: now}, sentSinceReport: 0,
+			...endpoint, lastResponseAt: now, load: recordStatedLoad(endpoint.load, load, now), sentSinceReport: load.running === undefined ? endpoint.sentSinceReport : 0,
 		});
 
 const recordLeaving = (state: EdgeState, incarnation: Incarnation, {isLeaving}: ResponseHead, now: number): EdgeStep =>
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -12,7 +12,7 @@
 import type {Dispatch, LimitedQuery} from '../queue/index.js';
 import {spendCredit} from '../rate-limit/index.js';
 import {
-	decaySlowness, getIncarnation, isUsable, recordPromptParts,
+	computeWorkFactor, getIncarnation, isUsable, recordPromptParts,
 } from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
@@ -36,7 +36,7 @@
 		triedEndpoints: [...request.triedEndpoints, endpoint.id],
 		pending: newTokens,
 		predicted,
-		slowness: decaySlowness(endpoint, now),
+		slowness: computeWorkFactor(endpoint, now),
 		sentAt: now,
 		sentTo: getIncarnation(endpoint),
 		sentVersion: endpoint.softwareVersion,
@@ -83,9 +83,10 @@
 					newTokens,
 					pending: endpoint.pending + (state.peerLoadTotals.get(endpoint.id)?.pending ?? 0),
 					open: endpoint.open,
-					running: endpoint.load?.running,
+					running: endpoint.load?.running?.value,
 					rateLimit: endpoint.rateLimit.requestsPerSecond,
-					loadAge: endpoint.load === undefined ? undefined : Math.round(now - endpoint.load.at),
+					loadAge: endpoint.load?.running === undefined ? undefined : Math.round(now - endpoint.load.running.at),
+					workFactor: endpoint.load?.workFactor === undefined ? undefined : Math.round(computeWorkFactor(endpoint, now) * 100) / 100,
 				},
 			},
 		],
--- /dev/null
+++ b/src/endpoint-performance/index.ts
@@ -0,0 +1,4 @@
+export {
+	blendWorkFactor, computeSlots, countStatedRequests, recordStatedLoad,
+} from './load-report.js';
+export type {LoadReport, StatedLoad} from './load-report.js';
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -1,4 +1,5 @@
 import type {Result} from '../errors/index.js';
+import type {StatedLoad} from '../endpoint-performance/index.js';
 import type {FinalHead} from '../http-head/index.js';
 import type {Incarnation} from '../registry/index.js';
 import type {Route} from '../routing-config/index.js';
@@ -43,7 +44,8 @@
 	isOtherIncarnation: boolean;
 	/** True if the response has the endpoint's signature header. */
 	isSigned: boolean;
-	load: Readonly<{running: number; waiting: number; slots: number}> | undefined;
+	/** The load that the endpoint states; undefined if it states none. */
+	load: StatedLoad | undefined;
 	/** Requests per second that the endpoint takes from all routers together; undefined if it states no limit, a fault if its statement cannot be read. */
 	rateLimit: Result<number | undefined>;
 	/** Time for which the endpoint wants no further request of this router, in ms; undefined if it states none, a fault if its statement cannot be read. */
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,10 +1,11 @@
 import type {Service} from '../routing-config/index.js';
 import type {ModelRequest} from '../in-flight/index.js';
 import type {EndpointLoads} from '../gossip/index.js';
+import {computeSlots, countStatedRequests} from '../endpoint-performance/index.js';
 import {hasRoom, isAtRest} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {canSend, computeNextSendAt, computeRate} from '../rate-limit/index.js';
-import {decaySlowness} from '../registry/index.js';
+import {computeWorkFactor} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 
 /** Input of an endpoint selection. */
@@ -70,9 +71,6 @@
 /** Further weight of the processing time of shared parts that another endpoint has in its cache: that work has been paid for once. */
 const repeatedPromptWeight = 2;
 
-/** Time after which the load that an endpoint reported is ignored. */
-const loadReportTtlMs = 2000;
-
 const sumPartTokens = (parts: ModelRequest['parts']): number => parts.reduce((sum, part) => sum + part.tokens, 0);
 
 /** Counts the tokens of those of the given parts that an endpoint has in its cache. A part is cached only if all parts before it are. */
@@ -110,9 +108,9 @@
 
 /** Counts the requests at an endpoint: the load that it reported or the load known to the routers, whichever is higher. */
 const countRequests = (endpoint: Endpoint, peers: EndpointLoads, now: number): number => {
-	const {load} = endpoint;
+	const stated = countStatedRequests(endpoint.load, now);
 	const knownCount = endpoint.open + (peers.get(endpoint.id)?.open ?? 0);
-	return load === undefined || now - load.at > loadReportTtlMs ? knownCount : Math.max(knownCount, load.running + load.waiting + endpoint.sentSinceReport);
+	return stated === undefined ? knownCount : Math.max(knownCount, stated + endpoint.sentSinceReport);
 };
 
 /**
@@ -123,8 +121,10 @@
 @param now - The current time in ms.
 @returns True if all its slots are taken; an endpoint with 0 slots has no limit.
 */
-export const isFull = (endpoint: Endpoint, peers: EndpointLoads, now: number): boolean =>
-	endpoint.slots > 0 && countRequests(endpoint, peers, now) >= endpoint.slots;
+export const isFull = (endpoint: Endpoint, peers: EndpointLoads, now: number): boolean => {
+	const slots = computeSlots(endpoint.load, endpoint.slots, now);
+	return slots > 0 && countRequests(endpoint, peers, now) >= slots;
+};
 
 /**
 Predicts the time to the first output.
@@ -137,12 +137,12 @@
 const predictFirstOutputMs = (endpoint: Endpoint, query: PlacementQuery, newTokens: number): number => {
 	const requestCount = countRequests(endpoint, query.peers, query.now);
 	if (query.service.engine === undefined || query.modelRequest === undefined) {
-		return plainRequestMs * decaySlowness(endpoint, query.now) * (1 + (requestCount / Math.max(1, endpoint.slots)));
+		return plainRequestMs * computeWorkFactor(endpoint, query.now) * (1 + (requestCount / Math.max(1, computeSlots(endpoint.load, endpoint.slots, query.now))));
 	}
 
 	const pendingTokens = endpoint.pending + (query.peers.get(endpoint.id)?.pending ?? 0);
 	const promptMs = (pendingTokens / queuedPromptTokensPerMs) + (newTokens / promptTokensPerMs);
-	return decaySlowness(endpoint, query.now) * (idleFirstOutputMs + promptMs + (requestCount * batchedRequestMs));
+	return computeWorkFactor(endpoint, query.now) * (idleFirstOutputMs + promptMs + (requestCount * batchedRequestMs));
 };
 
 /** Predicts the time to the first output of an idle endpoint. */
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -207,6 +207,25 @@
 		expect(decodeResponse({statusCode: 200, headers: {'server-limit': text}, rawHeaders: []}).rateLimit.val).toMatchObject({detail: expect.stringContaining('server-limit') as string});
 	});
 
+	test.each([
+		['6,20,6,100', {
+			running: 6, waiting: 20, slots: 6, workFactor: 1,
+		}],
+		['0, 0, 6, 800', {
+			running: 0, waiting: 0, slots: 6, workFactor: 8,
+		}],
+		['3,0,8', {running: 3, waiting: 0, slots: 8}],
+		['6,?,6,200', {running: 6, slots: 6, workFactor: 2}],
+		['6,20', {running: 6, waiting: 20}],
+		['6,20,6,0', {running: 6, waiting: 20, slots: 6}],
+		['6,20,6,100,7', {
+			running: 6, waiting: 20, slots: 6, workFactor: 1,
+		}],
+		['none', {}],
+	])('with the load %j keeps each figure that can be read', (text, load) => {
+		expect(decodeResponse({statusCode: 200, headers: {'replica-load': text}, rawHeaders: []}).load).toEqual(load);
+	});
+
 	test('is passed to the client without the headers of a single connection', () => {
 		const raw = ['Response-Seal', 's', 'Transfer-Encoding', 'chunked', 'Keep-Alive', 'timeout=5', 'Replica-Load', '3,0,8', 'X-Own', 'kept'];
 		const response = decodeResponse({statusCode: 200, headers: {'response-seal': 's', 'replica-load': '3,0,8'}, rawHeaders: raw});
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -33,7 +33,7 @@
 	urgency: 'request-urgency',
 	/** Present if the endpoint did not run the request. */
 	notExecuted: 'not-executed',
-	/** Running requests, waiting requests and slots. */
+	/** Running requests, waiting requests, slots, and how long work takes at this moment in percent of the usual time. Older endpoints omit the last one. */
 	load: 'replica-load',
 	/** Seconds for which an endpoint that turned a request away wants none from this router. */
 	pushback: 'retry-after',
@@ -193,14 +193,22 @@
 	...(metadata.resumeAfter === undefined ? [] : ['Last-Event-Id', metadata.resumeAfter]),
 ];
 
+const decimalPattern = /^\d{1,9}(?:\.\d{1,9})?$/v;
+
+/** Decodes the figures of the load, each by itself: one that cannot be read does not hide the others. */
 const decodeLoad = (headers: IncomingHttpHeaders): ResponseHead['load'] => {
-	const counts = (readHeader(headers, headerNames.load) ?? '').split(',').map(part => part.trim());
-	return counts.length === 3 && counts.every(value => wholeNumberPattern.test(value))
-		? {running: Number(counts[0]), waiting: Number(counts[1]), slots: Number(counts[2])}
-		: undefined;
-};
+	const text = readHeader(headers, headerNames.load);
+	if (text === undefined) {
+		return undefined;
+	}
 
-const decimalPattern = /^\d{1,9}(?:\.\d{1,9})?$/v;
+	const [running, waiting, slots, workPercent] = text.split(',').map(part => part.trim());
+	const decodeCount = (part: string | undefined) => part !== undefined && wholeNumberPattern.test(part) ? Number(part) : undefined;
+	const percent = workPercent !== undefined && decimalPattern.test(workPercent) ? Number(workPercent) : 0;
+	return {
+		running: decodeCount(running), waiting: decodeCount(waiting), slots: decodeCount(slots), workFactor: percent > 0 ? percent / 100 : undefined,
+	};
+};
 
 const decodeDecimal = (headers: IncomingHttpHeaders, name: string): Result<number | undefined> => {
 	const text = readHeader(headers, name)?.trim();
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,6 +1,6 @@
 export {
 	updateEntry, explainAbsence, findIncarnation, findKnown, formatIncarnation, getIncarnation, isUsable, listLeaving, removeLeaving, removeMissing,
-	emptyRegistry, markUnavailable, markAvailable, markRestored, decaySlowness, recordPromptParts, replaceEntries, updateEndpoint, updateEndpoints,
+	emptyRegistry, markUnavailable, markAvailable, markRestored, computeWorkFactor, decaySlowness, recordPromptParts, replaceEntries, updateEndpoint, updateEndpoints,
 } from './registry.js';
 export type {
 	Endpoint, Incarnation, RegistryEntry, Registry,
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,4 +1,6 @@
 import {Map, OrderedMap} from 'immutable';
+import {blendWorkFactor} from '../endpoint-performance/index.js';
+import type {LoadReport} from '../endpoint-performance/index.js';
 import type {Pushback} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {unlimited} from '../rate-limit/index.js';
@@ -36,8 +38,8 @@
 	open: number;
 	/** Prompt tokens of this router's requests that have no output yet. */
 	pending: number;
-	/** The load that it last reported, and when, in ms. */
-	load: Readonly<{running: number; waiting: number; slots: number; at: number}> | undefined;
+	/** The load that it last stated; undefined if it has stated none. */
+	load: LoadReport | undefined;
 	/** Its rate limit, and this router's share. */
 	rateLimit: RateLimit;
 	/** The rest that it last asked this router for, if any. */
@@ -141,6 +143,16 @@
 export const decaySlowness = (endpoint: Endpoint, now: number): number =>
 	1 + ((endpoint.slowness - 1) * Math.exp(Math.min(0, endpoint.slownessUpdatedAt - now) / slownessDecayMs));
 
+/**
+Computes the factor by which the work of an endpoint takes longer than predicted, by what was
+measured there and by what it states.
+
+@param endpoint - The endpoint.
+@param now - The current time in ms.
+@returns The factor; 1 is as predicted.
+*/
+export const computeWorkFactor = (endpoint: Endpoint, now: number): number => blendWorkFactor(endpoint.load, decaySlowness(endpoint, now), now);
+
 /**
 Gets the incarnation of an endpoint.
 
