Share budgets by demand in fleets of more than 6 routers

Cause: in a large fleet each router got an even share of a budget, and returned tokens only above twice that share. Routers in a data centre whose clients send most requests ran out while those elsewhere kept theirs.

Change: shares follow the demand of each data centre, and within it that of each router as far as there are enough requests to measure it, with a tenth shared evenly. A router returns what exceeds its share by a quarter. Rows in `holds` name the data centre (`zone`); rows without it stay readable. The sums over peers are computed once per reading of the rows, no longer on each tick.

--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -998,7 +998,7 @@
 				holds: Map(),
 				budgets: Map([['o', {version: 1, taken: 1_000_000}]]),
 				peers: Map([['r2', {
-					peerAddress: '', isLive: true, era: undefined, holds: Map([['o', {held: 500, demand: 0}]]),
+					peerAddress: '', dataCentre: '', isLive: true, era: undefined, holds: Map([['o', {held: 500, demand: 0}]]),
 				}]]),
 			},
 		};
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -111,7 +111,7 @@
 	savedVersions: createSavedVersions(),
 	versionReading: undefined,
 	origins: createStreamOrigins(),
-	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress),
+	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress, options.dataCentre),
 	retryBudget: createRetryBudget(),
 	poison: createPoisonGuard(),
 	verdictRows: createVerdictRows(),
--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -7,8 +7,10 @@
 import {getEra, rejectOutdated} from '../store/index.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
 import type {QuotaContext, QuotaEffect, QuotaEvent} from './messages.js';
+import {getBudgetTotals, getPeerTotals} from './peer-totals.js';
+import {computeDemandShare} from './share.js';
 import {
-	computeReleased, countFreeTokens, countSpendableTokens, getBudgetHold, listLiveRouters,
+	computeReleased, countFreeTokens, countLiveRouters, countSpendableTokens, getBudgetHold,
 } from './state.js';
 import type {
 	BudgetHold, BudgetRow, PeerRouter, PendingChange, LocalQuota, Restoration, SpendBound, SyncState, Transfer,
@@ -99,6 +101,8 @@
 	at: z.number(),
 	/** Address at which peers reach the router. */
 	peer: z.string().default(''),
+	/** Data centre of the router. Older routers write none. */
+	zone: z.string().default(''),
 	/** Era of the store in which the row was written. */
 	era: z.number().optional(),
 	/** Incarnations that wrote the row before, the latest first. Older routers write none. */
@@ -145,11 +149,10 @@
 /** Counts the tokens of a budget that routers hold or may draw, without this router's in-flight requests. */
 const countPoolTokens = (quota: LocalQuota, organisation: string, context: QuotaContext): number =>
 	countUnallocatedTokens(quota, organisation, context) + Math.max(0, countFreeTokens(getBudgetHold(quota, organisation)))
-	+ quota.peers.valueSeq().reduce((sum, {holds}) => sum + (holds.get(organisation)?.held ?? 0), 0);
+	+ getBudgetTotals(quota.peers, organisation).held;
 
 /** Sums the other live routers' demand for a budget, as stated in their rows, in tokens per second. */
-const sumPeerDemand = (quota: LocalQuota, organisation: string): number =>
-	quota.peers.valueSeq().filter(peer => peer.isLive).reduce((sum, {holds}) => sum + (holds.get(organisation)?.demand ?? 0), 0);
+const sumPeerDemand = (quota: LocalQuota, organisation: string): number => getBudgetTotals(quota.peers, organisation).demand;
 
 /**
 Routers up to which rows are written, and tokens drawn ahead of need, whenever that helps. The store has no room for
@@ -157,14 +160,36 @@
 */
 const maxEagerRouters = 6;
 
-const isEager = (quota: LocalQuota): boolean => listLiveRouters(quota).length <= maxEagerRouters;
+const isEager = (quota: LocalQuota): boolean => countLiveRouters(quota) <= maxEagerRouters;
+
+/** Tokens that a request is taken to reserve at a router that has seen none yet. */
+const defaultReservationTokens = 4000;
+
+const computeLargeFleetShare = (quota: LocalQuota, organisation: string): number => {
+	const {demand: own, typicalReservation} = getBudgetHold(quota, organisation);
+	const {routersByDataCentre} = getPeerTotals(quota.peers);
+	const {demand, demandByDataCentre} = getBudgetTotals(quota.peers, organisation);
+	return computeDemandShare({
+		own,
+		dataCentre: own + demandByDataCentre.get(quota.dataCentre, 0),
+		total: own + demand,
+		routersInDataCentre: 1 + routersByDataCentre.get(quota.dataCentre, 0),
+		routers: countLiveRouters(quota),
+		dataCentres: routersByDataCentre.size + (routersByDataCentre.has(quota.dataCentre) ? 0 : 1),
+		typicalReservation: typicalReservation === 0 ? defaultReservationTokens : typicalReservation,
+	});
+};
 
-/** Computes this router's fair fraction of the held tokens: mostly in proportion to demand, but even in a large fleet. */
+/** Computes this router's fair fraction of the held tokens: mostly in proportion to demand, of its data centre in a large fleet. */
 const computeShareFraction = (quota: LocalQuota, organisation: string): number => {
+	if (!isEager(quota)) {
+		return computeLargeFleetShare(quota, organisation);
+	}
+
 	const ownDemand = getBudgetHold(quota, organisation).demand;
 	const totalDemand = ownDemand + sumPeerDemand(quota, organisation);
-	const evenFraction = 1 / listLiveRouters(quota).length;
-	return totalDemand < 1 || !isEager(quota) ? evenFraction : (evenShareFraction * evenFraction) + ((1 - evenShareFraction) * ownDemand / totalDemand);
+	const evenFraction = 1 / countLiveRouters(quota);
+	return totalDemand < 1 ? evenFraction : (evenShareFraction * evenFraction) + ((1 - evenShareFraction) * ownDemand / totalDemand);
 };
 
 /** Computes how many free tokens this router should hold: its share of the pool, or none once the pool is scarce. */
@@ -198,6 +223,9 @@
 	return smallestShortfall > 0 && smallestShortfall <= unallocated ? Math.floor(unallocated) : 0;
 };
 
+/** Multiple of its target above which a router in a large fleet returns tokens: demand that moves must be followed within about two seconds. */
+const largeFleetExcessFactor = 1.25;
+
 /** Decides how many free tokens to return: those above the target, if they exceed it by far and other routers may need them. */
 const computeReturnTokens = (quota: LocalQuota, organisation: string, context: QuotaContext, now: number): number => {
 	const hold = getBudgetHold(quota, organisation);
@@ -207,9 +235,10 @@
 		return free;
 	}
 
-	const isScarce = countUnallocatedTokens(quota, organisation, context) < free;
-	const hasExcess = target === 0 ? free > 0 : free > (2 * target) + minimumDrawTokens;
-	return isScarce && hasExcess && hold.waitingTokens === 0 && now - hold.drawnAtMs >= returnDelayMs ? free - target : 0;
+	// Each of many routers holds less than what is unallocated, so that this tells nothing of the need of the others.
+	const isNeeded = !isEager(quota) || countUnallocatedTokens(quota, organisation, context) < free;
+	const hasExcess = target === 0 ? free > 0 : free > (target * (isEager(quota) ? 2 : largeFleetExcessFactor)) + minimumDrawTokens;
+	return isNeeded && hasExcess && hold.waitingTokens === 0 && now - hold.drawnAtMs >= returnDelayMs ? free - target : 0;
 };
 
 /** Computes the tokens to draw, or to return if negative. */
@@ -223,6 +252,11 @@
 		table, key, version, value: JSON.stringify(value),
 	});
 
+/** Describes the router in its row. Empty fields are left out, which readers of any version understand. */
+const describeWriter = ({peerAddress, dataCentre, era, predecessors}: LocalQuota) => ({
+	peer: peerAddress, ...(dataCentre !== '' && {zone: dataCentre}), era, ...(predecessors.length > 0 && {predecessors}),
+});
+
 /** Estimates the store's current time in ms; the estimate may be slightly early. */
 const estimateStoreTime = (quota: LocalQuota, now: number): number =>
 	Math.floor(quota.storeClock.timeMs + (now - quota.storeClock.receivedAtMs));
@@ -242,7 +276,7 @@
 const computeSpendWindow = ({demand, typicalReservation}: BudgetHold, {requests, seconds}: RequestAllowance): number =>
 	(demand * windowHorizonSeconds) + Math.max(minimumWindowTokens, Math.min(requests * typicalReservation, demand * seconds));
 
-const getAllowance = (quota: LocalQuota): RequestAllowance => isEager(quota) ? eagerAllowance : createLargeFleetAllowance(listLiveRouters(quota).length);
+const getAllowance = (quota: LocalQuota): RequestAllowance => isEager(quota) ? eagerAllowance : createLargeFleetAllowance(countLiveRouters(quota));
 
 /** Plans what may be spent of a hold until its row is written again. In-flight requests stay reserved in the new row. */
 const planSpendBound = (hold: BudgetHold, allowance: RequestAllowance, now: number): SpendBound => ({
@@ -299,7 +333,7 @@
 		id,
 		writes: [
 			buildRowWrite(tables.holds, quota.router, quota.version, {
-				change: id, at: estimateStoreTime(quota, now), peer: quota.peerAddress, era: quota.era, predecessors: quota.predecessors, holds,
+				...describeWriter(quota), change: id, at: estimateStoreTime(quota, now), holds,
 			}),
 			...taken.entrySeq().toArray().map(([organisation, total]) =>
 				buildRowWrite(tables.budgets, organisation, quota.budgets.get(organisation)?.version ?? 0, {taken: total})),
@@ -364,7 +398,7 @@
 	return {
 		id,
 		writes: [buildRowWrite(tables.holds, quota.router, ownRow?.version ?? 0, {
-			change: id, at: time, peer: quota.peerAddress, era: quota.era, predecessors: quota.predecessors, holds,
+			...describeWriter(quota), change: id, at: time, holds,
 		})],
 		settled: Map(),
 		drawn: Map(),
@@ -393,7 +427,7 @@
 	return hold.waitingTokens === 0 && isWindowLimiting(quota, organisation, computeSpendWindow(hold, getAllowance(quota)) / 2, now);
 };
 
-const computeSettleIntervalMs = (quota: LocalQuota): number => Math.max(minSettleIntervalMs, listLiveRouters(quota).length * 1000 / maxSettlementsPerSecond);
+const computeSettleIntervalMs = (quota: LocalQuota): number => Math.max(minSettleIntervalMs, countLiveRouters(quota) * 1000 / maxSettlementsPerSecond);
 
 const isSettlementDue = (quota: LocalQuota, now: number): boolean => {
 	const isIntervalOver = now - quota.settledAtMs >= computeSettleIntervalMs(quota);
@@ -412,7 +446,7 @@
 
 /** Decides which transfers are due: those ahead of need are paced, and give way to requests that wait for the row alone. */
 const chooseTransferScope = (quota: LocalQuota, now: number): TransferScope => {
-	const isIntervalOver = now - (quota.transfers.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY) >= listLiveRouters(quota).length * 1000 / maxTransfersPerSecond;
+	const isIntervalOver = now - (quota.transfers.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY) >= countLiveRouters(quota) * 1000 / maxTransfersPerSecond;
 	if (now - quota.startedAtMs < settlingInMs) {
 		return 'needed';
 	}
@@ -560,6 +594,7 @@
 	const value = decodeRowValue(holdsRowSchema, row.value);
 	return {
 		peerAddress: value !== undefined && isRemoteAddress(value.peer) ? value.peer : '',
+		dataCentre: value?.zone ?? '',
 		isLive: value !== undefined && time - value.at <= livenessTimeoutMs,
 		era: value?.era,
 		holds: Map(Object.entries(value?.holds ?? {})),
--- a/src/quota/state.ts
+++ b/src/quota/state.ts
@@ -1,6 +1,7 @@
 import {Map} from 'immutable';
 import type {Set} from 'immutable';
 import type {StoreWrite} from '../store/index.js';
+import {getBudgetTotals, getPeerTotals} from './peer-totals.js';
 
 /**
 Upper bound on what a router may have spent of a hold since its row was planned.
@@ -75,6 +76,8 @@
 export type PeerRouter = Readonly<{
 	/** Address at which peers reach the router. */
 	peerAddress: string;
+	/** Data centre of the router; empty if its row names none, as those of older routers do. */
+	dataCentre: string;
 	/** True if the router wrote its row recently. */
 	isLive: boolean;
 	/** Era of the store in which the row was written; undefined if the store named none. */
@@ -143,6 +146,8 @@
 	peers: Map<string, PeerRouter>;
 	/** Address at which peers reach this router; empty if there is none. */
 	peerAddress: string;
+	/** Data centre of this router; empty if it is not known. */
+	dataCentre: string;
 	sync: SyncState;
 	/** When spending was last settled. */
 	settledAtMs: number;
@@ -181,9 +186,10 @@
 @param incarnation - Identifies this process.
 @param startedAtMs - When the process started, in ms of the clock that gives `now` elsewhere.
 @param peerAddress - Address at which peers reach this router; empty if there is none.
+@param dataCentre - Data centre of this router; empty if it is not known.
 @returns The quota, which must take over its row before it has any tokens.
 */
-export const createLocalQuota = (router: string, incarnation: string, startedAtMs: number, peerAddress = ''): LocalQuota => ({
+export const createLocalQuota = (router: string, incarnation: string, startedAtMs: number, peerAddress = '', dataCentre = ''): LocalQuota => ({
 	router,
 	startedAtMs,
 	hasTakenOver: false,
@@ -191,6 +197,7 @@
 	changes: 0,
 	incarnation,
 	peerAddress,
+	dataCentre,
 	holds: Map(),
 	budgets: Map(),
 	peers: Map(),
@@ -340,7 +347,15 @@
 @param quota - The local quota.
 @returns The keys of their rows.
 */
-export const listLiveRouters = (quota: LocalQuota): readonly string[] => [quota.router, ...quota.peers.filter(peer => peer.isLive).keys()];
+export const listLiveRouters = (quota: LocalQuota): readonly string[] => [quota.router, ...getPeerTotals(quota.peers).liveRouters];
+
+/**
+Counts the routers that share budgets and are live by their rows, including this one.
+
+@param quota - The local quota.
+@returns Their number, at least 1.
+*/
+export const countLiveRouters = (quota: LocalQuota): number => 1 + getPeerTotals(quota.peers).liveRouters.length;
 
 /** Why tokens are short: the budget is exhausted, other routers hold tokens that may be returned, or the store is unavailable. */
 export type Shortage = 'exhausted' | 'held-elsewhere' | 'unavailable';
@@ -369,7 +384,7 @@
 		return undefined;
 	}
 
-	const peerHeldTokens = quota.peers.valueSeq().reduce((sum, {holds}) => sum + (holds.get(organisation)?.held ?? 0), 0);
+	const {held: peerHeldTokens} = getBudgetTotals(quota.peers, organisation);
 	// Reservations of in-flight requests on this router may release unused tokens.
 	return limit - (row?.taken ?? 0) + hold.held - hold.charged + peerHeldTokens >= tokens ? 'held-elsewhere' : 'exhausted';
 };
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -170,7 +170,7 @@
 			dataCentre: 'z', router: name, incarnation: name, peerAddress: `${name}:1`, retryBudgetBounds: {ratio: 0.2, slack: 54}, drainMs: 2000,
 		});
 		const peers = Map<string, PeerRouter>(names.filter(each => each !== name).map(each => [each, {
-			peerAddress: `${each}:1`, isLive: true, era: undefined, holds: Map(),
+			peerAddress: `${each}:1`, dataCentre: '', isLive: true, era: undefined, holds: Map(),
 		}]));
 		return {
 			...state, quota: {
