Limit what all routers together send to a cold endpoint

An endpoint that starts during traffic, or turns cold, is slow for seconds and looks idle, so that all routers sent it requests at once.

The rate that the service's configuration names (coldPerS) is divided among as many routers as may all spend a saved credit in one second within the bounds (1.5 times the rate and 5 requests). Routers count as possible for 30 s after they were last seen, and for longer while the store is not read; none has a share until the rows were read and 2 s have passed since its start. A cold time begins without credits. Afterwards the rate doubles each second, eight times. Cold times are taken from entries, responses and peers; endpoints of a data centre that is in use again are assumed to be cold.

--- a/src/edge/endpoints.ts
+++ b/src/edge/endpoints.ts
@@ -3,6 +3,7 @@
 import {explainAbsence, findIncarnation, removeLeaving} from '../registry/index.js';
 import type {Incarnation, Registry, RegistryEntry} from '../registry/index.js';
 import {recordRetiredVersions} from '../stream-origin/index.js';
+import {recordColdTime} from './cold.js';
 import {createLogEffect, updateKnownEndpoint} from './common.js';
 import {recordPushback, recordRateLimit} from './limits.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
@@ -96,6 +97,7 @@
 	}
 
 	const limited = isDoubted ? keepState(state) : recordRateLimit(recordLoad(state, endpoint, head, now), endpoint, head, now);
-	const pushedBack = chain(limited, recorded => recordPushback(recorded, endpoint, head, now));
+	const warmedUp = chain(limited, recorded => recordColdTime(recorded, endpoint, head, isDoubted, now));
+	const pushedBack = chain(warmedUp, recorded => recordPushback(recorded, endpoint, head, now));
 	return chain(pushedBack, recorded => recordLeaving(recorded, endpoint, head, now));
 };
--- a/src/edge/evacuate.ts
+++ b/src/edge/evacuate.ts
@@ -1,5 +1,7 @@
 import {replaceEvacuations, updateEvacuations} from '../evacuation/index.js';
 import type {Evacuations} from '../evacuation/index.js';
+import {chain} from '../loop/step.js';
+import {assumeColdEndpoints} from './cold.js';
 import {createLogEffect} from './common.js';
 import type {EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
@@ -10,13 +12,14 @@
 	const began = evacuations.keySeq().toArray().filter(dataCentre => !before.has(dataCentre));
 	const ended = before.entrySeq().toArray().filter(([dataCentre]) => !evacuations.has(dataCentre));
 	const countEndpoints = (dataCentre: string) => state.registry.endpoints.count(endpoint => endpoint.dataCentre === dataCentre);
-	return {
+	const changed: EdgeStep = {
 		state: {...state, evacuations},
 		effects: [
 			...began.map(dataCentre => createLogEffect('evacuation-began', {dataCentre, endpoints: countEndpoints(dataCentre)})),
 			...ended.map(([dataCentre, since]) => createLogEffect('evacuation-ended', {dataCentre, endpoints: countEndpoints(dataCentre), after: Math.round(now - since)})),
 		],
 	};
+	return chain(changed, current => assumeColdEndpoints(current, ended.map(([dataCentre]) => dataCentre), now));
 };
 
 /**
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -14,6 +14,9 @@
 import type {Registry} from '../registry/index.js';
 import {retainServiceTimes} from '../service-time/index.js';
 import {completeSave} from '../stream-origin/index.js';
+import {
+	receivePeerColdTimes, recordColdEntries, recordColdRates, updateColdShares,
+} from './cold.js';
 import {createLogEffect} from './common.js';
 import {
 	logIgnoredEntries, receivePeerLeaving, receiveStatements, setRegistry,
@@ -41,14 +44,15 @@
 
 const listRouteNames = ({routes}: RoutingConfig): ReadonlySet<string> => new Set(routes.valueSeq().toArray().flatMap(ofHost => ofHost.map(({name}) => name)));
 
-const receiveConfig: Handler<'catalog-read'> = (state, event) => {
+const receiveConfig: Handler<'catalog-read'> = (state, event, now) => {
 	const config = selectNewerConfig(state.config, event.config);
-	return {
+	const received: EdgeStep = {
 		state: {...state, config, serviceTimes: config === state.config ? state.serviceTimes : retainServiceTimes(state.serviceTimes, listRouteNames(config))},
 		effects: config === state.config
 			? []
 			: [createLogEffect('configuration-in-force', {version: config.version, before: state.config?.version ?? 0, routes: config.routes.size})],
 	};
+	return config === state.config ? received : chain(received, current => recordColdRates(current, state.config, now));
 };
 
 /** Longest wait of a request for the store, which usually responds within a few ms, and when it is slow within 250 ms. */
@@ -136,7 +140,8 @@
 	const saved = chain(cleared, current => saveVerdicts(current, now));
 	const told = chain(saved, current => saveCrashes(current, now));
 	const read = chain(told, current => readVerdicts(current, now));
-	return chain(read, current => failOverUnresponsive(updateShares(current, now), random, now));
+	const shared = chain(read, current => updateColdShares(updateShares(current, now), now));
+	return chain(shared, current => failOverUnresponsive(current, random, now));
 };
 
 const receiveTick: Handler<'tick'> = (state, event, now) => {
@@ -159,19 +164,20 @@
 const receivePeerMessage: Handler<'peer-heard'> = (state, event, now) => chain(
 	chain(
 		receivePeerLimits({...state, peers: recordPeerLoads(state.peers, event, now)}, event, now),
-		current => receivePeerLeaving(current, event.leaving, now),
+		current => chain(receivePeerLeaving(current, event.leaving, now), updated => receivePeerColdTimes(updated, event, now)),
 	),
 	current => receivePoisonNews({...current, registry: recordPromptNews(current.registry, event.promptNews, now)}, event.poison, 'peer', now),
 );
 
 const receiveList: Handler<'endpoints-listed'> = (state, {entries, version}, now) => {
 	const step = setRegistry({...state, registryReadAt: state.registryReadAt ?? now}, replaceEntries(state.registry, entries, version, now), now);
-	return {state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, entries)]};
+	return chain({state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, entries)]}, current => recordColdEntries(current, state.registry, now));
 };
 
 const receiveEntry: Handler<'endpoint-changed'> = (state, {id, listing, version}, now) => {
 	const step = setRegistry(state, updateEntry(state.registry, id, listing, version, now), now);
-	return {state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, listing === undefined ? [] : [listing])]};
+	const logged: EdgeStep = {state: step.state, effects: [...step.effects, ...logIgnoredEntries(step.state.registry, listing === undefined ? [] : [listing])]};
+	return chain(logged, current => recordColdEntries(current, state.registry, now));
 };
 
 const handlers: Readonly<{[Kind in EdgeEvent['kind']]: Handler<Kind>}> = {
@@ -201,7 +207,9 @@
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, state.liveRouters.length, now)}),
 	'peer-heard': receivePeerMessage,
 	tick: receiveTick,
-	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs}),
+	'bounds-changed': (state, event) => keepState({
+		...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs, coldBounds: event.coldBounds ?? state.coldBounds,
+	}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
 	'stop-wanted': (state, event) => keepState(beginShutdown(state, event.answerBy)),
 };
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -1,9 +1,12 @@
+import {
+	canSendCold, computeColdRate, computeNextColdSendAt, spendColdCredit,
+} from '../cold-start/index.js';
 import {createFault} from '../errors/index.js';
 import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {chooseEndpoint, computeConnectionShare} from '../placement/index.js';
-import type {Placement} from '../placement/index.js';
+import type {Placement, PlacementQuery} from '../placement/index.js';
 import {
 	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, pickNext, predictLimitedSendAt, suggestRetryAfter,
 } from '../queue/index.js';
@@ -14,6 +17,7 @@
 import {
 	decaySlowness, getIncarnation, isUsable, recordPromptParts,
 } from '../registry/index.js';
+import type {Endpoint} from '../registry/index.js';
 import {
 	computeRetryAfter, updateKnownEndpoint, putRequest, rejectRequest,
 } from './common.js';
@@ -49,6 +53,7 @@
 		pending: current.pending + newTokens,
 		sentSinceReport: current.sentSinceReport + 1,
 		rateLimit: spendCredit(current.rateLimit, now),
+		cold: spendColdCredit(current.cold, now),
 		pushback: recordPushbackSend(current.pushback),
 	}));
 	return {
@@ -103,12 +108,25 @@
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
+/** Chooses among the endpoints that are not cold, or for which this router has a credit. */
+const chooseAmongWarm = (endpoints: readonly Endpoint[], query: PlacementQuery): Placement => {
+	const {now} = query;
+	const permitted = endpoints.filter(({cold}) => canSendCold(cold, now));
+	return permitted.length > 0 || endpoints.length === 0
+		? chooseEndpoint(permitted, query)
+		: {
+			kind: 'limited',
+			nextSendAt: Math.min(...endpoints.map(({cold}) => computeNextColdSendAt(cold, now))),
+			requestsPerSecond: endpoints.reduce((sum, {cold}) => sum + computeColdRate(cold, now), 0),
+		};
+};
+
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
 	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && mayServe(state, endpoint, request));
 	const choice: Placement = service === undefined
 		? {kind: 'none'}
-		: chooseEndpoint(endpoints, {
+		: chooseAmongWarm(endpoints, {
 			service,
 			modelRequest: request.head.modelRequest,
 			dataCentre: state.dataCentre,
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -1,5 +1,7 @@
 import {Map} from 'immutable';
 import type {Set} from 'immutable';
+import {defaultColdBounds} from '../cold-start/index.js';
+import type {ColdBounds, RouterSightings} from '../cold-start/index.js';
 import {noEvacuations} from '../evacuation/index.js';
 import type {Evacuations} from '../evacuation/index.js';
 import {createRetryBudget} from '../retry-budget/index.js';
@@ -30,6 +32,12 @@
 	config: RoutingConfig | undefined;
 	/** Data centres whose endpoints get nothing new. Read together with the configuration. */
 	evacuations: Evacuations;
+	/** What all routers together may send to a cold endpoint. */
+	coldBounds: ColdBounds;
+	/** When each router last showed that it exists, in ms. */
+	routerSightings: RouterSightings;
+	/** Ids of all routers that may exist, including this one, in ascending order; undefined while the others are not known. */
+	possibleRouters: readonly string[] | undefined;
 	registry: Registry;
 	/** When the endpoint registry was first read, in ms; undefined before. */
 	registryReadAt: number | undefined;
@@ -93,6 +101,8 @@
 	retryBudgetBounds: RetryBudgetBounds;
 	/** Time for which an endpoint that leaves goes on serving, in ms. */
 	drainMs: number;
+	/** What all routers together may send to a cold endpoint; 1.5 times its rate and 5 requests a second if absent. */
+	coldBounds?: ColdBounds;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -110,6 +120,9 @@
 	drainMs: options.drainMs,
 	config: undefined,
 	evacuations: noEvacuations,
+	coldBounds: options.coldBounds ?? defaultColdBounds,
+	routerSightings: Map(),
+	possibleRouters: undefined,
 	registry: emptyRegistry,
 	registryReadAt: undefined,
 	retiredVersions: Map(),
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -3,6 +3,7 @@
 import {createValidationFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
 import {listStatements} from '../rate-limit/index.js';
+import {isCold} from '../cold-start/index.js';
 import type {PoisonNews} from '../poison/index.js';
 import {listLeaving} from '../registry/index.js';
 import type {Incarnation, Registry} from '../registry/index.js';
@@ -65,6 +66,8 @@
 	trials: z.array(z.string()).default([]),
 	/** Endpoint, its start time, and a prompt part that the sender has sent to it. */
 	parts: z.array(z.tuple([z.string(), z.number(), z.string()])).default([]),
+	/** Endpoint, its start time, time in ms for which it stated that it stays cold, and age of the statement. Absent unless there are some. */
+	cold: z.array(z.tuple([z.string(), z.number(), z.number().nonnegative(), z.number().nonnegative()])).default([]),
 	/** Data centre of the sender. */
 	dataCentre: z.string().optional(),
 });
@@ -99,6 +102,8 @@
 	loads: EndpointLoads;
 	/** Rate limits that endpoints stated to the peer. */
 	limits: ReadonlyArray<Readonly<{endpoint: string; startedAt: number | undefined; requestsPerSecond: number | undefined; ageMs: number}>>;
+	/** Endpoints that have stated to the peer that they are cold, and the time that was left of that as it sent the message. */
+	cold?: ReadonlyArray<Readonly<{endpoint: string; startedAt: number; remainingMs: number; ageMs: number}>>;
 	/** Endpoints that have stated to the peer that they are leaving. */
 	leaving: readonly Incarnation[];
 	/** Requests and prompt parts on which endpoints crash. */
@@ -127,6 +132,13 @@
 	trials,
 });
 
+const encodeColdTimes = ({endpoints}: Registry, now: number): Readonly<{cold?: ReadonlyArray<z.infer<typeof messageSchema>['cold'][number]>}> => {
+	const cold = endpoints.valueSeq().toArray().flatMap(({id, startedAt, cold: known}) => known?.isFirstHand === true && isCold(known, now)
+		? [[id, startedAt, Math.ceil(known.coldUntil - now), Math.round(now - known.statedAt)] satisfies [string, number, number, number]]
+		: []);
+	return cold.length === 0 ? {} : {cold};
+};
+
 /** What a router tells its peers. */
 export type LoadReport = Readonly<{
 	/** The router's id. */
@@ -156,6 +168,7 @@
 	limits: listStatements(registry.endpoints.valueSeq().toArray().map(endpoint => [endpoint, endpoint.rateLimit]), now)
 		.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt]),
 	leaving: listLeaving(registry, now).map(each => encodeIncarnation(each)),
+	...encodeColdTimes(registry, now),
 	...(poison !== undefined && encodePoison(poison)),
 	...(promptNews.length > 0 && {parts: promptNews.map(({endpoint, startedAt, part}) => [endpoint, startedAt, part])}),
 });
@@ -177,6 +190,9 @@
 				limits: parsed.data.limits.map(([endpoint, requestsPerSecond, ageMs, startedAt]) => ({
 					endpoint, startedAt, requestsPerSecond: requestsPerSecond ?? undefined, ageMs,
 				})),
+				cold: parsed.data.cold.map(([endpoint, startedAt, remainingMs, ageMs]) => ({
+					endpoint, startedAt, remainingMs, ageMs,
+				})),
 				leaving: parsed.data.leaving.map(each => decodeIncarnation(each)),
 				poison: decodePoison(parsed.data),
 				promptNews: parsed.data.parts.map(([endpoint, startedAt, part]) => ({endpoint, startedAt, part})),
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -46,6 +46,8 @@
 	load: Readonly<{running: number; waiting: number; slots: number}> | undefined;
 	/** Requests per second that the endpoint takes from all routers together; undefined if it states no limit, a fault if its statement cannot be read. */
 	rateLimit: Result<number | undefined>;
+	/** Time for which the endpoint stays cold, in ms, 0 if it is warm; absent or undefined if it does not state it, a fault if its statement cannot be read. */
+	coldMs?: Result<number | undefined>;
 	/** Time for which the endpoint wants no further request of this router, in ms; undefined if it states none, a fault if its statement cannot be read. */
 	pushbackMs: Result<number | undefined>;
 	/** True if the endpoint states that it is leaving. */
--- a/src/platform/catalog.ts
+++ b/src/platform/catalog.ts
@@ -34,6 +34,10 @@
 	services: z.array(z.object({
 		name: z.string(),
 		maxConnections: z.number(),
+		/** How long an endpoint is slow after its start, in seconds. */
+		coldStartS: z.number().nullish(),
+		/** Requests per second that a cold endpoint takes from all routers together; 0 for no limit. */
+		coldPerS: z.number().nullish(),
 		engine: z.object({
 			slots: z.number(),
 			/** Capacity of the KV cache, in tokens. */
@@ -52,6 +56,8 @@
 	})).optional(),
 });
 
+const isPositive = (value: number | null | undefined): value is number => typeof value === 'number' && value > 0;
+
 type WireRoute = z.output<typeof routeSchema>;
 
 const decodeRoute = (route: WireRoute): Route => ({
@@ -94,9 +100,10 @@
 	return succeed({
 		version: data.version,
 		routes,
-		services: Map(data.services.map(({name, maxConnections, engine}) => [name, {
+		services: Map(data.services.map(({name, maxConnections, coldStartS, coldPerS, engine}) => [name, {
 			name,
 			maxConnections,
+			...(isPositive(coldPerS) && {coldStart: {durationMs: Math.max(0, coldStartS ?? 0) * 1000, requestsPerSecond: coldPerS}}),
 			engine: engine === undefined ? undefined : {slots: engine.slots, capacity: engine.kvCapacity, tokensPerEvent: engine.stride},
 		}])),
 		organisations: Map(organisationEntries),
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -166,6 +166,10 @@
 		expect(decodeResponse({statusCode: 200, headers: fields, rawHeaders: []}).rateLimit.unwrap()).toBe(rateLimit);
 	});
 
+	test.each([[{}, undefined], [{'cold-ms': '1250.5'}, 1250.5], [{'cold-ms': '0'}, 0], [{'cold-ms': 'soon'}, 'unreadable']])('with headers %j states the cold time %j', (fields, coldMs) => {
+		expect(decodeResponse({statusCode: 200, headers: fields, rawHeaders: []}).coldMs?.unwrapOr('unreadable')).toBe(coldMs);
+	});
+
 	test.each([[{}, false], [{'server-leaving': '1'}, true], [{'server-leaving': '0'}, false]])('with headers %j states that the endpoint leaves: %s', (fields, isLeaving) => {
 		expect(decodeResponse({statusCode: 200, headers: fields, rawHeaders: []}).isLeaving).toBe(isLeaving);
 	});
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -39,6 +39,8 @@
 	pushback: 'retry-after',
 	/** 1 in all responses of an endpoint that is leaving. */
 	leaving: 'server-leaving',
+	/** Time for which the endpoint stays cold, in ms; 0 if it is warm. Responses to requests may lack it. */
+	coldTime: 'cold-ms',
 	/** Requests per second that the endpoint takes from all routers together. Present only while the limit applies. */
 	rateLimit: 'server-limit',
 } as const;
@@ -260,6 +262,7 @@
 		isSigned: headers[headerNames.signature] !== undefined,
 		load: decodeLoad(headers),
 		rateLimit: decodeDecimal(headers, headerNames.rateLimit),
+		coldMs: decodeDecimal(headers, headerNames.coldTime),
 		pushbackMs: status === unavailableStatus ? decodePushback(headers) : succeed(undefined),
 		isLeaving: readHeader(headers, headerNames.leaving)?.trim() === '1',
 		isStream: (headers['content-type'] ?? '').startsWith('text/event-stream'),
--- a/src/rate-limit/rate-limit.ts
+++ b/src/rate-limit/rate-limit.ts
@@ -46,6 +46,21 @@
 /** Time for which unused credits accrue, in seconds. At low rates at least one credit accrues. */
 const burstSeconds = 0.25;
 
+/**
+Computes a router's place in an endpoint's order of routers, by which limits are divided
+that are too small for all. Every router that knows the same routers computes the same order.
+
+@param endpoint - The endpoint's id.
+@param router - Id of the router.
+@param routers - Ids of all routers, including this one.
+@returns The place, from 0.
+*/
+export const computeRank = (endpoint: string, router: string, routers: readonly string[]): number => {
+	const weight = (id: string) => hashText(`${endpoint}/${id}`);
+	const ownWeight = weight(router);
+	return routers.filter(id => weight(id) > ownWeight).length;
+};
+
 /**
 Computes one router's share of a limit. Every router that knows the same live
 routers computes the same division.
@@ -62,9 +77,7 @@
 		return requestsPerSecond / holders;
 	}
 
-	const weight = (id: string) => hashText(`${endpoint}/${id}`);
-	const ownWeight = weight(router);
-	return routers.filter(id => weight(id) > ownWeight).length < holders ? requestsPerSecond / holders : 0;
+	return computeRank(endpoint, router, routers) < holders ? requestsPerSecond / holders : 0;
 };
 
 /**
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,4 +1,5 @@
 import {Map, OrderedMap} from 'immutable';
+import type {ColdStart} from '../cold-start/index.js';
 import type {Pushback} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {unlimited} from '../rate-limit/index.js';
@@ -40,6 +41,8 @@
 	load: Readonly<{running: number; waiting: number; slots: number; at: number}> | undefined;
 	/** Its rate limit, and this router's share. */
 	rateLimit: RateLimit;
+	/** Its cold time, and this router's share of what it takes then; undefined if it has not been cold lately. */
+	cold?: ColdStart | undefined;
 	/** The rest that it last asked this router for, if any. */
 	pushback: Pushback | undefined;
 	/** Requests sent since that report. */
--- a/src/routing-config/config.ts
+++ b/src/routing-config/config.ts
@@ -42,6 +42,8 @@
 		/** Maximum number of tokens per stream event. */
 		tokensPerEvent: number;
 	}> | undefined;
+	/** How long its endpoints stay slow after a start, in ms, and how many requests per second one takes from all routers meanwhile; absent or undefined for no limit. */
+	coldStart?: Readonly<{durationMs: number; requestsPerSecond: number}> | undefined;
 }>;
 
 /** A customer, whose budget is charged for its requests. */
--- a/test/limit-play.ts
+++ b/test/limit-play.ts
@@ -20,17 +20,19 @@
 /** Connections that an endpoint accepts of all routers together. */
 export const maxConnections = 100;
 
-const config: RoutingConfig = {
+const createConfig = ({coldPerSecond}: Load): RoutingConfig => ({
 	version: 1,
 	routes: Map([['h', [route]]]),
-	services: Map([['s', {name: 's', maxConnections, engine: undefined}]]),
+	services: Map([['s', {
+		name: 's', maxConnections, engine: undefined, coldStart: coldPerSecond === undefined ? undefined : {durationMs: 10_000, requestsPerSecond: coldPerSecond},
+	}]]),
 	organisations: Map(),
 	budgets: Map(),
 	needsAuthentication: false,
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
-};
+});
 
 export const endpointIds = Array.from({length: 8}, (_, index) => `e${index}`);
 
@@ -61,6 +63,12 @@
 	getFailedFraction?: (endpoint: string) => number;
 	/** Time from which the store shows no router as live, although all are. */
 	storeSilentAt?: number;
+	/** Requests per second that a cold endpoint takes. */
+	coldPerSecond?: number;
+	/** The time from which the entries of all endpoints state that they are cold, and for how long. */
+	coldEntries?: Readonly<{at: number; durationMs: number}>;
+	/** Returns for how long an endpoint states in its responses that it stays cold. */
+	getColdMs?: (endpoint: string, at: number) => number | undefined;
 	/** Fraction of the load messages between routers that are lost. */
 	lostMessages?: number;
 }>;
@@ -99,7 +107,7 @@
 		const peers = Map<string, PeerRouter>(names.filter(each => each !== name).map(each => [each, {
 			peerAddress: `${each}:1`, isLive: true, era: undefined, holds: Map(),
 		}]));
-		return {...state, quota: {...state.quota, peers}, liveRouters: names.toSorted()};
+		return {...state, quota: {...state.quota, peers, readAtMs: 0}, liveRouters: names.toSorted()};
 	});
 
 	const schedule = (at: number, router: number, event: EdgeEvent): void => {
@@ -114,7 +122,9 @@
 		const restMs = isRejected ? load.restMs : undefined;
 		const head: ResponseHead = {
 			status: isRejected ? 503 : (isFailed ? 500 : 200), key: undefined, hasNotRun: isRejected, isOtherIncarnation: false, isSigned: true,
-			load: undefined, rateLimit: succeed(rateLimit), isLeaving: false, pushbackMs: succeed(restMs), isStream: false, forwarded: checkFinalHead(200, []),
+			load: undefined,
+			rateLimit: succeed(rateLimit), coldMs: succeed(load.getColdMs?.(endpoint.id, now)), isLeaving: false, pushbackMs: succeed(restMs),
+			isStream: false, forwarded: checkFinalHead(200, []),
 		};
 		arrivals.push({
 			endpoint: endpoint.id, router, at: now, restMs,
@@ -180,7 +190,7 @@
 	};
 
 	names.forEach((_, router) => {
-		post(router, {kind: 'catalog-read', config}, 0);
+		post(router, {kind: 'catalog-read', config: createConfig(load)}, 0);
 		post(router, {kind: 'endpoints-listed', entries: listed, version: 0}, 0);
 	});
 	let calls = 0;
@@ -189,6 +199,12 @@
 			states = states.map(state => ({...state, quota: {...state.quota, peers: state.quota.peers.map(peer => ({...peer, isLive: false}))}}));
 		}
 
+		if (now === load.coldEntries?.at) {
+			names.forEach((_, router) => {
+				post(router, {kind: 'endpoints-listed', entries: listed.map(entry => ({...entry, slowStartMs: load.coldEntries!.durationMs, rowVersion: now})), version: now}, now);
+			});
+		}
+
 		ending[now]?.forEach(id => {
 			running[id]! -= 1;
 		});
