--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -2,6 +2,8 @@
 import type {Set} from 'immutable';
 import {emptyDemand} from '../admission/index.js';
 import type {Demand} from '../admission/index.js';
+import {defaultColdBounds} from '../cold-start/index.js';
+import type {ColdBounds, RouterSightings} from '../cold-start/index.js';
 import {noEvacuations} from '../evacuation/index.js';
 import type {Evacuations} from '../evacuation/index.js';
 import {createRetryBudget} from '../retry-budget/index.js';
@@ -32,6 +34,12 @@
 	config: RoutingConfig | undefined;
 	/** Data centres whose endpoints get nothing new. Read together with the configuration. */
 	evacuations: Evacuations;
+	/** What all routers together may send to a cold endpoint. */
+	coldBounds: ColdBounds;
+	/** When each router last showed that it exists, in ms. */
+	routerSightings: RouterSightings;
+	/** Ids of all routers that may exist, including this one, in ascending order; undefined while the others are not known. */
+	possibleRouters: readonly string[] | undefined;
 	registry: Registry;
 	/** When the endpoint registry was first read, in ms; undefined before. */
 	registryReadAt: number | undefined;
@@ -101,6 +109,8 @@
 	drainMs: number;
 	/** True if urgent requests take precedence over others where there is too little capacity for all; false by default. */
 	prioritizesUrgent?: boolean;
+	/** What all routers together may send to a cold endpoint; 1.5 times its rate and 5 requests a second if absent. */
+	coldBounds?: ColdBounds;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -118,6 +128,9 @@
 	drainMs: options.drainMs,
 	config: undefined,
 	evacuations: noEvacuations,
+	coldBounds: options.coldBounds ?? defaultColdBounds,
+	routerSightings: Map(),
+	possibleRouters: undefined,
 	registry: emptyRegistry,
 	registryReadAt: undefined,
 	retiredVersions: Map(),
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,6 +1,7 @@
 import {Map, OrderedMap} from 'immutable';
 import {blendWorkFactor} from '../endpoint-performance/index.js';
 import type {LoadReport} from '../endpoint-performance/index.js';
+import type {ColdStart} from '../cold-start/index.js';
 import type {Pushback} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {unlimited} from '../rate-limit/index.js';
@@ -42,6 +43,8 @@
 	load: LoadReport | undefined;
 	/** Its rate limit, and this router's share. */
 	rateLimit: RateLimit;
+	/** Its cold time, and this router's share of what it takes then; undefined if it has not been cold lately. */
+	cold?: ColdStart | undefined;
 	/** The rest that it last asked this router for, if any. */
 	pushback: Pushback | undefined;
 	/** Requests sent since that report. */
