Consider a bounded number of endpoints for each request

A placement copied, filtered, hashed, sorted and scored all endpoints. Scores are numbers in typed arrays. Adds npm run bench -- decide.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {benchCapacity} from './capacity.js';
+import {benchDecide} from './decide.js';
 import {benchGrants} from './grants.js';
 import {benchOverhead} from './overhead.js';
 import {recordTraces} from './record.js';
@@ -13,12 +14,12 @@
 };
 
 const benchmarks: Readonly<Record<string, (write: (line: string) => void) => Promise<void>>> = {
-	overhead: benchOverhead, capacity: benchCapacity, grants: benchGrants, record: recordTraces,
+	overhead: benchOverhead, capacity: benchCapacity, grants: benchGrants, decide: benchDecide, record: recordTraces,
 };
 
 const options = await yargs(hideBin(process.argv))
 	.scriptName('bench')
-	.command('$0 [name]', 'measure the latency and CPU overhead of the fleet, its capacity slopes or its grant policies, or record traces', builder => builder
+	.command('$0 [name]', 'measure the latency and CPU overhead of the fleet, its capacity slopes, its grant policies or the time of a decision, or record traces', builder => builder
 		.positional('name', {choices: Object.keys(benchmarks), default: 'overhead'}))
 	.strict()
 	.parseAsync();
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -2,8 +2,10 @@
 import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
-import {chooseEndpoint, computeConnectionShare} from '../placement/index.js';
-import type {Placement} from '../placement/index.js';
+import {
+	chooseEndpoint, computeConnectionShare, listCandidates, listUsable, pickAffinityPart,
+} from '../placement/index.js';
+import type {Placement, PlacementQuery} from '../placement/index.js';
 import {
 	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, pickNext, predictLimitedSendAt, suggestRetryAfter,
 } from '../queue/index.js';
@@ -108,12 +110,23 @@
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
+type Choice = Readonly<{choice: Placement; count: number}>;
+
+/** Chooses an endpoint among the candidates of a service, or among all of its endpoints if no candidate takes the request. */
+const chooseAmong = (state: EdgeState, request: InFlightRequest, canUse: (endpoint: Endpoint) => boolean, query: PlacementQuery, random: number): Choice => {
+	const {endpoints, count, isSample} = listCandidates(state.registry, {
+		service: request.service, dataCentre: state.dataCentre, part: pickAffinityPart(request.head.modelRequest), random,
+	}, canUse);
+	const choice = chooseEndpoint(endpoints, query);
+	return {choice: isSample && choice.kind !== 'endpoint' ? chooseEndpoint(listUsable(state.registry, request.service, canUse), query) : choice, count};
+};
+
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
-	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && canServe(endpoint, request));
-	const choice: Placement = service === undefined
-		? {kind: 'none'}
-		: chooseEndpoint(endpoints, {
+	const canUse = (endpoint: Endpoint) => isUsable(endpoint, now) && canServe(endpoint, request);
+	const {choice, count: endpointCount}: Choice = service === undefined
+		? {choice: {kind: 'none'}, count: 0}
+		: chooseAmong(state, request, canUse, {
 			service,
 			modelRequest: request.head.modelRequest,
 			dataCentre: state.dataCentre,
@@ -122,13 +135,13 @@
 			peers: state.peerLoadTotals,
 			timeToTargetMs: request.arrivedAt + request.route.targetMs - now,
 			now,
-		});
+		}, random);
 	const countQueued = () => state.requests.count(other =>
 		other.phase === 'queued' && other.service === request.service && other.id !== request.id);
 	const isModelRequest = request.head.modelRequest !== undefined && service?.engine !== undefined;
 	const dispatch = ({predicted, predictedIdleMs}: Placement & {kind: 'endpoint'}): Dispatch => isModelRequest
 		? decideDispatch({
-			request, predicted, predictedIdleMs, waiting: countQueued(), endpointCount: endpoints.length, now,
+			request, predicted, predictedIdleMs, waiting: countQueued(), endpointCount, now,
 		})
 		: 'send';
 	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,6 @@
+export {listCandidates, listUsable} from './candidates.js';
+export type {Candidates} from './candidates.js';
 export {
-	chooseEndpoint, computeConnectionShare, countUncachedTokens, isFull,
+	chooseEndpoint, computeConnectionShare, countUncachedTokens, isFull, pickAffinityPart,
 } from './placement.js';
 export type {PlacementQuery, Placement} from './placement.js';
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,12 +1,14 @@
 import type {Service} from '../routing-config/index.js';
 import type {ModelRequest} from '../in-flight/index.js';
 import type {EndpointLoads} from '../gossip/index.js';
-import {computeSlots, countStatedRequests} from '../endpoint-performance/index.js';
+import {computeSlots, countStatedRequests, priorRates} from '../endpoint-performance/index.js';
+import type {ServiceRates} from '../endpoint-performance/index.js';
 import {hasRoom, isAtRest} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {canSend, computeNextSendAt, computeRate} from '../rate-limit/index.js';
 import {computeWorkFactor} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
+import {rankEndpoint} from './candidates.js';
 
 /** Input of an endpoint selection. */
 export type PlacementQuery = Readonly<{
@@ -22,6 +24,10 @@
 	peers: EndpointLoads;
 	/** Time left within which the first output is on time. */
 	timeToTargetMs: number;
+	/** How fast the endpoints of the service work; the priors if it is not given. */
+	rates?: ServiceRates;
+	/** Cost of sending the request to another data centre, in ms of waiting; the default if it is not given. */
+	remoteCostMs?: number;
 	now: number;
 }>;
 
@@ -44,23 +50,8 @@
 	/** The service has no endpoint. */
 	| Readonly<{kind: 'none'}>;
 
-/** Prompt tokens that an engine processes per ms while it generates output for others. This and the next three constants model the time to first output. */
-const promptTokensPerMs = 57;
-
-/** Prompt tokens of earlier requests that a new one waits for per ms. More than an engine processes, since some of them are already processed. */
-const queuedPromptTokensPerMs = 100;
-
-/** Time that each request in an engine's batch adds to the first output. */
-const batchedRequestMs = 1;
-
-/** Time to first output of an idle engine, without prompt processing. */
-const idleFirstOutputMs = 85;
-
-/** Assumed service time of a request without a model, whose real time is not known. */
-const plainRequestMs = 80;
-
 /** Cost of sending a request to another data centre: its traffic is billed, and routers there know best how loaded an endpoint is. */
-const remotePenaltyMs = 30;
+const defaultRemoteCostMs = 30;
 
 /** Time for which an engine is assumed to keep a prompt part in its cache. */
 const promptCacheTtlMs = 20_000;
@@ -75,8 +66,13 @@
 
 /** Counts the tokens of those of the given parts that an endpoint has in its cache. A part is cached only if all parts before it are. */
 const countCachedTokens = (endpoint: Endpoint, parts: ModelRequest['parts'], now: number): number => {
-	const firstUncached = parts.findIndex(part => now - (endpoint.promptPartsSentAt.get(part.id) ?? Number.NEGATIVE_INFINITY) > promptCacheTtlMs);
-	return sumPartTokens(parts.slice(0, firstUncached === -1 ? undefined : firstUncached));
+	let tokens = 0;
+	parts.every(part => {
+		const isCached = now - (endpoint.promptPartsSentAt.get(part.id) ?? Number.NEGATIVE_INFINITY) <= promptCacheTtlMs;
+		tokens += isCached ? part.tokens : 0;
+		return isCached;
+	});
+	return tokens;
 };
 
 /**
@@ -90,9 +86,6 @@
 export const countUncachedTokens = (endpoint: Endpoint, modelRequest: ModelRequest, now: number): number =>
 	Math.max(0, modelRequest.promptTokens - countCachedTokens(endpoint, modelRequest.parts, now));
 
-/** Parts that other requests may share: all but the last. */
-const listSharedParts = (modelRequest: ModelRequest | undefined): ModelRequest['parts'] => modelRequest?.parts.slice(0, -1) ?? [];
-
 /** Fraction of an endpoint's connections that the routers use. The rest is left for connections whose router has just died. */
 const connectionFraction = 0.9;
 
@@ -126,96 +119,123 @@
 	return slots > 0 && countRequests(endpoint, peers, now) >= slots;
 };
 
-/**
-Predicts the time to the first output.
+const isModelQuery = ({service, modelRequest}: PlacementQuery): boolean => service.engine !== undefined && modelRequest !== undefined;
 
-@param endpoint - The endpoint.
-@param query - The input of the selection.
-@param newTokens - Prompt tokens that it would have to process.
-@returns The time in ms.
-*/
+/** Predicts the time to the first output at an endpoint. */
 const predictFirstOutputMs = (endpoint: Endpoint, query: PlacementQuery, newTokens: number): number => {
+	const {rates = priorRates} = query;
 	const requestCount = countRequests(endpoint, query.peers, query.now);
-	if (query.service.engine === undefined || query.modelRequest === undefined) {
-		return plainRequestMs * computeWorkFactor(endpoint, query.now) * (1 + (requestCount / Math.max(1, computeSlots(endpoint.load, endpoint.slots, query.now))));
+	if (!isModelQuery(query)) {
+		return rates.plainRequestMs * computeWorkFactor(endpoint, query.now) * (1 + (requestCount / Math.max(1, computeSlots(endpoint.load, endpoint.slots, query.now))));
 	}
 
 	const pendingTokens = endpoint.pending + (query.peers.get(endpoint.id)?.pending ?? 0);
-	const promptMs = (pendingTokens / queuedPromptTokensPerMs) + (newTokens / promptTokensPerMs);
-	return computeWorkFactor(endpoint, query.now) * (idleFirstOutputMs + promptMs + (requestCount * batchedRequestMs));
+	const promptMs = (pendingTokens / rates.queuedPromptTokensPerMs) + (newTokens / rates.promptTokensPerMs);
+	return computeWorkFactor(endpoint, query.now) * (rates.idleFirstOutputMs + promptMs + (requestCount * rates.batchedRequestMs));
 };
 
 /** Predicts the time to the first output of an idle endpoint. */
-const predictIdleFirstOutputMs = (newTokens: number, query: PlacementQuery): number => query.service.engine === undefined || query.modelRequest === undefined
-	? plainRequestMs
-	: idleFirstOutputMs + (newTokens / promptTokensPerMs);
-
-/** Picks the prompt part whose hash selects the endpoints: the last part that other requests may share. */
-const pickAffinityPart = (modelRequest: ModelRequest | undefined): string | undefined => modelRequest?.parts.at(-2)?.id ?? modelRequest?.parts.at(-1)?.id;
-
-/** Rendezvous hash of a prompt part and an endpoint, which gives the same ranking at every router. */
-const rankEndpoint = (partHash: number, endpoint: Endpoint): number => Math.imul(partHash, endpoint.idHash);
+const predictIdleFirstOutputMs = (newTokens: number, query: PlacementQuery): number => {
+	const {rates = priorRates} = query;
+	return isModelQuery(query) ? rates.idleFirstOutputMs + (newTokens / rates.promptTokensPerMs) : rates.plainRequestMs;
+};
 
-/** Endpoints that are preferred for one prompt part. */
-const endpointsPerPart = 2;
+/**
+Picks the prompt part whose hash selects the endpoints.
 
-const pickAffinityEndpoints = (part: string, endpoints: readonly Endpoint[]): readonly Endpoint[] => {
-	const partHash = hashText(part);
-	return endpoints
-		.map(endpoint => ({endpoint, rank: rankEndpoint(partHash, endpoint)}))
-		.toSorted((a, b) => b.rank - a.rank)
-		.slice(0, endpointsPerPart)
-		.map(({endpoint}) => endpoint);
-};
+@param modelRequest - The model request, if any.
+@returns The id of the last part that other requests may share, or else of the last one.
+*/
+export const pickAffinityPart = (modelRequest: ModelRequest | undefined): string | undefined => modelRequest?.parts.at(-2)?.id ?? modelRequest?.parts.at(-1)?.id;
 
 /** Keeps the matching endpoints, or all if none matches. */
 const keepMatching = (endpoints: readonly Endpoint[], isMatch: (endpoint: Endpoint) => boolean): readonly Endpoint[] => {
+	if (endpoints.every(endpoint => isMatch(endpoint))) {
+		return endpoints;
+	}
+
 	const matching = endpoints.filter(endpoint => isMatch(endpoint));
 	return matching.length > 0 ? matching : endpoints;
 };
 
-/** What is known of the shared parts of a prompt. */
-type PartKnowledge = Readonly<{
-	shared: ModelRequest['parts'];
-	/** Most tokens of them that any endpoint has in its cache. */
-	mostCached: number;
-	/** Endpoints that are preferred for them, by rank. */
-	preferred: readonly Endpoint[];
-}>;
+/** Indices of the two endpoints that rank first for the shared parts of a prompt; -1 if there is none. */
+type Preference = Readonly<{first: number; second: number}>;
+
+/** Ranks the endpoints for a prompt part. A client keeps to the routers of its data centre, so that its prompts meet their parts there. */
+const rankPreferred = (endpoints: readonly Endpoint[], {modelRequest, dataCentre}: PlacementQuery): Preference => {
+	const part = pickAffinityPart(modelRequest);
+	let first = -1;
+	let second = -1;
+	if (part === undefined) {
+		return {first, second};
+	}
 
-const gatherPartKnowledge = (endpoints: readonly Endpoint[], {modelRequest, dataCentre, now}: PlacementQuery): PartKnowledge => {
-	const shared = listSharedParts(modelRequest);
-	const affinity = pickAffinityPart(modelRequest);
-	// A client keeps to the routers of its data centre, so that its prompts meet their parts there.
-	const local = keepMatching(endpoints, endpoint => endpoint.dataCentre === dataCentre);
-	const mostCached = endpoints.reduce((most, endpoint) => Math.max(most, countCachedTokens(endpoint, shared, now)), 0);
-	return {
-		shared, mostCached, preferred: affinity === undefined ? [] : pickAffinityEndpoints(affinity, local),
-	};
+	const partHash = hashText(part);
+	const hasLocal = endpoints.some(endpoint => endpoint.dataCentre === dataCentre);
+	endpoints.forEach((endpoint, index) => {
+		if (hasLocal && endpoint.dataCentre !== dataCentre) {
+			return;
+		}
+
+		const rank = rankEndpoint(partHash, endpoint);
+		if (first === -1 || rank > rankEndpoint(partHash, endpoints[first]!)) {
+			second = first;
+			first = index;
+		} else if (second === -1 || rank > rankEndpoint(partHash, endpoints[second]!)) {
+			second = index;
+		}
+	});
+	return {first, second};
 };
 
-/** Computes the cost of processing shared parts again that other endpoints have processed, in ms. */
-const computeRepetitionCostMs = (endpoint: Endpoint, {shared, mostCached, preferred}: PartKnowledge, now: number): number => {
-	const repeatedTokens = mostCached - countCachedTokens(endpoint, shared, now);
-	// Other routers have sent what is not known to be cached to the preferred endpoints, the first one rather than the second.
-	const preference = [1, 1 / 2][preferred.indexOf(endpoint)] ?? 0;
-	const bonusTokens = preference * (sumPartTokens(shared) - mostCached);
-	return ((repeatedPromptWeight * repeatedTokens) - ((1 + promptDelayWeight) * bonusTokens)) / promptTokensPerMs;
+/** Numbers of all candidates, by their indices. The lowest cost is best. */
+type Scores = Readonly<{newTokens: Float64Array; predicted: Float64Array; costMs: Float64Array}>;
+
+const scoreEndpoints = (endpoints: readonly Endpoint[], query: PlacementQuery): Scores => {
+	const {modelRequest, now, remoteCostMs = defaultRemoteCostMs, rates = priorRates} = query;
+	const newTokens = new Float64Array(endpoints.length);
+	const predicted = new Float64Array(endpoints.length);
+	const costMs = new Float64Array(endpoints.length);
+	const parts = modelRequest?.parts ?? [];
+	const sharedTokens = sumPartTokens(parts) - (parts.at(-1)?.tokens ?? 0);
+	const promptTokens = modelRequest?.promptTokens ?? 0;
+	const {first, second} = rankPreferred(endpoints, query);
+	let mostCached = 0;
+	endpoints.forEach((endpoint, index) => {
+		const cached = countCachedTokens(endpoint, parts, now);
+		newTokens[index] = Math.max(0, promptTokens - cached);
+		// The field holds the cached tokens of the shared parts until the costs are computed.
+		costMs[index] = Math.min(sharedTokens, cached);
+		mostCached = Math.max(mostCached, costMs[index]);
+	});
+	endpoints.forEach((endpoint, index) => {
+		const repeatedTokens = mostCached - costMs[index]!;
+		// Other routers have sent what is not known to be cached to the preferred endpoints, the first one rather than the second.
+		const preference = index === first ? 1 : (index === second ? 1 / 2 : 0);
+		const bonusTokens = preference * (sharedTokens - mostCached);
+		const promptCostTokens = (promptDelayWeight * newTokens[index]!) + (repeatedPromptWeight * repeatedTokens) - ((1 + promptDelayWeight) * bonusTokens);
+		predicted[index] = predictFirstOutputMs(endpoint, query, newTokens[index]!);
+		costMs[index] = (predicted[index] / Math.max(0.1, 1 - endpoint.failureFraction)) + (endpoint.dataCentre === query.dataCentre ? 0 : remoteCostMs) + (promptCostTokens / rates.promptTokensPerMs);
+	});
+	return {newTokens, predicted, costMs};
 };
 
-/** An endpoint and its cost; the lowest cost is best. */
-type ScoredEndpoint = Readonly<{endpoint: Endpoint; newTokens: number; predicted: number; costMs: number}>;
-
-const scoreEndpoint = (endpoint: Endpoint, query: PlacementQuery, knowledge: PartKnowledge): ScoredEndpoint => {
-	const newTokens = query.modelRequest === undefined ? 0 : countUncachedTokens(endpoint, query.modelRequest, query.now);
-	const predicted = predictFirstOutputMs(endpoint, query, newTokens);
-	const remoteCostMs = endpoint.dataCentre === query.dataCentre ? 0 : remotePenaltyMs;
-	const promptMs = promptDelayWeight * newTokens / promptTokensPerMs;
-	return {
-		endpoint, newTokens, predicted, costMs: (predicted / Math.max(0.1, 1 - endpoint.failureFraction)) + remoteCostMs + promptMs + computeRepetitionCostMs(endpoint, knowledge, query.now),
-	};
+/** Finds the candidate with the lowest cost among those that are on time, or among all if none is; -1 if there is none. */
+const findBest = ({predicted, costMs}: Scores, timeToTargetMs: number): number => {
+	let best = -1;
+	predicted.forEach((predictedMs, index) => {
+		const isOnTime = predictedMs <= timeToTargetMs;
+		const isBestOnTime = best !== -1 && predicted[best]! <= timeToTargetMs;
+		if (best === -1 || (isOnTime === isBestOnTime ? costMs[index]! < costMs[best]! : isOnTime)) {
+			best = index;
+		}
+	});
+	return best;
 };
 
+const listPermitted = (endpoints: readonly Endpoint[], now: number): readonly Endpoint[] =>
+	endpoints.filter(endpoint => !isAtRest(endpoint.pushback, now) && canSend(endpoint.rateLimit, now));
+
 /**
 Chooses the endpoint for a request.
 
@@ -234,30 +254,29 @@
 		return {kind: 'none'};
 	}
 
-	const untried = keepMatching(endpoints, endpoint => !query.triedEndpoints.includes(endpoint.id));
-	const healthy = keepMatching(untried, endpoint => endpoint.ejectedUntil <= query.now);
-	const permitted = healthy.filter(endpoint => !isAtRest(endpoint.pushback, query.now) && canSend(endpoint.rateLimit, query.now));
+	const {now, triedEndpoints, peers, connections} = query;
+	const untried = triedEndpoints.length === 0 ? endpoints : keepMatching(endpoints, endpoint => !triedEndpoints.includes(endpoint.id));
+	const healthy = keepMatching(untried, endpoint => endpoint.ejectedUntil <= now);
+	const permitted = listPermitted(healthy, now);
 	if (permitted.length === 0) {
 		return {
 			kind: 'limited',
-			nextSendAt: Math.min(...healthy.map(endpoint => Math.max(endpoint.pushback?.until ?? 0, computeNextSendAt(endpoint.rateLimit, query.now)))),
-			requestsPerSecond: healthy.reduce((sum, endpoint) => sum + computeRate(endpoint.rateLimit, query.now), 0),
+			nextSendAt: Math.min(...healthy.map(endpoint => Math.max(endpoint.pushback?.until ?? 0, computeNextSendAt(endpoint.rateLimit, now)))),
+			requestsPerSecond: healthy.reduce((sum, endpoint) => sum + computeRate(endpoint.rateLimit, now), 0),
 		};
 	}
 
-	const available = permitted.filter(endpoint => endpoint.open < query.connections && hasRoom(endpoint.pushback, query.now) && !isFull(endpoint, query.peers, query.now));
-	const knowledge = gatherPartKnowledge(available, query);
-	const scored = available.map(endpoint => scoreEndpoint(endpoint, query, knowledge));
-	const onTime = scored.filter(({predicted}) => predicted <= query.timeToTargetMs);
-	const best = (onTime.length > 0 ? onTime : scored)
-		.reduce<ScoredEndpoint | undefined>((cheapest, each) => cheapest === undefined || each.costMs < cheapest.costMs ? each : cheapest, undefined);
-	return best === undefined
+	const available = permitted.filter(endpoint => endpoint.open < connections && hasRoom(endpoint.pushback, now) && !isFull(endpoint, peers, now));
+	const scores = scoreEndpoints(available, query);
+	const best = findBest(scores, query.timeToTargetMs);
+	const endpoint = available[best];
+	return endpoint === undefined
 		? {kind: 'busy'}
 		: {
 			kind: 'endpoint',
-			endpoint: best.endpoint,
-			predicted: best.predicted,
-			predictedIdleMs: predictIdleFirstOutputMs(best.newTokens, query),
-			newTokens: best.newTokens,
+			endpoint,
+			predicted: scores.predicted[best]!,
+			predictedIdleMs: predictIdleFirstOutputMs(scores.newTokens[best]!, query),
+			newTokens: scores.newTokens[best]!,
 		};
 };
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -3,5 +3,5 @@
 	emptyRegistry, markUnavailable, markAvailable, markRestored, computeWorkFactor, decaySlowness, recordPromptParts, replaceEntries, updateEndpoint, updateEndpoints,
 } from './registry.js';
 export type {
-	Endpoint, Incarnation, RegistryEntry, Registry,
+	Endpoint, Incarnation, Member, RegistryEntry, Registry,
 } from './registry.js';
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -62,6 +62,9 @@
 	slownessUpdatedAt: number;
 }>;
 
+/** What a placement needs to know of an endpoint before it reads its statistics. Changes only with the registry. */
+export type Member = Pick<Endpoint, 'id' | 'idHash' | 'service' | 'dataCentre'>;
+
 /** An endpoint whose entry went away. */
 type RemovedEndpoint = Endpoint & Readonly<{
 	/** Version of the store up to which entries do not count: they were written before it went, or are those of an older copy. */
@@ -79,6 +82,8 @@
 */
 export type Registry = Readonly<{
 	endpoints: Map<string, Endpoint>;
+	/** The same endpoints without their statistics: this map stays the same one while no endpoint comes, goes or moves. */
+	members: Map<string, Member>;
 	/** Incarnations that have stated in a response or in their entries that they are leaving, the latest ones last. Entries that are read later may still say otherwise. */
 	leaving: OrderedMap<string, Incarnation & Readonly<{
 		/** When it stated this in a response to this router, in ms; undefined if its entry or a peer said so. */
@@ -106,7 +111,7 @@
 
 /** The registry of a process that has read no entries. */
 export const emptyRegistry: Registry = {
-	endpoints: Map(), leaving: OrderedMap(), removed: OrderedMap(), version: 0, restoredVersion: 0, isUnavailable: false, isRestored: false, recovery: {from: 0, until: 0},
+	endpoints: Map(), members: Map(), leaving: OrderedMap(), removed: OrderedMap(), version: 0, restoredVersion: 0, isUnavailable: false, isRestored: false, recovery: {from: 0, until: 0},
 };
 
 const createEndpoint = (entry: RegistryEntry): Omit<Endpoint, 'listedAt' | 'missingUntil'> => ({
@@ -177,6 +182,16 @@
 /** Checks whether an entry is that of an incarnation which has stated that it is leaving. */
 const hasStatedLeaving = (registry: Registry, entry: RegistryEntry): boolean => registry.leaving.has(formatIncarnation(entry));
 
+/** Adds a member; returns the same map if nothing has changed. */
+const addMember = (members: Registry['members'], {id, idHash, service, dataCentre}: Member): Registry['members'] => {
+	const known = members.get(id);
+	return known?.service === service && known.dataCentre === dataCentre
+		? members
+		: members.set(id, {
+			id, idHash, service, dataCentre,
+		});
+};
+
 /** Adds an entry, with what is known of its incarnation. */
 const addEntry = (registry: Registry, entry: RegistryEntry, now: number): Registry => {
 	const known = findKnown(registry, entry);
@@ -185,7 +200,9 @@
 	const endpoint: Endpoint = {
 		...known ?? createEndpoint(entry), ...entry, listedAt: findIncarnation(registry, entry)?.listedAt ?? now, missingUntil: undefined,
 	};
-	return {...kept, removed: kept.removed.delete(formatIncarnation(entry)), endpoints: kept.endpoints.set(entry.id, endpoint)};
+	return {
+		...kept, removed: kept.removed.delete(formatIncarnation(entry)), endpoints: kept.endpoints.set(entry.id, endpoint), members: addMember(kept.members, endpoint),
+	};
 };
 
 /** Tells whether a newer endpoint serves the address of an older one. */
@@ -223,6 +240,7 @@
 		removed: registry.removed.merge(endpoints.map(endpoint => [formatIncarnation(endpoint), {...forgetPromptParts(endpoint), goneVersion: registry.version}] as const))
 			.takeLast(maxRememberedRemoved),
 		endpoints: registry.endpoints.deleteAll(endpoints.map(({id}) => id)),
+		members: registry.members.deleteAll(endpoints.map(({id}) => id)),
 	};
 
 /** Removes the endpoint that is listed under an id, if any. */
@@ -293,7 +311,7 @@
 	return {
 		...registry,
 		leaving: registry.leaving.delete(key).set(key, {...getIncarnation(incarnation), statedAt}).takeLast(maxRememberedLeaving),
-		endpoints: findIncarnation(registry, incarnation) === undefined ? registry.endpoints : registry.endpoints.delete(incarnation.id),
+		...(findIncarnation(registry, incarnation) !== undefined && {endpoints: registry.endpoints.delete(incarnation.id), members: registry.members.delete(incarnation.id)}),
 	};
 };
 
