Learn the rates of services from the times of their requests

Engines process 36 to 125 prompt tokens per ms, and plain requests take any time, while the predictions assumed one rate for all. The constants of the placement are now priors of factors that are estimated per service by least squares with forgetting; residuals are clipped and factors bounded. Whole responses of plain requests now count for their endpoint's slowness, once 30 of them have shown the service time. A work factor that an endpoint states loses weight where a factor of 1 would have predicted the time better. Gauges: galena_service_rate, galena_endpoint_work_factor, galena_endpoint_report_trust.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -1,4 +1,7 @@
 import {recordPushbackClose, recordPushbackSuccess} from '../pushback/index.js';
+import {
+	canJudgeEndpoint, judgeStatement, recordObservation, unknownPerformance,
+} from '../endpoint-performance/index.js';
 import {spendRetry} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
@@ -115,7 +118,8 @@
 };
 
 const deliverResponse = (state: EdgeState, request: UnansweredRequest, head: ResponseHead, now: number): EdgeStep => {
-	const result = recordResult(state, request, head.status >= 500 ? 'failed' : 'good', now);
+	const observed = head.status < 300 && request.workload?.newTokens === undefined ? recordPlainResponse(state, request, now) : state;
+	const result = recordResult(observed, request, head.status >= 500 ? 'failed' : 'good', now);
 	const recorded = (head.status < 300 ? recordRequestOutput : recordRequestError)(result, request, now);
 	const ended = endRequest(recordRequestAnswer(recorded, request, now), request, {outcome: head.status < 400 ? 'answered' : 'endpoint-error', status: head.status, events: 0}, now);
 	return {state: ended.state, effects: [{kind: 'deliver', call: identifyUnanswered(request)}, ...ended.effects]};
@@ -226,19 +230,36 @@
 	return chain(logged, current => placeNext(current, request.service, event.random, now));
 });
 
-const recordFirstOutput = (endpoint: Endpoint, request: InFlightRequest, now: number): Endpoint => {
+/** Records how fast an endpoint was, compared with what the rates of its service predict. */
+const recordSlowness = (endpoint: Endpoint, request: InFlightRequest, now: number): Endpoint => {
 	const before = decaySlowness(endpoint, now);
 	const ratio = (now - request.sentAt) / Math.max(1, request.predicted / request.slowness);
 	const bounded = Math.min(slownessBounds.max, Math.max(slownessBounds.min, ratio));
 	return {
 		...endpoint,
 		lastResponseAt: now,
-		pending: Math.max(0, endpoint.pending - request.pending),
+		load: judgeStatement(endpoint.load, request.statedFactor, bounded),
 		slowness: before + ((bounded - before) * slownessWeight),
 		slownessUpdatedAt: now,
 	};
 };
 
+const recordFirstOutput = (endpoint: Endpoint, request: InFlightRequest, now: number): Endpoint =>
+	recordSlowness({...endpoint, pending: Math.max(0, endpoint.pending - request.pending)}, request, now);
+
+/** Learns the rates of a service from the time to the first output of an attempt, or to the whole response of a plain request. */
+const recordPerformance = (state: EdgeState, {service, workload, sentAt, slowness}: InFlightRequest, now: number): EdgeState => workload === undefined
+	? state
+	: {...state, performance: state.performance.set(service, recordObservation(state.performance.get(service) ?? unknownPerformance, workload, (now - sentAt) / slowness))};
+
+/** Learns from the whole response of a plain request. */
+const recordPlainResponse = (state: EdgeState, request: InFlightRequest, now: number): EdgeState => {
+	const learned = recordPerformance(state, request, now);
+	return request.workload !== undefined && canJudgeEndpoint(state.performance.get(request.service), request.workload)
+		? updateKnownEndpoint(learned, request.sentTo, endpoint => recordSlowness(endpoint, request, now))
+		: learned;
+};
+
 /** Records where a stream begins if its client may resume it. */
 const recordStream = (state: EdgeState, request: InFlightRequest, now: number): EdgeState =>
 	request.head.resumeAfter !== undefined || request.events > 0 || request.sentVersion === undefined || !isRetryable(request.route)
@@ -256,7 +277,7 @@
 export const receiveFirstOutput = (state: EdgeState, event: EdgeEvent & {kind: 'stream-began'}, now: number): EdgeStep => applyToRequest(state, event.call, request => request.attempt === event.attempt
 	? {
 		state: updateKnownEndpoint(
-			putRequest(recordStream(recordRequestOutput(state, request, now), request, now), {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
+			putRequest(recordPerformance(recordStream(recordRequestOutput(state, request, now), request, now), request, now), {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
 			request.sentTo,
 			endpoint => recordFirstOutput(endpoint, request, now),
 		),
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -28,6 +28,7 @@
 import type {StoredRow} from '../store/index.js';
 import {decodeOrigin, locateOrigin, versionTable} from '../stream-origin/index.js';
 import {watchAcceptQueue} from './accept-queue.js';
+import {listGauges} from './gauges.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
 import type {FeedEvent} from './table-feed.js';
@@ -482,7 +483,7 @@
 	const metricsServer = createServer((incoming, response) => {
 		incoming.resume();
 		runInBackground(async () => {
-			response.end(await metrics.format());
+			response.end(await metrics.format(listGauges(loop.state(), clock())));
 		});
 	});
 
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -43,7 +43,10 @@
 const receiveConfig: Handler<'catalog-read'> = (state, event) => {
 	const config = selectNewerConfig(state.config, event.config);
 	return {
-		state: {...state, config, serviceTimes: config === state.config ? state.serviceTimes : retainServiceTimes(state.serviceTimes, listRouteNames(config))},
+		state: {
+			...state, config, serviceTimes: config === state.config ? state.serviceTimes : retainServiceTimes(state.serviceTimes, listRouteNames(config)),
+			performance: state.performance.filter((_, service) => config.services.has(service)),
+		},
 		effects: config === state.config
 			? []
 			: [createLogEffect('configuration-in-force', {version: config.version, before: state.config?.version ?? 0, routes: config.routes.size})],
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,14 +1,21 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import type {CounterName, EdgeEffect, HistogramName as TimerName} from './messages.js';
 
 /** Upper bounds of the histogram buckets, in ms. Dense around the latency targets of 0.2 to 0.5 s, and up to the longest timeouts. */
 const bucketsMs = [5, 10, 20, 50, 100, 150, 200, 300, 400, 500, 750, 1000, 1500, 2000, 3000, 5000, 10_000, 15_000];
 
+/** Value of a gauge when the metrics are read. */
+export type GaugeValue = Readonly<{metric: GaugeName; labels: Readonly<Record<string, string>>; value: number}>;
+
+type GaugeName = 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust';
+
 /** Counters and histograms of a process. */
 export type Metrics = Readonly<{
 	apply: (effect: EdgeEffect & {kind: 'count' | 'observe'}) => void;
 	/** Formats all metrics in the Prometheus text format. */
-	format: () => Promise<string>;
+	format: (gauges: readonly GaugeValue[]) => Promise<string>;
 }>;
 
 /**
@@ -33,6 +40,17 @@
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
 	};
+	const gauges: Readonly<Record<GaugeName, Gauge>> = {
+		serviceRate: new Gauge({
+			name: 'galena_service_rate', help: 'Learned rates of a service: prompt tokens per ms, or ms.', labelNames: ['service', 'rate'], registers,
+		}),
+		endpointWorkFactor: new Gauge({
+			name: 'galena_endpoint_work_factor', help: 'Factor by which the work of an endpoint takes longer than predicted.', labelNames: ['endpoint'], registers,
+		}),
+		endpointReportTrust: new Gauge({
+			name: 'galena_endpoint_report_trust', help: 'Weight of the work factor that an endpoint states, from 0 to 1.', labelNames: ['endpoint'], registers,
+		}),
+	};
 	const histograms: Readonly<Record<TimerName, Histogram>> = {
 		call: new Histogram({
 			name: 'galena_call_milliseconds', help: 'Time from a call\'s arrival to its end, by route.', labelNames: ['route'], buckets: bucketsMs, registers,
@@ -55,6 +73,14 @@
 				histograms[effect.metric].observe(effect.labels, effect.milliseconds);
 			}
 		},
-		format: async () => registry.metrics(),
+		async format(values) {
+			Object.values(gauges).forEach(gauge => {
+				gauge.reset();
+			});
+			values.forEach(({metric, labels, value}) => {
+				gauges[metric].set(labels, value);
+			});
+			return registry.metrics();
+		},
 	};
 };
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -1,4 +1,5 @@
 import {createFault} from '../errors/index.js';
+import {computeRates, getStatedWorkFactor} from '../endpoint-performance/index.js';
 import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
@@ -29,7 +30,9 @@
 };
 
 const sendRequest = (state: EdgeState, request: InFlightRequest, placement: Placement & {kind: 'endpoint'}, now: number): EdgeStep => {
-	const {endpoint, predicted, newTokens} = placement;
+	const {
+		endpoint, predicted, newTokens, workload,
+	} = placement;
 	const sent: InFlightRequest = {
 		...request,
 		phase: 'sent',
@@ -39,6 +42,8 @@
 		pending: newTokens,
 		predicted,
 		slowness: computeWorkFactor(endpoint, now),
+		workload,
+		statedFactor: getStatedWorkFactor(endpoint.load, now),
 		sentAt: now,
 		sentTo: getIncarnation(endpoint),
 		sentVersion: endpoint.softwareVersion,
@@ -133,6 +138,7 @@
 			connections: computeConnections(state, request),
 			triedEndpoints: request.triedEndpoints,
 			peers: state.peerLoadTotals,
+			rates: computeRates(state.performance.get(request.service)),
 			timeToTargetMs: request.arrivedAt + request.route.targetMs - now,
 			now,
 		}, random);
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -1,5 +1,6 @@
 import {Map} from 'immutable';
 import type {Set} from 'immutable';
+import type {ServicePerformance} from '../endpoint-performance/index.js';
 import {createRetryBudget} from '../retry-budget/index.js';
 import type {RetryBudget, RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
@@ -68,6 +69,8 @@
 	tick: Readonly<{at: number; isLate: boolean}>;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
 	endpointsCheckedAt: number;
+	/** What has been learned of the endpoints of each service. */
+	performance: Map<string, ServicePerformance>;
 	/** How long requests take, by route. */
 	serviceTimes: ServiceTimes;
 	/** During the shutdown, when the last responses must have been sent, in ms; undefined before. */
@@ -128,6 +131,7 @@
 	isPoisonNewsUrgent: false,
 	tick: {at: 0, isLate: false},
 	endpointsCheckedAt: 0,
+	performance: Map(),
 	serviceTimes: Map(),
 	answerBy: undefined,
 });
--- a/src/endpoint-performance/index.ts
+++ b/src/endpoint-performance/index.ts
@@ -1,6 +1,8 @@
 export {
-	blendWorkFactor, computeSlots, countStatedRequests, recordStatedLoad,
+	blendWorkFactor, getStatedWorkFactor, judgeStatement, computeSlots, countStatedRequests, recordStatedLoad,
 } from './load-report.js';
 export type {LoadReport, StatedLoad} from './load-report.js';
-export {priorRates} from './rates.js';
-export type {ServiceRates} from './rates.js';
+export {
+	canJudgeEndpoint, computeRates, priorRates, recordObservation, unknownPerformance,
+} from './rates.js';
+export type {ServicePerformance, ServiceRates, Workload} from './rates.js';
--- a/src/endpoint-performance/load-report.ts
+++ b/src/endpoint-performance/load-report.ts
@@ -25,6 +25,8 @@
 	waiting: StatedFigure | undefined;
 	slots: StatedFigure | undefined;
 	workFactor: StatedWorkFactor | undefined;
+	/** Weight of the stated work factor, from what was observed; 1 if it has predicted the times of requests. */
+	trust: number;
 }>;
 
 /** Age from which a stated figure is ignored, in ms. */
@@ -66,6 +68,7 @@
 	waiting: updateFigure(report?.waiting, stated.waiting, now),
 	slots: updateFigure(report?.slots, stated.slots, now),
 	workFactor: updateWorkFactor(report?.workFactor, stated.workFactor, now),
+	trust: report?.trust ?? 1,
 });
 
 const readFigure = (figure: StatedFigure | undefined, now: number): number | undefined =>
@@ -114,6 +117,44 @@
 		return measured;
 	}
 
-	const weight = computeAgeWeight(now - workFactor.at);
+	const weight = report!.trust * computeAgeWeight(now - workFactor.at);
 	return Math.exp((workFactor.logMean * weight) + (Math.log(measured) * (1 - weight)));
 };
+
+/** Age up to which a stated work factor can be compared with the time of a request, in ms. */
+const comparableAgeMs = 50;
+
+/**
+Returns the work factor that an endpoint has just stated.
+
+@param report - The report, if any.
+@param now - The current time in ms.
+@returns The factor; undefined if none was stated within some ms.
+*/
+export const getStatedWorkFactor = (report: LoadReport | undefined, now: number): number | undefined =>
+	report?.workFactor === undefined || now - report.workFactor.at > comparableAgeMs ? undefined : Math.exp(report.workFactor.logMean);
+
+/** Weight of one comparison, the least trust, and the difference of logarithms by which a statement must be worse than no statement to lose trust. */
+const trustWeight = 0.1;
+const minTrust = 0.05;
+const trustMargin = 0.3;
+
+/**
+Compares what an endpoint stated with the time that a request then took there.
+
+Load pattern: an endpoint states wrong factors. It must neither attract all requests nor get none.
+
+@param report - The report, if any.
+@param stated - The factor that the endpoint had just stated when the request was sent; undefined if there was none.
+@param observed - The factor by which the first output took longer than predicted for a factor of 1.
+@returns The report, with less trust if a factor of 1 would have predicted the time better.
+*/
+export const judgeStatement = (report: LoadReport | undefined, stated: number | undefined, observed: number): LoadReport | undefined => {
+	if (report === undefined || stated === undefined) {
+		return report;
+	}
+
+	const logObserved = Math.log(observed);
+	const isWrong = Math.abs(logObserved - Math.log(stated)) > Math.abs(logObserved) + trustMargin;
+	return {...report, trust: Math.max(minTrust, report.trust + (((isWrong ? 0 : 1) - report.trust) * trustWeight))};
+};
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -1,5 +1,5 @@
 import type {Result} from '../errors/index.js';
-import type {StatedLoad} from '../endpoint-performance/index.js';
+import type {StatedLoad, Workload} from '../endpoint-performance/index.js';
 import type {FinalHead} from '../http-head/index.js';
 import type {Incarnation} from '../registry/index.js';
 import type {Route} from '../routing-config/index.js';
@@ -127,6 +127,9 @@
 	predicted: number;
 	/** Slowness of the endpoint that the prediction includes. */
 	slowness: number;
+	/** What it met at that endpoint, and the work factor that the endpoint had just stated, if any. */
+	workload?: Workload | undefined;
+	statedFactor?: number | undefined;
 	/** When the latest attempt was sent. */
 	sentAt: number;
 	/** Endpoint of the latest attempt; undefined before the first one. */
--- a/src/placement/candidates.ts
+++ b/src/placement/candidates.ts
@@ -9,11 +9,11 @@
 }>;
 
 /** Up to this number of endpoints, all of them are considered. */
-const maxCandidates = 48;
+const maxCandidates = 40;
 
 /** Of more endpoints, the ones that rank first for the shared part of a prompt are considered, and random ones of both kinds. */
-const rankedCandidates = 12;
-const localCandidates = 24;
+const rankedCandidates = 8;
+const localCandidates = 20;
 
 /** Lists by the registry's members, which change seldom. Lists of earlier members are freed with them. */
 const listsByMembers = new WeakMap<Registry['members'], ReadonlyMap<string, ServiceMembers>>();
@@ -100,10 +100,16 @@
 	isSample: boolean;
 }>;
 
-const keepUsable = ({endpoints}: Registry, members: readonly Member[], canUse: (endpoint: Endpoint) => boolean): readonly Endpoint[] => members.flatMap(({id}) => {
-	const endpoint = endpoints.get(id);
-	return endpoint !== undefined && canUse(endpoint) ? [endpoint] : [];
-});
+const keepUsable = ({endpoints}: Registry, members: readonly Member[], canUse: (endpoint: Endpoint) => boolean): readonly Endpoint[] => {
+	const usable: Endpoint[] = [];
+	members.forEach(({id}) => {
+		const endpoint = endpoints.get(id);
+		if (endpoint !== undefined && canUse(endpoint)) {
+			usable.push(endpoint);
+		}
+	});
+	return usable;
+};
 
 /**
 Lists all endpoints of a service that may serve a request.
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -2,7 +2,7 @@
 import type {ModelRequest} from '../in-flight/index.js';
 import type {EndpointLoads} from '../gossip/index.js';
 import {computeSlots, countStatedRequests, priorRates} from '../endpoint-performance/index.js';
-import type {ServiceRates} from '../endpoint-performance/index.js';
+import type {ServiceRates, Workload} from '../endpoint-performance/index.js';
 import {hasRoom, isAtRest} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {canSend, computeNextSendAt, computeRate} from '../rate-limit/index.js';
@@ -42,6 +42,8 @@
 		predictedIdleMs: number;
 		/** Prompt tokens that the endpoint is not expected to have cached. */
 		newTokens: number;
+		/** What the request meets there. */
+		workload: Workload;
 	}>
 	/** All slots of every endpoint that may be sent a request are taken, or all connections that this router may open to it. */
 	| Readonly<{kind: 'busy'}>
@@ -134,6 +136,13 @@
 	return computeWorkFactor(endpoint, query.now) * (rates.idleFirstOutputMs + promptMs + (requestCount * rates.batchedRequestMs));
 };
 
+const describeWorkload = (endpoint: Endpoint, query: PlacementQuery, newTokens: number): Workload => ({
+	newTokens: isModelQuery(query) ? newTokens : undefined,
+	pendingTokens: endpoint.pending + (query.peers.get(endpoint.id)?.pending ?? 0),
+	requestCount: countRequests(endpoint, query.peers, query.now),
+	slots: Math.max(1, computeSlots(endpoint.load, endpoint.slots, query.now)),
+});
+
 /** Predicts the time to the first output of an idle endpoint. */
 const predictIdleFirstOutputMs = (newTokens: number, query: PlacementQuery): number => {
 	const {rates = priorRates} = query;
@@ -278,5 +287,6 @@
 			predicted: scores.predicted[best]!,
 			predictedIdleMs: predictIdleFirstOutputMs(scores.newTokens[best]!, query),
 			newTokens: scores.newTokens[best]!,
+			workload: describeWorkload(endpoint, query, scores.newTokens[best]!),
 		};
 };
