--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -5,10 +5,13 @@
 	canSendCold, computeColdRate, computeNextColdSendAt, spendColdCredit,
 } from '../cold-start/index.js';
 import {createFault} from '../errors/index.js';
+import {computeRates, getStatedWorkFactor} from '../endpoint-performance/index.js';
 import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
-import {chooseEndpoint, computeConnectionShare} from '../placement/index.js';
+import {
+	chooseEndpoint, computeConnectionShare, listCandidates, listUsable, pickAffinityPart,
+} from '../placement/index.js';
 import type {Placement, PlacementQuery} from '../placement/index.js';
 import {
 	decideDispatch, decideLimitedDispatch, hasWaitedTooLong, pickNext, predictLimitedSendAt, suggestRetryAfter,
@@ -37,7 +40,9 @@
 const maxUrgency = 9;
 
 const sendRequest = (state: EdgeState, request: InFlightRequest, placement: Placement & {kind: 'endpoint'}, now: number): EdgeStep => {
-	const {endpoint, predicted, newTokens} = placement;
+	const {
+		endpoint, predicted, newTokens, workload,
+	} = placement;
 	const sent: InFlightRequest = {
 		...request,
 		phase: 'sent',
@@ -47,6 +52,8 @@
 		pending: newTokens,
 		predicted,
 		slowness: computeWorkFactor(endpoint, now),
+		workload,
+		statedFactor: getStatedWorkFactor(endpoint.load, now),
 		sentAt: now,
 		sentTo: getIncarnation(endpoint),
 		sentVersion: endpoint.softwareVersion,
@@ -150,29 +157,40 @@
 		};
 };
 
+type Choice = Readonly<{choice: Placement; count: number}>;
+
+/** Chooses an endpoint among the candidates of a service, or among all of its endpoints if no candidate takes the request. */
+const chooseAmong = (state: EdgeState, request: InFlightRequest, canUse: (endpoint: Endpoint) => boolean, query: PlacementQuery, random: number): Choice => {
+	const {endpoints, count, isSample} = listCandidates(state.registry, {
+		service: request.service, dataCentre: state.dataCentre, part: pickAffinityPart(request.head.modelRequest), random,
+	}, canUse);
+	const choice = chooseAmongWarm(endpoints, query);
+	return {choice: isSample && choice.kind !== 'endpoint' ? chooseAmongWarm(listUsable(state.registry, request.service, canUse), query) : choice, count};
+};
+
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
-	const endpoints = [...state.registry.endpoints.values()].filter(endpoint => isUsable(endpoint, now) && mayServe(state, endpoint, request));
-	const choice: Placement = service === undefined
-		? {kind: 'none'}
-		: chooseAmongWarm(endpoints, {
+	const canUse = (endpoint: Endpoint) => isUsable(endpoint, now) && mayServe(state, endpoint, request);
+	const {choice, count: endpointCount}: Choice = service === undefined
+		? {choice: {kind: 'none'}, count: 0}
+		: chooseAmong(state, request, canUse, {
 			service,
 			modelRequest: request.head.modelRequest,
 			dataCentre: state.dataCentre,
 			connections: computeConnections(state, request),
 			triedEndpoints: request.triedEndpoints,
 			peers: state.peerLoadTotals,
+			rates: computeRates(state.performance.get(request.service)),
 			timeToTargetMs: request.arrivedAt + request.route.targetMs - now,
 			now,
-		});
+		}, random);
 	const countQueued = () => state.requests.count(other =>
 		other.phase === 'queued' && other.service === request.service && other.id !== request.id);
 	const isModelRequest = request.head.modelRequest !== undefined && service?.engine !== undefined;
 	const dispatchBoundMs = state.prioritizesUrgent && isModelRequest ? computeDispatchBound(state.demand, describeCandidate(request), now) : undefined;
 	const dispatch = ({predicted, predictedIdleMs}: Placement & {kind: 'endpoint'}): Dispatch => isModelRequest
 		? decideDispatch({
-			request, predicted, predictedIdleMs, waiting: countQueued(), endpointCount: endpoints.length, now,
-			dispatchBoundMs,
+			request, predicted, predictedIdleMs, waiting: countQueued(), endpointCount, now, dispatchBoundMs,
 		})
 		: 'send';
 	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -6,6 +6,7 @@
 import type {ColdBounds, RouterSightings} from '../cold-start/index.js';
 import {noEvacuations} from '../evacuation/index.js';
 import type {Evacuations} from '../evacuation/index.js';
+import type {ServicePerformance} from '../endpoint-performance/index.js';
 import {createRetryBudget} from '../retry-budget/index.js';
 import type {RetryBudget, RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
@@ -86,6 +87,8 @@
 	prioritizesUrgent: boolean;
 	/** Demand for the services; not recorded unless urgent requests take precedence. */
 	demand: Demand;
+	/** What has been learned of the endpoints of each service. */
+	performance: Map<string, ServicePerformance>;
 	/** How long requests take, by route. */
 	serviceTimes: ServiceTimes;
 	/** During the shutdown, when the last responses must have been sent, in ms; undefined before. */
@@ -156,6 +159,7 @@
 	endpointsCheckedAt: 0,
 	prioritizesUrgent: options.prioritizesUrgent ?? false,
 	demand: emptyDemand,
+	performance: Map(),
 	serviceTimes: Map(),
 	answerBy: undefined,
 });
