Keep requests in their home regions

A route or organisation may name allowedRegions, which were ignored: an endpoint in any region could get its requests.

The settings map data centres to regions ([places] region and zones), and the predicate that lists the endpoints of a request leaves out those whose region is not among its home regions, or not known. Where both have home regions, both apply. A value that is not a list of known names is logged with the field's name, and allows only the names that are in it. The bounds of cold endpoints may be set (cold-over, cold-slack).

--- a/src/edge/cold.ts
+++ b/src/edge/cold.ts
@@ -183,5 +183,5 @@
 	const seen: EdgeState = {...state, routerSightings, possibleRouters: isChanged ? possibleRouters : state.possibleRouters};
 	const limited = seen.registry.endpoints.valueSeq().toArray().filter(({cold}) => cold !== undefined);
 	const logged = chainAll(seen, limited, (current, endpoint) => logColdChange(current, endpoint, undefined, now));
-	return isChanged || limited.some(({cold}) => !isColdLimited(cold, now)) ? chain(logged, current => updateLimits(current, now)) : logged;
+	return isChanged || limited.some(({cold}) => !isColdLimited(cold, now) || cold.bounds !== state.coldBounds) ? chain(logged, current => updateLimits(current, now)) : logged;
 };
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {periodic} from 'most';
+import type {ColdBounds} from '../cold-start/index.js';
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {Fault, Result} from '../errors/index.js';
@@ -35,6 +36,7 @@
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {openMetrics} from './metrics.js';
 import {readRequestBody, rejectUnread} from './request-body.js';
+import {listRegions} from './settings.js';
 import type {EdgeSettings} from './settings.js';
 import {createEdge, hasReleasedTokens, isReady} from './state.js';
 import {openFailoverStore} from './store-failover.js';
@@ -80,6 +82,8 @@
 
 const getRetryBounds = ({bounds}: EdgeSettings): RetryBudgetBounds => ({ratio: bounds['repeat-ratio'], slack: bounds['repeat-slack']});
 
+const getColdBounds = ({bounds}: EdgeSettings): ColdBounds => ({over: bounds['cold-over'], slack: bounds['cold-slack']});
+
 /**
 Starts the edge process.
 
@@ -272,6 +276,8 @@
 			peerAddress: `${settings.listen.peers.host}:${settings.listen.peers.port}`,
 			retryBudgetBounds: getRetryBounds(settings),
 			drainMs: settings.bounds.drain,
+			coldBounds: getColdBounds(settings),
+			regions: listRegions(settings),
 		}),
 		handle: handleEdge,
 		perform(effect) {
@@ -575,7 +581,9 @@
 			const next = changed.val;
 			const isRestartNeeded = JSON.stringify([settings.host, settings.listen, settings.store]) !== JSON.stringify([next.host, next.listen, next.store]);
 			graceMs = next.bounds.grace;
-			loop.post({kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain});
+			loop.post({
+				kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain, coldBounds: getColdBounds(next), regions: listRegions(next),
+			});
 			// Changed addresses take effect at the next start.
 			log.write('routine', 'settings-reloaded', {grace: graceMs, repeatSlack: next.bounds['repeat-slack'], needsRestart: isRestartNeeded});
 		},
--- a/src/edge/eligibility.test.ts
+++ b/src/edge/eligibility.test.ts
@@ -141,3 +141,27 @@
 		expect(router.listEvents()).toEqual(['evacuation-began a', 'evacuation-ended a', 'evacuation-began b', 'evacuation-began a', 'evacuation-ended b']);
 	});
 });
+
+describe('requests with home regions are not sent elsewhere:', () => {
+	test.each<[string, readonly string[] | undefined, readonly string[] | undefined, readonly string[]]>([
+		['of the route', ['west'], undefined, ['e2', 'e2']],
+		['of the organisation', undefined, ['west'], ['e2', 'e2']],
+		['of both', ['west', 'east'], ['west'], ['e2', 'e2']],
+		['of both, which contradict each other', ['east'], ['west'], []],
+		['of a region that no data centre is in', ['north'], undefined, []],
+		['none', undefined, undefined, ['e1', 'e2']],
+	])('%s', (_, ofRoute, ofOrganisation, sends) => {
+		const router = openRouter({route: {homeRegions: ofRoute}, organisation: {homeRegions: ofOrganisation}, options: {regions: Map([['a', 'east'], ['b', 'west']])}});
+		router.request(1);
+		router.respond(1, 1, 500);
+		expect(router.listSends()).toEqual(sends);
+	});
+
+	test('not to a data centre whose region is not known', () => {
+		const router = openRouter({route: {homeRegions: ['west']}, options: {regions: Map([['b', 'west']])}});
+		router.change('evacuate/b', '{}');
+		router.request(1);
+		expect(router.listSends()).toEqual([]);
+		expect(router.listRefusals()).toHaveLength(1);
+	});
+});
--- a/src/edge/eligibility.ts
+++ b/src/edge/eligibility.ts
@@ -1,10 +1,11 @@
+import {isAtHome} from '../home/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {isUsable} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import type {EdgeState} from './state.js';
 
-type EligibilityContext = Pick<EdgeState, 'evacuations'>;
+type EligibilityContext = Pick<EdgeState, 'evacuations' | 'regions'>;
 
 /** What two software versions write does not fit together in one stream. */
 const canServe = (endpoint: Endpoint, request: InFlightRequest): boolean =>
@@ -14,13 +15,13 @@
 Tells whether an endpoint may get a request now, be it as its first attempt, a retry, the
 rest of a stream, from the queue or as a last resort.
 
-@param context - The evacuated data centres.
+@param context - The evacuated data centres, and the region of each.
 @param endpoint - The endpoint.
 @param request - The request.
-@returns False if the endpoint is of another service or software version, or its data centre is evacuated.
+@returns False if the endpoint is of another service or software version, or its data centre is evacuated or not in a home region of the request.
 */
-export const mayServe = ({evacuations}: EligibilityContext, endpoint: Endpoint, request: InFlightRequest): boolean =>
-	canServe(endpoint, request) && !evacuations.has(endpoint.dataCentre);
+export const mayServe = ({evacuations, regions}: EligibilityContext, endpoint: Endpoint, request: InFlightRequest): boolean =>
+	canServe(endpoint, request) && !evacuations.has(endpoint.dataCentre) && isAtHome(request.homeRegions, regions, endpoint.dataCentre);
 
 /** Bounds of the time after which clients return that no endpoint may serve, in seconds: an evacuation lasts minutes, and all clients of a service are rejected together. */
 const returnBoundsSeconds = {min: 1, max: 5} as const;
@@ -36,7 +37,8 @@
 */
 export const explainNoEndpoint = (state: EdgeState, request: InFlightRequest, random: number, now: number): Readonly<{detail: string; retryAfter: number}> => {
 	const {min, max} = returnBoundsSeconds;
+	const elsewhere = request.homeRegions === undefined ? '' : `, or not in ${request.homeRegions.join(', ') || 'any region'}`;
 	return state.registry.endpoints.some(endpoint => isUsable(endpoint, now) && canServe(endpoint, request))
-		? {detail: `no endpoint of service ${request.service} may serve the request: its data centres are evacuated`, retryAfter: Math.round((min + ((max - min) * random)) * 1000) / 1000}
+		? {detail: `no endpoint of service ${request.service} may serve the request: its data centres are evacuated${elsewhere}`, retryAfter: Math.round((min + ((max - min) * random)) * 1000) / 1000}
 		: {detail: `service ${request.service} has no endpoint`, retryAfter: suggestRetryAfter(request.expiresAt - now, random)};
 };
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -31,6 +31,7 @@
 	expireLocating, expireVerifying, receiveOrigin, receiveVersions, receiveVersionsInUse, receiveVersionSave, resetVersions, saveOrigins, saveVersions,
 } from './resume.js';
 import {receivePeerLimits, updateShares} from './limits.js';
+import {logHomeRegions} from './home.js';
 import type {EdgeEvent} from './messages.js';
 import {placeWaiting} from './place.js';
 import {
@@ -50,7 +51,7 @@
 		state: {...state, config, serviceTimes: config === state.config ? state.serviceTimes : retainServiceTimes(state.serviceTimes, listRouteNames(config))},
 		effects: config === state.config
 			? []
-			: [createLogEffect('configuration-in-force', {version: config.version, before: state.config?.version ?? 0, routes: config.routes.size})],
+			: [createLogEffect('configuration-in-force', {version: config.version, before: state.config?.version ?? 0, routes: config.routes.size}), ...logHomeRegions(config, state.regions)],
 	};
 	return config === state.config ? received : chain(received, current => recordColdRates(current, state.config, now));
 };
@@ -208,7 +209,7 @@
 	'peer-heard': receivePeerMessage,
 	tick: receiveTick,
 	'bounds-changed': (state, event) => keepState({
-		...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs, coldBounds: event.coldBounds ?? state.coldBounds,
+		...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs, coldBounds: event.coldBounds ?? state.coldBounds, regions: event.regions ?? state.regions,
 	}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
 	'stop-wanted': (state, event) => keepState(beginShutdown(state, event.answerBy)),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -1,5 +1,6 @@
 import type {ColdBounds} from '../cold-start/index.js';
 import type {EvacuationChange} from '../evacuation/index.js';
+import type {Regions} from '../home/index.js';
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
 import type {Fault} from '../errors/index.js';
@@ -70,7 +71,7 @@
 	| (Readonly<{kind: 'peer-heard'}> & PeerMessage)
 	| Readonly<{kind: 'tick'; random: number}>
 	/** The bounds in the settings were reconfigured. */
-	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number; coldBounds?: ColdBounds}>
+	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number; coldBounds?: ColdBounds; regions?: Regions}>
 	/** The shutdown begins; the last responses must have been sent at the given time, in ms. */
 	| Readonly<{kind: 'stop-wanted'; answerBy: number}>
 	/** All requests have ended during shutdown: the tokens held are returned to the budgets. */
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -5,6 +5,7 @@
 	errorResponses, createFault, fail, succeed,
 } from '../errors/index.js';
 import type {Fault, Result} from '../errors/index.js';
+import {combineHomeRegions} from '../home/index.js';
 import {computeFingerprint, createInFlightRequest} from '../in-flight/index.js';
 import type {RequestHead, InFlightRequest} from '../in-flight/index.js';
 import {suggestRetryAfter} from '../queue/index.js';
@@ -51,6 +52,7 @@
 		service,
 		organisation: organisation?.name,
 		budget: maxCostTokens > 0 ? organisation?.name : undefined,
+		homeRegions: combineHomeRegions(route.homeRegions, organisation?.homeRegions),
 		priority: organisation?.priority ?? route.priority,
 		maxCostTokens,
 		arrivedAt: event.receivedAt,
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -1,8 +1,25 @@
+import {Map} from 'immutable';
 import {z} from 'zod';
+import type {Regions} from '../home/index.js';
 import {
 	address, addresses, wholeNumber, duration, label, fraction,
 } from '../settings/settings.js';
 
+/** A text that has a default if it is left out or empty, as the platform leaves it for what a deployment does not set. */
+const createOptionalText = (otherwise: string) => z.string().default('').transform(text => text.trim() === '' ? otherwise : text);
+
+const nonNegativeNumber = z.string().transform(Number).pipe(z.number('must be a number').nonnegative());
+
+/** A table from name to name, as JSON. */
+const nameTable = z.string().transform((text, context): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		context.addIssue({code: 'custom', message: 'must be a JSON object of names'});
+		return z.NEVER;
+	}
+}).pipe(z.record(z.string(), z.string(), 'must be a JSON object of names'));
+
 /** Schema of the `galena-edge` settings, by section. */
 export const edgeSettings = z.object({
 	host: z.object({
@@ -35,8 +52,28 @@
 		'repeat-ratio': fraction,
 		/** Retry budget: additional retries per time window, over all routers. */
 		'repeat-slack': wholeNumber,
+		/** Multiple of its rate that all routers together may send to a cold endpoint in any second, and number of requests beyond that. */
+		'cold-over': createOptionalText('1.5').pipe(nonNegativeNumber),
+		'cold-slack': createOptionalText('5').pipe(nonNegativeNumber),
 	}),
+	places: z.object({
+		/** Region of this host's data centre. */
+		region: createOptionalText(''),
+		/** Table from data centre to region. */
+		zones: createOptionalText('{}').pipe(nameTable),
+	}).prefault({}),
 });
 
 /** Validated settings of the edge process. */
 export type EdgeSettings = z.output<typeof edgeSettings>;
+
+/**
+Lists the regions of the data centres.
+
+@param settings - The settings.
+@returns The region of each data centre that the settings name, which include that of the host.
+*/
+export const listRegions = ({host, places: {region, zones}}: EdgeSettings): Regions => {
+	const named = Map(Object.entries(zones));
+	return region === '' ? named : named.set(host['data-centre'], region);
+};
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -4,6 +4,7 @@
 import type {ColdBounds, RouterSightings} from '../cold-start/index.js';
 import {noEvacuations} from '../evacuation/index.js';
 import type {Evacuations} from '../evacuation/index.js';
+import type {Regions} from '../home/index.js';
 import {createRetryBudget} from '../retry-budget/index.js';
 import type {RetryBudget, RetryBudgetBounds} from '../retry-budget/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
@@ -38,6 +39,8 @@
 	routerSightings: RouterSightings;
 	/** Ids of all routers that may exist, including this one, in ascending order; undefined while the others are not known. */
 	possibleRouters: readonly string[] | undefined;
+	/** The region of each data centre. */
+	regions: Regions;
 	registry: Registry;
 	/** When the endpoint registry was first read, in ms; undefined before. */
 	registryReadAt: number | undefined;
@@ -103,6 +106,8 @@
 	drainMs: number;
 	/** What all routers together may send to a cold endpoint; 1.5 times its rate and 5 requests a second if absent. */
 	coldBounds?: ColdBounds;
+	/** The region of each data centre; none is known if absent. */
+	regions?: Regions;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -121,6 +126,7 @@
 	config: undefined,
 	evacuations: noEvacuations,
 	coldBounds: options.coldBounds ?? defaultColdBounds,
+	regions: options.regions ?? Map(),
 	routerSightings: Map(),
 	possibleRouters: undefined,
 	registry: emptyRegistry,
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -1,5 +1,6 @@
 import type {Result} from '../errors/index.js';
 import type {FinalHead} from '../http-head/index.js';
+import type {HomeRegions} from '../home/index.js';
 import type {Incarnation} from '../registry/index.js';
 import type {Route} from '../routing-config/index.js';
 
@@ -98,6 +99,8 @@
 	organisation: string | undefined;
 	/** Name of the budget that is charged; undefined if none is. */
 	budget: string | undefined;
+	/** Regions in which it may be served, by its route and organisation; absent or undefined for all. */
+	homeRegions?: HomeRegions;
 	/** 0 is the most urgent. */
 	priority: number;
 	/** Upper bound of the charge. */
@@ -161,7 +164,7 @@
 @returns The request, without reserved tokens or attempts.
 */
 export const createInFlightRequest = (fields: Pick<
-	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'expiresAt' | 'phaseAt'
+	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'homeRegions' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
 	reserved: 0,
--- a/src/platform/catalog.ts
+++ b/src/platform/catalog.ts
@@ -2,6 +2,8 @@
 import {z} from 'zod';
 import {createValidationFault, fail, succeed} from '../errors/index.js';
 import type {Result} from '../errors/index.js';
+import {parseHomeRegions} from '../home/index.js';
+import type {HomeRegions, StatedRegions} from '../home/index.js';
 import type {
 	RoutingConfig, Organisation, Route, RouteKind,
 } from '../routing-config/index.js';
@@ -24,6 +26,8 @@
 	maxAttempts: z.number().default(1),
 	anonymous: z.boolean().default(false),
 	resumable: z.boolean().default(false),
+	/** Names of the regions in which its requests may be served. A value that is no such list does not make the whole configuration unreadable. */
+	allowedRegions: z.unknown().optional(),
 	/** Target for the longest pause between stream events. Not a gap between event ids, despite the name. */
 	gapAimMs: z.number().optional(),
 });
@@ -53,6 +57,8 @@
 		name: z.string(), apiKeys: z.array(z.string()), priority: z.number().optional(),
 		/** Daily budget in tokens, not the remaining amount. */
 		prepaid: z.number().optional(),
+		/** As that of routes. */
+		allowedRegions: z.unknown().optional(),
 	})).optional(),
 });
 
@@ -60,6 +66,14 @@
 
 type WireRoute = z.output<typeof routeSchema>;
 
+/** Decodes the home regions of a route or organisation; undefined if it has none. */
+const decodeHomeRegions = (list: string, {name, allowedRegions}: Readonly<{name: string; allowedRegions?: unknown}>): StatedRegions | undefined => {
+	const stated = parseHomeRegions(`${list}.${name}.allowedRegions`, allowedRegions);
+	return stated.regions === undefined ? undefined : stated;
+};
+
+const toField = (stated: StatedRegions | undefined): Readonly<{homeRegions?: HomeRegions}> => stated === undefined ? {} : {homeRegions: stated.regions};
+
 const decodeRoute = (route: WireRoute): Route => ({
 	name: route.name,
 	host: route.host.toLowerCase(),
@@ -73,6 +87,7 @@
 	isAnonymous: route.anonymous,
 	isResumable: route.resumable,
 	eventGapTargetMs: route.gapAimMs,
+	...toField(decodeHomeRegions('routes', route)),
 });
 
 /**
@@ -93,12 +108,17 @@
 		(hosts, route) => hosts.set(route.host, [...hosts.get(route.host) ?? [], route].toSorted((a, b) => b.prefix.length - a.prefix.length)),
 		Map<string, readonly Route[]>(),
 	);
-	const organisationEntries = tenants.flatMap(({name, apiKeys, priority, prepaid}) => {
-		const organisation: Organisation = {name, priority, budget: prepaid};
+	const organisationEntries = tenants.flatMap(tenant => {
+		const {name, apiKeys, priority, prepaid} = tenant;
+		const organisation: Organisation = {
+			name, priority, budget: prepaid, ...toField(decodeHomeRegions('tenants', tenant)),
+		};
 		return apiKeys.map(key => [key, organisation] as const);
 	});
+	const homeRegions = [...data.routes.map(route => decodeHomeRegions('routes', route)), ...tenants.map(tenant => decodeHomeRegions('tenants', tenant))].flatMap(stated => stated ?? []);
 	return succeed({
 		version: data.version,
+		...(homeRegions.length > 0 && {homeRegions}),
 		routes,
 		services: Map(data.services.map(({name, maxConnections, coldStartS, coldPerS, engine}) => [name, {
 			name,
--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -38,6 +38,18 @@
 		expect(decoded.budgets.get('studio')).toBe(5000);
 	});
 
+	test.each<[string, unknown, readonly string[] | undefined, string | undefined]>([
+		['a list of names', ['eu', 'us'], ['eu', 'us'], undefined],
+		['nothing', undefined, undefined, undefined],
+		['a name instead of a list', 'eu', [], 'is not a list of names'],
+		['a list with other elements', ['eu', 3], ['eu'], 'has elements that are not names'],
+		['an empty list', [], [], 'is empty'],
+	])('allows no region beyond the names in the home regions: %s', (_, allowedRegions, regions, problem) => {
+		const decoded = decodeRoutingConfig(JSON.stringify({...config, tenants: [{name: 'studio', apiKeys: ['k1'], allowedRegions}]})).unwrap();
+		expect(decoded.organisations.get('k1')?.homeRegions).toEqual(regions);
+		expect(decoded.homeRegions).toEqual(regions === undefined ? undefined : [{field: 'tenants.studio.allowedRegions', regions, problem}]);
+	});
+
 	test.each([
 		['text that is not JSON', '{', 'configuration'],
 		['a missing row', undefined, 'configuration'],
--- a/src/routing-config/config.ts
+++ b/src/routing-config/config.ts
@@ -1,4 +1,5 @@
 import type {Map} from 'immutable';
+import type {HomeRegions, StatedRegions} from '../home/index.js';
 import {hashText} from '../random/index.js';
 
 /** Whether a request may be retried: `safe` always, `unsafe` never, `stream` only if its route allows resumption. */
@@ -24,6 +25,8 @@
 	isAnonymous: boolean;
 	/** True if an interrupted stream may be resumed at another endpoint. */
 	isResumable: boolean;
+	/** Regions in which its requests may be served; absent or undefined for all. */
+	homeRegions?: HomeRegions;
 	/** Target for the longest pause between two events of a stream; undefined for other kinds. */
 	eventGapTargetMs: number | undefined;
 }>;
@@ -51,6 +54,8 @@
 	name: string;
 	/** Overrides the route's priority. */
 	priority: number | undefined;
+	/** Regions in which its requests may be served; absent or undefined for all. */
+	homeRegions?: HomeRegions;
 	/** Limit of tokens that may be spent; undefined for no limit. */
 	budget: number | undefined;
 }>;
@@ -73,6 +78,8 @@
 	organisations: Map<string, Organisation>;
 	/** Token limit of each budget, by organisation. */
 	budgets: Map<string, number>;
+	/** All home regions that it states, by field; absent if it states none. */
+	homeRegions?: readonly StatedRegions[];
 	/** True if requests need an API key, except on anonymous routes. */
 	needsAuthentication: boolean;
 	limits: ConnectionLimits;
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from 'vitest';
 import {agentSettings} from '../agent/settings.js';
 import {parseConfigFile} from '../operator-client/config-file.js';
-import {edgeSettings} from '../edge/settings.js';
+import {edgeSettings, listRegions} from '../edge/settings.js';
 import {routerSettings} from '../router/settings.js';
 import {parseSettings} from './settings.js';
 
@@ -47,6 +47,18 @@
 repeat-slack = 54
 `;
 
+describe('the regions and bounds of cold endpoints in the edge settings', () => {
+	test.each([
+		['left out', '', {}, 1.5],
+		['empty, as where a deployment has none', 'cold-over =\n[places]\nregion =\nzones =\n', {}, 1.5],
+		['given', 'cold-over = 2\n[places]\nregion = east\nzones = {"pl-west-1":"west"}\n', {'pl-central-1': 'east', 'pl-west-1': 'west'}, 2],
+	])('may be %s', (_, text, regions, over) => {
+		const settings = parseSettings('e.ini', `${validEdgeSettings}${text}`, edgeSettings).unwrap();
+		expect(listRegions(settings).toObject()).toEqual(regions);
+		expect(settings.bounds['cold-over']).toBe(over);
+	});
+});
+
 describe('the relay list in the edge settings', () => {
 	test.each([
 		['has two addresses', validEdgeSettings, ['10.0.0.2', '10.0.0.3']],
