--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -1,6 +1,7 @@
 import type {Result} from '../errors/index.js';
 import type {StatedLoad, Workload} from '../endpoint-performance/index.js';
 import type {FinalHead} from '../http-head/index.js';
+import type {HomeRegions} from '../home/index.js';
 import type {Incarnation} from '../registry/index.js';
 import type {Route} from '../routing-config/index.js';
 
@@ -100,6 +101,8 @@
 	organisation: string | undefined;
 	/** Name of the budget that is charged; undefined if none is. */
 	budget: string | undefined;
+	/** Regions in which it may be served, by its route and organisation; absent or undefined for all. */
+	homeRegions?: HomeRegions;
 	/** 0 is the most urgent. */
 	priority: number;
 	/** Upper bound of the charge. */
@@ -168,7 +171,7 @@
 @returns The request, without reserved tokens or attempts.
 */
 export const createInFlightRequest = (fields: Pick<
-	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'expiresAt' | 'phaseAt'
+	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'homeRegions' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
 	firstArrivedAt: fields.arrivedAt,
