--- a/src/bench/decide.ts
+++ b/src/bench/decide.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {Map} from 'immutable';
-import type {EndpointLoads, PeerLoads} from '../gossip/index.js';
+import type {PeerLoads, ReportedLoads} from '../gossip/index.js';
 import {sumLoads} from '../gossip/index.js';
 import {createInFlightRequest} from '../in-flight/index.js';
 import type {RequestHead} from '../in-flight/index.js';
@@ -55,9 +55,9 @@
 	const entries = createEntries(endpointCount);
 	const listed = handleEdge(handleEdge(started, {kind: 'catalog-read', config}, 0).state, {kind: 'endpoints-listed', entries, version: 1}, 0).state;
 	const openFraction = Math.min(0.5, openPerEndpoint / routerCount);
-	const createLoads = (): EndpointLoads => Map(entries.filter(() => random.draw() < openFraction).map(({id}) => [id, {pending: random.pick(3000), open: random.pick(4)}] as const));
+	const createLoads = (): ReportedLoads => new globalThis.Map(entries.filter(() => random.draw() < openFraction).map(({id}) => [id, {pending: random.pick(3000), open: random.pick(4)}] as const));
 	const peers: PeerLoads = Map(Array.from({length: routerCount - 1}, (_, index) => [`router-${index + 1}`, {
-		at: 0, loads: createLoads(), dataCentre: dataCentres[index % dataCentres.length],
+		at: 0, loads: createLoads(), dataCentre: dataCentres[index % dataCentres.length], isOverloaded: false,
 	}] as const));
 	return {
 		...listed,
