Accept a fraction as retry slack

Cause: deployments state bounds as fractions, too; a small one gave 44.5 retries of slack, and no router started: '[bounds] repeat-slack: must be a whole number' at 14 of 14 hosts. Change: a number that is not negative is accepted; an empty one is not.

--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -2,13 +2,13 @@
 import {z} from 'zod';
 import type {Regions} from '../home/index.js';
 import {
-	address, addresses, wholeNumber, duration, label, fraction, names,
+	address, addresses, duration, label, fraction, names,
 } from '../settings/settings.js';
 
 /** A text that has a default if it is left out or empty, as the platform leaves it for what a deployment does not set. */
 const createOptionalText = (otherwise: string) => z.string().default('').transform(text => text.trim() === '' ? otherwise : text);
 
-const nonNegativeNumber = z.string().transform(Number).pipe(z.number('must be a number').nonnegative());
+const nonNegativeNumber = z.string().regex(/^\d+(?:\.\d+)?$/v, 'must be a number that is not negative').transform(Number);
 
 /** A table from name to name, as JSON. */
 const nameTable = z.string().transform((text, context): unknown => {
@@ -53,7 +53,7 @@
 		/** Retry budget: retries per client request, over all routers. */
 		'repeat-ratio': fraction,
 		/** Retry budget: additional retries per time window, over all routers. */
-		'repeat-slack': wholeNumber,
+		'repeat-slack': nonNegativeNumber,
 		/** Multiple of its rate that all routers together may send to a cold endpoint in any second, and number of requests beyond that. */
 		'cold-over': createOptionalText('1.5').pipe(nonNegativeNumber),
 		'cold-slack': createOptionalText('5').pipe(nonNegativeNumber),
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -59,6 +59,14 @@
 	});
 });
 
+// Guards against a router that does not start because a bound of its deployment is a fraction.
+test('the retry slack may be a fraction, and must not be empty', () => {
+	const parse = (slack: string) => parseSettings('e.ini', validEdgeSettings.replace('= 54', `= ${slack}`), edgeSettings);
+	expect(parse('44.5').unwrap().bounds['repeat-slack']).toBe(44.5);
+	expect(parse('').err).toBe(true);
+	expect(parse('-1').err).toBe(true);
+});
+
 describe('the relay list in the edge settings', () => {
 	test.each([
 		['has two addresses', validEdgeSettings, ['10.0.0.2', '10.0.0.3']],
