Spread the choice among endpoints that are equally good as far as is known

Routers that have the same information of the last 100 ms all sent their next requests to the endpoint that looked best. Where there are more than six routers, or some peers are not heard, the better one of two random endpoints is taken among those whose costs differ by less than three requests like this one would change them, at most 45 ms, in the same place and on time.

--- a/src/edge/endpoint-load.test.ts
+++ b/src/edge/endpoint-load.test.ts
@@ -33,6 +33,6 @@
 			id, dataCentre: 'z', slots: 6, getFactor: (at: number) => (at < swapAt) === (index === 0) ? 1 : 8,
 		})),
 	}, 1, 10_000);
-	expect(measureFraction(requests.filter(({at}) => at > 500 && at < swapAt), 'e1')).toBeGreaterThan(0.88);
-	expect(measureFraction(requests.filter(({at}) => at > swapAt + 500), 'e2')).toBeGreaterThan(0.88);
+	expect(measureFraction(requests.filter(({at}) => at > 500 && at < swapAt), 'e1')).toBeGreaterThan(0.92);
+	expect(measureFraction(requests.filter(({at}) => at > swapAt + 500), 'e2')).toBeGreaterThan(0.92);
 });
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -4,7 +4,7 @@
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {
-	chooseEndpoint, computeConnectionShare, listCandidates, listUsable, pickAffinityPart,
+	chooseEndpoint, computeConnectionShare, computeSpread, listCandidates, listUsable, pickAffinityPart,
 } from '../placement/index.js';
 import type {Placement, PlacementQuery} from '../placement/index.js';
 import {
@@ -115,6 +115,9 @@
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
+/** Makes a second random number of one whose leading digits select the candidates. */
+const candidateRandomFactor = 997;
+
 type Choice = Readonly<{choice: Placement; count: number}>;
 
 /** Chooses an endpoint among the candidates of a service, or among all of its endpoints if no candidate takes the request. */
@@ -139,6 +142,7 @@
 			triedEndpoints: request.triedEndpoints,
 			peers: state.peerLoadTotals,
 			rates: computeRates(state.performance.get(request.service)),
+			spread: computeSpread(state.liveRouters.length, state.peers.size, (random * candidateRandomFactor) % 1),
 			timeToTargetMs: request.arrivedAt + request.route.targetMs - now,
 			now,
 		}, random);
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,5 +1,6 @@
 export {listCandidates, listUsable} from './candidates.js';
 export type {Candidates} from './candidates.js';
+export {computeSpread} from './spread.js';
 export {
 	chooseEndpoint, computeConnectionShare, countUncachedTokens, isFull, pickAffinityPart,
 } from './placement.js';
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -9,6 +9,8 @@
 import {computeWorkFactor} from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {rankEndpoint} from './candidates.js';
+import {pickSpread} from './spread.js';
+import type {Spread} from './spread.js';
 
 /** Input of an endpoint selection. */
 export type PlacementQuery = Readonly<{
@@ -28,6 +30,8 @@
 	rates?: ServiceRates;
 	/** Cost of sending the request to another data centre, in ms of waiting; the default if it is not given. */
 	remoteCostMs?: number;
+	/** How far choices are spread; the best endpoint is always taken if it is not given. */
+	spread?: Spread | undefined;
 	now: number;
 }>;
 
@@ -55,6 +59,9 @@
 /** Cost of sending a request to another data centre: its traffic is billed, and routers there know best how loaded an endpoint is. */
 const defaultRemoteCostMs = 30;
 
+/** Slots that are assumed of an endpoint without a model, to determine how much one request delays others. */
+const plainSlots = 6;
+
 /** Time for which an engine is assumed to keep a prompt part in its cache. */
 const promptCacheTtlMs = 20_000;
 
@@ -242,6 +249,34 @@
 	return best;
 };
 
+/** Most that a choice may cost more than the best one, in ms: less than it costs to process a usual shared part again. */
+const maxSpreadMs = 45;
+
+/** Time by which one further request like this one delays the next, in ms. */
+const computeRequestDelayMs = (query: PlacementQuery, newTokens: number): number => {
+	const {rates = priorRates, service} = query;
+	return isModelQuery(query)
+		? (newTokens / rates.queuedPromptTokensPerMs) + rates.batchedRequestMs
+		: rates.plainRequestMs / (service.engine?.slots ?? plainSlots);
+};
+
+/** Chooses the best candidate, or one that is as good as far as this is known; -1 if there is none. */
+const chooseScored = (endpoints: readonly Endpoint[], scores: Scores, query: PlacementQuery): number => {
+	const {spread, timeToTargetMs} = query;
+	const best = findBest(scores, timeToTargetMs);
+	if (best === -1 || spread === undefined) {
+		return best;
+	}
+
+	const isBestOnTime = scores.predicted[best]! <= timeToTargetMs;
+	const isBestLocal = endpoints[best]!.dataCentre === query.dataCentre;
+	// The choice is not spread to other data centres, which costs traffic, nor over the time limit.
+	const costMs = scores.costMs.map((cost, index) =>
+		(isBestOnTime && scores.predicted[index]! > timeToTargetMs) || (endpoints[index]!.dataCentre === query.dataCentre) !== isBestLocal ? Number.POSITIVE_INFINITY : cost);
+	const marginMs = Math.min(maxSpreadMs, spread.unseenRequests * computeRequestDelayMs(query, scores.newTokens[best]!));
+	return pickSpread(costMs, best, marginMs, spread.random);
+};
+
 const listPermitted = (endpoints: readonly Endpoint[], now: number): readonly Endpoint[] =>
 	endpoints.filter(endpoint => !isAtRest(endpoint.pushback, now) && canSend(endpoint.rateLimit, now));
 
@@ -277,7 +312,7 @@
 
 	const available = permitted.filter(endpoint => endpoint.open < connections && hasRoom(endpoint.pushback, now) && !isFull(endpoint, peers, now));
 	const scores = scoreEndpoints(available, query);
-	const best = findBest(scores, query.timeToTargetMs);
+	const best = chooseScored(available, scores, query);
 	const endpoint = available[best];
 	return endpoint === undefined
 		? {kind: 'busy'}
