--- a/src/edge/cold.ts
+++ b/src/edge/cold.ts
@@ -1,5 +1,5 @@
 import {
-	adoptColdStatement, findColdShare, isCold, isColdLimited, listPossibleRouters, recordSightings, setColdLimits,
+	adoptColdStatement, computeColdRate, findColdShare, isCold, isColdLimited, listPossibleRouters, recordSightings, setColdLimits,
 } from '../cold-start/index.js';
 import type {ColdStatement, RouterQuery} from '../cold-start/index.js';
 import type {PeerMessage} from '../gossip/index.js';
@@ -9,6 +9,7 @@
 import type {Endpoint, Incarnation, Registry} from '../registry/index.js';
 import type {RoutingConfig, Service} from '../routing-config/index.js';
 import {createLogEffect, updateKnownEndpoint} from './common.js';
+import type {GaugeName} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 /** What stated that an endpoint is cold or warm. */
@@ -185,3 +186,19 @@
 	const logged = chainAll(seen, limited, (current, endpoint) => logColdChange(current, endpoint, undefined, now));
 	return isChanged || limited.some(({cold}) => !isColdLimited(cold, now) || cold.bounds !== state.coldBounds) ? chain(logged, current => updateLimits(current, now)) : logged;
 };
+
+/**
+Reads the gauges of evacuated data centres and cold endpoints.
+
+@param state - The edge state.
+@param now - The current time in ms.
+@returns The values.
+*/
+export const gaugePlaces = ({evacuations, registry}: EdgeState, now: number): Readonly<Record<GaugeName, number>> => {
+	const cold = registry.endpoints.valueSeq().toArray().filter(endpoint => isCold(endpoint.cold, now));
+	return {
+		evacuatedDataCentres: evacuations.size,
+		coldEndpoints: cold.length,
+		coldShare: cold.reduce((sum, endpoint) => sum + computeColdRate(endpoint.cold, now), 0),
+	};
+};
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -29,6 +29,7 @@
 import type {StoredRow} from '../store/index.js';
 import {decodeOrigin, locateOrigin, versionTable} from '../stream-origin/index.js';
 import {watchAcceptQueue} from './accept-queue.js';
+import {gaugePlaces} from './cold.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
 import type {FeedEvent} from './table-feed.js';
@@ -105,7 +106,7 @@
 			log.write('failure', 'store-way-changed', {from, to, reason});
 		},
 	});
-	const metrics = openMetrics();
+	const metrics = openMetrics(() => gaugePlaces(loop.state(), clock()));
 	/** When the last responses must have been sent, in ms of the loop's clock; undefined unless the process is stopping. */
 	let answerBy: number | undefined;
 	let {grace: graceMs} = settings.bounds;
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -120,5 +120,8 @@
 /** Names of counters. */
 export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed';
 
+/** Names of gauges. */
+export type GaugeName = 'evacuatedDataCentres' | 'coldEndpoints' | 'coldShare';
+
 /** Names of histograms. */
 export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,5 +1,9 @@
-import {Counter, Histogram, Registry} from 'prom-client';
-import type {CounterName, EdgeEffect, HistogramName as TimerName} from './messages.js';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {
+	CounterName, EdgeEffect, GaugeName, HistogramName as TimerName,
+} from './messages.js';
 
 /** Upper bounds of the histogram buckets, in ms. Dense around the latency targets of 0.2 to 0.5 s, and up to the longest timeouts. */
 const bucketsMs = [5, 10, 20, 50, 100, 150, 200, 300, 400, 500, 750, 1000, 1500, 2000, 3000, 5000, 10_000, 15_000];
@@ -14,9 +18,10 @@
 /**
 Creates the metrics of the edge process.
 
+@param readGauges - Reads the present values of the gauges.
 @returns The metrics, all zero.
 */
-export const openMetrics = (): Metrics => {
+export const openMetrics = (readGauges: () => Readonly<Record<GaugeName, number>>): Metrics => {
 	const registry = new Registry();
 	const registers = [registry];
 	const counters: Readonly<Record<CounterName, Counter>> = {
@@ -47,6 +52,11 @@
 			name: 'galena_lag_milliseconds', help: 'Lag of a timer that fires every 20 ms: how long the event loop did not poll its sockets.', buckets: bucketsMs, registers,
 		}),
 	};
+	const gauges: Readonly<Record<GaugeName, Gauge>> = {
+		evacuatedDataCentres: new Gauge({name: 'galena_evacuated_data_centres', help: 'Data centres whose endpoints get nothing new.', registers}),
+		coldEndpoints: new Gauge({name: 'galena_cold_endpoints', help: 'Endpoints that are cold, of services with a rate for cold ones.', registers}),
+		coldShare: new Gauge({name: 'galena_cold_share', help: 'Requests per second that this router may send to all cold endpoints together.', registers}),
+	};
 	return {
 		apply(effect) {
 			if (effect.kind === 'count') {
@@ -55,6 +65,11 @@
 				histograms[effect.metric].observe(effect.labels, effect.milliseconds);
 			}
 		},
-		format: async () => registry.metrics(),
+		async format() {
+			(Object.entries(readGauges()) as ReadonlyArray<[GaugeName, number]>).forEach(([name, value]) => {
+				gauges[name].set(value);
+			});
+			return registry.metrics();
+		},
 	};
 };
