Reject queued requests at once that an evacuation leaves without endpoints

Queued requests were reconsidered five at a time. Those whose last data centre is evacuated are now rejected in the event that evacuates it, each with its own time to come back.

--- a/src/edge/evacuate.ts
+++ b/src/edge/evacuate.ts
@@ -1,11 +1,19 @@
 import {replaceEvacuations, updateEvacuations} from '../evacuation/index.js';
 import type {Evacuations} from '../evacuation/index.js';
-import {chain} from '../loop/step.js';
+import {chain, chainAll} from '../loop/step.js';
 import {assumeColdEndpoints} from './cold.js';
 import {createLogEffect} from './common.js';
+import {isWithoutEndpoint} from './eligibility.js';
 import type {EdgeEvent} from './messages.js';
+import {placeRequest} from './place.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
+/** Rejects the queued requests that are left without an endpoint, whose clients learn at once that they have to return later. */
+const rejectStranded = (state: EdgeState, now: number): EdgeStep => {
+	const stranded = state.requests.valueSeq().toArray().filter(request => request.phase === 'queued' && isWithoutEndpoint(state, request, now));
+	return chainAll(state, stranded, (current, request) => placeRequest(current, request, 0, now));
+};
+
 /** Applies the evacuations, and logs each that began or ended. */
 const setEvacuations = (state: EdgeState, evacuations: Evacuations, now: number): EdgeStep => {
 	const {evacuations: before} = state;
@@ -19,7 +27,8 @@
 			...ended.map(([dataCentre, since]) => createLogEffect('evacuation-ended', {dataCentre, endpoints: countEndpoints(dataCentre), after: Math.round(now - since)})),
 		],
 	};
-	return chain(changed, current => assumeColdEndpoints(current, ended.map(([dataCentre]) => dataCentre), now));
+	const rejected = began.length === 0 ? changed : chain(changed, current => rejectStranded(current, now));
+	return chain(rejected, current => assumeColdEndpoints(current, ended.map(([dataCentre]) => dataCentre), now));
 };
 
 /**
