--- a/src/edge/cold.ts
+++ b/src/edge/cold.ts
@@ -1,5 +1,5 @@
 import {
-	adoptColdStatement, findColdShare, isCold, isColdLimited, listPossibleRouters, recordSightings, setColdLimits,
+	adoptColdStatement, computeColdRate, findColdShare, isCold, isColdLimited, listPossibleRouters, recordSightings, setColdLimits,
 } from '../cold-start/index.js';
 import type {ColdStatement, RouterQuery} from '../cold-start/index.js';
 import type {PeerMessage} from '../gossip/index.js';
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -120,5 +120,8 @@
 /** Names of counters. */
 export type CounterName = 'heldBack' | 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed';
 
+/** Names of gauges. */
+export type GaugeName = 'evacuatedDataCentres' | 'coldEndpoints' | 'coldShare' | 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust';
+
 /** Names of histograms. */
 export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,7 +1,9 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import type {CounterName, EdgeEffect, HistogramName as TimerName} from './messages.js';
+import type {
+	CounterName, EdgeEffect, GaugeName, HistogramName as TimerName,
+} from './messages.js';
 
 /** Upper bounds of the histogram buckets, in ms. Dense around the latency targets of 0.2 to 0.5 s, and up to the longest timeouts. */
 const bucketsMs = [5, 10, 20, 50, 100, 150, 200, 300, 400, 500, 750, 1000, 1500, 2000, 3000, 5000, 10_000, 15_000];
@@ -9,8 +11,6 @@
 /** Value of a gauge when the metrics are read. */
 export type GaugeValue = Readonly<{metric: GaugeName; labels: Readonly<Record<string, string>>; value: number}>;
 
-type GaugeName = 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust';
-
 /** Counters and histograms of a process. */
 export type Metrics = Readonly<{
 	apply: (effect: EdgeEffect & {kind: 'count' | 'observe'}) => void;
@@ -44,6 +44,9 @@
 		}),
 	};
 	const gauges: Readonly<Record<GaugeName, Gauge>> = {
+		evacuatedDataCentres: new Gauge({name: 'galena_evacuated_data_centres', help: 'Data centres whose endpoints get nothing new.', registers}),
+		coldEndpoints: new Gauge({name: 'galena_cold_endpoints', help: 'Endpoints that are cold, of services with a rate for cold ones.', registers}),
+		coldShare: new Gauge({name: 'galena_cold_share', help: 'Requests per second that this router may send to all cold endpoints together.', registers}),
 		serviceRate: new Gauge({
 			name: 'galena_service_rate', help: 'Learned rates of a service: prompt tokens per ms, or ms.', labelNames: ['service', 'rate'], registers,
 		}),
