Format log lines and copy headers in one pass

A log line copied its fields into four arrays, and the headers of each request and response were copied into pairs and back. Formatting lines took 0.3 to 0.5 s of a profile with 1,600 refusals.

--- a/src/log/line.ts
+++ b/src/log/line.ts
@@ -6,9 +6,12 @@
 
 const needsQuotes = /[\s="\\]/v;
 
-const formatValue = (value: Field): string => {
-	const text = String(value);
-	return text === '' || needsQuotes.test(text) ? JSON.stringify(text) : text;
+const formatValue = (value: Exclude<Field, undefined>): string => {
+	if (typeof value !== 'string') {
+		return String(value);
+	}
+
+	return value === '' || needsQuotes.test(value) ? JSON.stringify(value) : value;
 };
 
 /**
@@ -18,8 +21,7 @@
 @returns `key=value` pairs, separated by spaces, without the undefined values. Values that are empty or
 contain whitespace, quotes, `=` or backslashes are JSON strings.
 */
-export const formatLine = (fields: Fields): string =>
-	Object.entries(fields)
-		.filter(([, value]) => value !== undefined)
-		.map(([key, value]) => `${key}=${formatValue(value)}`)
-		.join(' ');
+export const formatLine = (fields: Fields): string => Object.keys(fields).reduce((line, key) => {
+	const value = fields[key];
+	return value === undefined ? line : `${line}${line === '' ? '' : ' '}${key}=${formatValue(value)}`;
+}, '');
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -65,12 +65,9 @@
 const strippedFromRequests = new Set<string>([...hopByHopHeaders, ...routerSetHeaders]);
 const strippedFromResponses = new Set<string>([...hopByHopHeaders.filter(name => name !== 'host'), headerNames.load, headerNames.notExecuted, 'replica-id']);
 
-/** Converts raw headers to pairs of name and value. */
-const toHeaderPairs = (raw: readonly string[]): ReadonlyArray<readonly [string, string]> =>
-	Array.from({length: raw.length / 2}, (_, index) => [raw[2 * index]!, raw[(2 * index) + 1]!] as const);
-
+/** Omits headers from raw ones, which alternate names and values. */
 const omitHeaders = (raw: readonly string[], omitted: ReadonlySet<string>): readonly string[] =>
-	toHeaderPairs(raw).filter(([name]) => !omitted.has(name.toLowerCase())).flat();
+	raw.filter((_, index) => !omitted.has(raw[index - (index % 2)]!.toLowerCase()));
 
 const wholeNumberPattern = /^\d{1,12}$/v;
 
