Say not ready while overloaded, and shed earlier, on a machine with a CPU share

Setting [limits] cpu-share (limits.cpuShare; empty or absent: as before).

Also, a router that spends nothing plans its token budgets every 240 ms instead of 60: what can call for a transfer then are the rows, which are read each second.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -25,6 +25,8 @@
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
 import {verdictTable} from '../poison/index.js';
+import {getShedLag, sampleIntervalMs} from '../readiness/index.js';
+import type {ReadinessLimits} from '../readiness/index.js';
 import type {StoredRow} from '../store/index.js';
 import {decodeOrigin, locateOrigin, versionTable} from '../stream-origin/index.js';
 import {watchAcceptQueue} from './accept-queue.js';
@@ -102,6 +104,9 @@
 		},
 	});
 	const metrics = openMetrics();
+	const cpuShare = settings.limits['cpu-share'];
+	const readinessLimits: ReadinessLimits | undefined = cpuShare === undefined ? undefined : {cpuShare};
+	const shedLagMs = getShedLag(readinessLimits);
 	/** When the last responses must have been sent, in ms of the loop's clock; undefined unless the process is stopping. */
 	let answerBy: number | undefined;
 	let {grace: graceMs} = settings.bounds;
@@ -272,6 +277,7 @@
 			peerAddress: `${settings.listen.peers.host}:${settings.listen.peers.port}`,
 			retryBudgetBounds: getRetryBounds(settings),
 			drainMs: settings.bounds.drain,
+			readinessLimits,
 		}),
 		handle: handleEdge,
 		perform(effect) {
@@ -447,7 +453,7 @@
 		const rejectBody = readRequestBody(incoming, limits, body => {
 			unreadBodies.delete(rejectBody);
 			intakeHandlers[decideAdmission({
-				lagMs: getDelay(), unreadMs, timeLimitMs, isFirstOnConnection: isFirstRequest,
+				lagMs: getDelay(), unreadMs, timeLimitMs, isFirstOnConnection: isFirstRequest, shedLagMs,
 			})](body);
 		}, fault => {
 			unreadBodies.delete(rejectBody);
@@ -545,6 +551,16 @@
 	runForever(async () => periodic(1000).observe(() => {
 		log.tick(clock());
 	}));
+	if (readinessLimits !== undefined) {
+		let used = process.cpuUsage();
+		runForever(async () => periodic(sampleIntervalMs).observe(() => {
+			const {user, system} = process.cpuUsage(used);
+			used = process.cpuUsage();
+			loop.post({kind: 'load-measured', lagMs: getDelay(), usedMs: (user + system) / 1000});
+			const {isOverloaded} = loop.state().readiness;
+			metrics.setOverloaded(isOverloaded);
+		}));
+	}
 
 	const awaitDrained = async (deadline: number): Promise<void> => {
 		if (clock() >= deadline || (loop.state().requests.isEmpty() && responses.count() === 0)) {
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -27,6 +27,7 @@
 } from './resume.js';
 import {receivePeerLimits, updateShares} from './limits.js';
 import type {EdgeEvent} from './messages.js';
+import {receiveLoad} from './overload.js';
 import {placeWaiting} from './place.js';
 import {
 	readVerdicts, receivePoisonNews, receiveSavedVerdicts, receiveVerdictSave, recordRequestBreak, rejectWaitingPoison, resetVerdictRows, saveCrashes, saveVerdicts, updateVerdicts,
@@ -119,7 +120,11 @@
 	const {gossipCount, gossipPeers, promptNews} = state;
 	const isPoisonDue = (state.isPoisonNewsUrgent || now - state.poisonToldAt >= poisonIntervalMs) && hasPoisonNews(state.poison);
 	const report: LoadReport = {
-		router: state.quota.router, dataCentre: state.dataCentre, registry: state.registry, poison: isPoisonDue ? listPoisonNews(state.poison, now) : undefined,
+		router: state.quota.router,
+		dataCentre: state.dataCentre,
+		registry: state.registry,
+		isOverloaded: state.readiness.isOverloaded,
+		poison: isPoisonDue ? listPoisonNews(state.poison, now) : undefined,
 	};
 	const isSeldomDue = isPoisonDue || gossipCount % seldomPeriod === 0;
 	const message = encodeLoads(report, now);
@@ -150,6 +155,15 @@
 /** Interval at which tokens are drawn, returned and settled; a request that lacks tokens triggers this at once. */
 const tokenSyncIntervalMs = 60;
 
+/** The same while this router spends nothing: planning looks at all budgets and routers, and only the rows that are read each second can call for anything then. */
+const idleTokenSyncIntervalMs = 240;
+
+const computeTokenSyncInterval = ({quota, requests}: EdgeState): number => {
+	const isIdle = requests.isEmpty() && quota.hasTakenOver && quota.sync.step === 'idle' && quota.restoration === undefined && !quota.isLeaving
+		&& !quota.holds.some(({charged, reserved, usedSinceTick}) => charged > 0 || reserved > 0 || usedSinceTick > 0);
+	return isIdle ? idleTokenSyncIntervalMs : tokenSyncIntervalMs;
+};
+
 /** Interval of checks for missing and unresponsive endpoints. */
 const endpointCheckIntervalMs = 100;
 
@@ -169,7 +183,7 @@
 
 const receiveTick: Handler<'tick'> = (state, event, now) => {
 	const expired = chain(expireRequests(state, event, now), current => keepState({...current, tick: {at: now, isLate: now - state.tick.at >= lateTickMs}}));
-	const settled = chain(expired, current => now - current.quota.tickedAtMs < tokenSyncIntervalMs ? keepState(current) : applyTokenEvent(current, {kind: 'tick'}, event.random, now));
+	const settled = chain(expired, current => now - current.quota.tickedAtMs < computeTokenSyncInterval(current) ? keepState(current) : applyTokenEvent(current, {kind: 'tick'}, event.random, now));
 	const checked = chain(settled, current => checkEndpoints(current, event.random, now));
 	const gossiped = chain(checked, current => sendGossip(current, now));
 	const saved = chain(chain(gossiped, current => saveOrigins(current, now)), current => saveVersions(current, now));
@@ -243,6 +257,7 @@
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, state.liveRouters.length, now)}),
 	'peer-heard': receivePeerMessage,
 	tick: receiveTick,
+	'load-measured': receiveLoad,
 	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
 	'stop-wanted': (state, event) => keepState(beginShutdown(state, event.answerBy)),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -63,6 +63,8 @@
 	/** A peer reported its requests in flight, and rate limits of endpoints. */
 	| (Readonly<{kind: 'peer-heard'}> & PeerMessage)
 	| Readonly<{kind: 'tick'; random: number}>
+	/** The lag of the process and the CPU time that it has used since the last measurement, in ms. */
+	| Readonly<{kind: 'load-measured'; lagMs: number; usedMs: number}>
 	/** The bounds in the settings were reconfigured. */
 	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number}>
 	/** The shutdown begins; the last responses must have been sent at the given time, in ms. */
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,4 +1,6 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import type {CounterName, EdgeEffect, HistogramName as TimerName} from './messages.js';
 
 /** Upper bounds of the histogram buckets, in ms. Dense around the latency targets of 0.2 to 0.5 s, and up to the longest timeouts. */
@@ -7,6 +9,8 @@
 /** Counters and histograms of a process. */
 export type Metrics = Readonly<{
 	apply: (effect: EdgeEffect & {kind: 'count' | 'observe'}) => void;
+	/** Sets whether the process is overloaded and says that it is not ready. */
+	setOverloaded: (isOverloaded: boolean) => void;
 	/** Formats all metrics in the Prometheus text format. */
 	format: () => Promise<string>;
 }>;
@@ -47,7 +51,13 @@
 			name: 'galena_lag_milliseconds', help: 'Lag of a timer that fires every 20 ms: how long the event loop did not poll its sockets.', buckets: bucketsMs, registers,
 		}),
 	};
+	const overloaded = new Gauge({
+		name: 'galena_overloaded', help: '1 while the process is overloaded and says that it is not ready.', registers,
+	});
 	return {
+		setOverloaded(isOverloaded) {
+			overloaded.set(isOverloaded ? 1 : 0);
+		},
 		apply(effect) {
 			if (effect.kind === 'count') {
 				counters[effect.metric].inc(effect.labels, 1);
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -36,6 +36,11 @@
 		/** Retry budget: additional retries per time window, over all routers. */
 		'repeat-slack': wholeNumber,
 	}),
+	/** Limits of the machine; an empty or absent one is none. */
+	limits: z.object({
+		/** Cores that the process may use, such as 0.184. With it, an overloaded router says that it is not ready, and one with less than a core sheds load earlier. */
+		'cpu-share': z.string().default('').transform(text => text === '' ? undefined : Number(text)).pipe(z.number('must be a number').positive().optional()),
+	}).prefault({}),
 });
 
 /** Validated settings of the edge process. */
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -12,6 +12,8 @@
 import type {LocalQuota} from '../quota/index.js';
 import {createPoisonGuard, createVerdictRows} from '../poison/index.js';
 import type {PoisonGuard, VerdictRows} from '../poison/index.js';
+import {createReadiness} from '../readiness/index.js';
+import type {Readiness, ReadinessLimits} from '../readiness/index.js';
 import {emptyRegistry} from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
 import type {ServiceTimes} from '../service-time/index.js';
@@ -69,6 +71,10 @@
 	/** Time of the last such message that told of crashes, in ms, and whether the next one must. */
 	poisonToldAt: number;
 	isPoisonNewsUrgent: boolean;
+	/** Limits of the machine; undefined if the settings give none. */
+	readinessLimits: ReadinessLimits | undefined;
+	/** Whether this router is overloaded. */
+	readiness: Readiness;
 	/** Time of the latest tick, in ms, and whether it was late. */
 	tick: Readonly<{at: number; isLate: boolean}>;
 	/** Time of the last check for missing and unresponsive endpoints, in ms. */
@@ -94,6 +100,8 @@
 	retryBudgetBounds: RetryBudgetBounds;
 	/** Time for which an endpoint that leaves goes on serving, in ms. */
 	drainMs: number;
+	/** Limits of the machine; undefined if the settings give none. */
+	readinessLimits?: ReadinessLimits | undefined;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -133,6 +141,8 @@
 	promptNews: [],
 	poisonToldAt: 0,
 	isPoisonNewsUrgent: false,
+	readinessLimits: options.readinessLimits,
+	readiness: createReadiness(),
 	tick: {at: 0, isLate: false},
 	endpointsCheckedAt: 0,
 	serviceTimes: Map(),
@@ -143,10 +153,10 @@
 Tells whether the process accepts new connections.
 
 @param state - The edge state.
-@returns True once configuration and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown.
+@returns True once configuration and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown, and while the process is overloaded.
 */
 export const isReady = (state: EdgeState): boolean =>
-	state.answerBy === undefined && state.config !== undefined && state.registryReadAt !== undefined && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
+	state.answerBy === undefined && !state.readiness.isOverloaded && state.config !== undefined && state.registryReadAt !== undefined && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
 
 /**
 Tells whether all tokens held have been returned to the budgets.
--- a/src/queue/queue.ts
+++ b/src/queue/queue.ts
@@ -144,6 +144,8 @@
 	/** Time from when the client sent the request until it must have its final response, in ms. */
 	timeLimitMs: number;
 	isFirstOnConnection: boolean;
+	/** Lag from which new requests are shed, in ms; undefined for the usual one. */
+	shedLagMs?: number | undefined;
 }>;
 
 /** Fraction of its time limit that must be left of a request when it is read: with less, it cannot be served. */
@@ -152,8 +154,8 @@
 /** Delay from which a client may have disconnected before its request was read: clients wait at least one second. */
 const checkDelayMs = 100;
 
-/** Lag from which new requests are shed: they would take CPU time from those already admitted. */
-const shedLagMs = 400;
+/** Lag from which new requests are shed unless the machine's limits say otherwise: they would take CPU time from those already admitted. */
+const usualShedLagMs = 400;
 
 /**
 Decides whether a request is admitted.
@@ -165,7 +167,7 @@
 @param query - The request and the lag of the process.
 @returns The decision.
 */
-export const decideAdmission = ({lagMs, unreadMs, timeLimitMs, isFirstOnConnection}: AdmissionQuery): AdmissionDecision => {
+export const decideAdmission = ({lagMs, unreadMs, timeLimitMs, isFirstOnConnection, shedLagMs = usualShedLagMs}: AdmissionQuery): AdmissionDecision => {
 	if (lagMs >= shedLagMs || unreadMs > timeLimitMs * (1 - minRemainingFraction)) {
 		return 'refuse';
 	}
--- /dev/null
+++ b/src/readiness/index.ts
@@ -0,0 +1,6 @@
+export {
+	createReadiness, getShedLag, sampleIntervalMs, updateReadiness,
+} from './readiness.js';
+export type {
+	Neighbour, Readiness, ReadinessLimits, ReadinessSample,
+} from './readiness.js';
