--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -26,6 +26,7 @@
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
 import {verdictTable} from '../poison/index.js';
+import {createReadinessLimits, getShedLag, sampleIntervalMs} from '../readiness/index.js';
 import type {StoredRow} from '../store/index.js';
 import {decodeOrigin, locateOrigin, versionTable} from '../stream-origin/index.js';
 import {watchAcceptQueue} from './accept-queue.js';
@@ -107,6 +108,9 @@
 		},
 	});
 	const metrics = openMetrics();
+	const cpuShare = settings.limits['cpu-share'];
+	const readinessLimits = createReadinessLimits(cpuShare);
+	const shedLagMs = getShedLag(readinessLimits);
 	/** When the last responses must have been sent, in ms of the loop's clock; undefined unless the process is stopping. */
 	let answerBy: number | undefined;
 	let {grace: graceMs} = settings.bounds;
@@ -280,6 +284,7 @@
 			prioritizesUrgent: hasContention(settings.host.contracts),
 			coldBounds: getColdBounds(settings),
 			regions: listRegions(settings),
+			readinessLimits,
 		}),
 		handle: handleEdge,
 		perform(effect) {
@@ -461,7 +466,7 @@
 		const rejectBody = readRequestBody(incoming, limits, body => {
 			unreadBodies.delete(rejectBody);
 			intakeHandlers[decideAdmission({
-				lagMs: getDelay(), unreadMs, timeLimitMs, isFirstOnConnection: isFirstRequest,
+				lagMs: getDelay(), unreadMs, timeLimitMs, isFirstOnConnection: isFirstRequest, shedLagMs,
 			})](body);
 		}, fault => {
 			unreadBodies.delete(rejectBody);
@@ -559,6 +564,16 @@
 	runForever(async () => periodic(1000).observe(() => {
 		log.tick(clock());
 	}));
+	if (readinessLimits !== undefined) {
+		let used = process.cpuUsage();
+		runForever(async () => periodic(sampleIntervalMs).observe(() => {
+			const {user, system} = process.cpuUsage(used);
+			used = process.cpuUsage();
+			loop.post({kind: 'load-measured', lagMs: getDelay(), usedMs: (user + system) / 1000});
+			const {isOverloaded} = loop.state().readiness;
+			metrics.setOverloaded(isOverloaded);
+		}));
+	}
 
 	const awaitDrained = async (deadline: number): Promise<void> => {
 		if (clock() >= deadline || (loop.state().requests.isEmpty() && responses.count() === 0)) {
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -14,6 +14,8 @@
 /** Counters and histograms of a process. */
 export type Metrics = Readonly<{
 	apply: (effect: EdgeEffect & {kind: 'count' | 'observe'}) => void;
+	/** Sets whether the process is overloaded and says that it is not ready. */
+	setOverloaded: (isOverloaded: boolean) => void;
 	/** Formats all metrics in the Prometheus text format. */
 	format: (gauges: readonly GaugeValue[]) => Promise<string>;
 }>;
@@ -71,7 +73,13 @@
 			name: 'galena_lag_milliseconds', help: 'Lag of a timer that fires every 20 ms: how long the event loop did not poll its sockets.', buckets: bucketsMs, registers,
 		}),
 	};
+	const overloaded = new Gauge({
+		name: 'galena_overloaded', help: '1 while the process is overloaded and says that it is not ready.', registers,
+	});
 	return {
+		setOverloaded(isOverloaded) {
+			overloaded.set(isOverloaded ? 1 : 0);
+		},
 		apply(effect) {
 			if (effect.kind === 'count') {
 				counters[effect.metric].inc(effect.labels, 1);
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -64,6 +64,11 @@
 		/** Table from data centre to region. */
 		zones: createOptionalText('{}').pipe(nameTable),
 	}).prefault({}),
+	/** Limits of the machine; an empty or absent one is none. */
+	limits: z.object({
+		/** Cores that the process may use, such as 0.184. Below 0.4, an overloaded router says that it is not ready, and sheds load earlier. */
+		'cpu-share': z.string().default('').transform(text => text === '' ? undefined : Number(text)).pipe(z.number('must be a number').positive().optional()),
+	}).prefault({}),
 });
 
 /** Validated settings of the edge process. */
