Send a gradual share of the load to other data centres

Each request went where it was predicted to be served first, with a constant penalty of 30 ms elsewhere, so that all routers left a data centre together and took requests from others that had enough endpoints. A fraction per service now follows the averaged advantage of other data centres, with a dead zone of 15 ms, up to 0.9; an eighth of the slots there is left to their own clients. Counters galena_remote_requests_total and galena_remote_bytes_total, gauge galena_overflow_fraction, log lines overflow-began and overflow-ended.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -273,6 +273,7 @@
 			peerAddress: `${settings.listen.peers.host}:${settings.listen.peers.port}`,
 			retryBudgetBounds: getRetryBounds(settings),
 			drainMs: settings.bounds.drain,
+			remoteCostMs: settings.bounds['remote-cost'],
 		}),
 		handle: handleEdge,
 		perform(effect) {
@@ -419,7 +420,7 @@
 			requestCount += 1;
 			proxy.accept(requestCount, head.val, hostHeader, body, response);
 			loop.post({
-				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, unreadMs, random: random(),
+				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, unreadMs, random: random(), bodyBytes: body.length,
 			});
 		};
 
@@ -570,7 +571,9 @@
 			const next = changed.val;
 			const isRestartNeeded = JSON.stringify([settings.host, settings.listen, settings.store]) !== JSON.stringify([next.host, next.listen, next.store]);
 			graceMs = next.bounds.grace;
-			loop.post({kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain});
+			loop.post({
+				kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain, remoteCostMs: next.bounds['remote-cost'],
+			});
 			// Changed addresses take effect at the next start.
 			log.write('routine', 'settings-reloaded', {grace: graceMs, repeatSlack: next.bounds['repeat-slack'], needsRestart: isRestartNeeded});
 		},
--- a/src/edge/gauges.ts
+++ b/src/edge/gauges.ts
@@ -10,10 +10,11 @@
 @param now - The current time in ms.
 @returns The gauges.
 */
-export const listGauges = ({performance, registry}: EdgeState, now: number): readonly GaugeValue[] => [
+export const listGauges = ({performance, overflow, registry}: EdgeState, now: number): readonly GaugeValue[] => [
 	...performance.entrySeq().toArray().flatMap(([service, known]) => Object.entries(computeRates(known)).map(([rate, value]): GaugeValue => ({
 		metric: 'serviceRate', labels: {service, rate}, value,
 	}))),
+	...overflow.entrySeq().toArray().map(([service, {fraction}]): GaugeValue => ({metric: 'overflowFraction', labels: {service}, value: fraction})),
 	...registry.endpoints.valueSeq().toArray().flatMap((endpoint): readonly GaugeValue[] => [
 		{metric: 'endpointWorkFactor', labels: {endpoint: endpoint.id}, value: computeWorkFactor(endpoint, now)},
 		...(endpoint.load?.workFactor === undefined ? [] : [{metric: 'endpointReportTrust', labels: {endpoint: endpoint.id}, value: endpoint.load.trust} as const]),
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -46,6 +46,7 @@
 		state: {
 			...state, config, serviceTimes: config === state.config ? state.serviceTimes : retainServiceTimes(state.serviceTimes, listRouteNames(config)),
 			performance: state.performance.filter((_, service) => config.services.has(service)),
+			overflow: state.overflow.filter((_, service) => config.services.has(service)),
 		},
 		effects: config === state.config
 			? []
@@ -201,7 +202,9 @@
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, state.liveRouters.length, now)}),
 	'peer-heard': receivePeerMessage,
 	tick: receiveTick,
-	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs}),
+	'bounds-changed': (state, event) => keepState({
+		...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs, remoteCostMs: event.remoteCostMs,
+	}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
 	'stop-wanted': (state, event) => keepState(beginShutdown(state, event.answerBy)),
 };
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -24,7 +24,7 @@
 /** Events of the edge router. `call` is the number of a request; `random` is in [0, 1). */
 export type EdgeEvent =
 	/** A client's request was read completely; `bodyDigest` is undefined if its body is empty. Its head was read at `receivedAt`, in ms of the loop's clock, and may have waited for `unreadMs` before. */
-	| Readonly<{kind: 'call-arrived'; call: number; head: RequestHead; bodyDigest: string | undefined; receivedAt: number; unreadMs: number; random: number}>
+	| Readonly<{kind: 'call-arrived'; call: number; head: RequestHead; bodyDigest: string | undefined; receivedAt: number; unreadMs: number; random: number; bodyBytes?: number}>
 	/** The client disconnected; `events` counts the events of the current attempt that it received. */
 	| Readonly<{kind: 'caller-left'; call: number; events: number}>
 	/** The endpoint ended a cancelled request; `hasNotRun` is true if there was no output before. */
@@ -64,7 +64,7 @@
 	| (Readonly<{kind: 'peer-heard'}> & PeerMessage)
 	| Readonly<{kind: 'tick'; random: number}>
 	/** The bounds in the settings were reconfigured. */
-	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number}>
+	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number; remoteCostMs?: number | undefined}>
 	/** The shutdown begins; the last responses must have been sent at the given time, in ms. */
 	| Readonly<{kind: 'stop-wanted'; answerBy: number}>
 	/** All requests have ended during shutdown: the tokens held are returned to the budgets. */
@@ -107,11 +107,11 @@
 	/** Sends a load message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
 	| Readonly<{kind: 'log'; level: Level; event: string; fields: Fields}>
-	| Readonly<{kind: 'count'; metric: CounterName; labels: Readonly<Record<string, string>>}>
+	| Readonly<{kind: 'count'; metric: CounterName; labels: Readonly<Record<string, string>>; amount?: number}>
 	| Readonly<{kind: 'observe'; metric: HistogramName; labels: Readonly<Record<string, string>>; milliseconds: number}>;
 
 /** Names of counters. */
-export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed';
+export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed' | 'remoteRequests' | 'remoteBytes';
 
 /** Names of histograms. */
 export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -9,7 +9,7 @@
 /** Value of a gauge when the metrics are read. */
 export type GaugeValue = Readonly<{metric: GaugeName; labels: Readonly<Record<string, string>>; value: number}>;
 
-type GaugeName = 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust';
+type GaugeName = 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust' | 'overflowFraction';
 
 /** Counters and histograms of a process. */
 export type Metrics = Readonly<{
@@ -36,6 +36,12 @@
 		streamsResumed: new Counter({
 			name: 'galena_streams_resumed_total', help: 'Streams that clients resume, by service and how their origin is known.', labelNames: ['service', 'origin'], registers,
 		}),
+		remoteRequests: new Counter({
+			name: 'galena_remote_requests_total', help: 'Requests sent to endpoints of other data centres, by service.', labelNames: ['service'], registers,
+		}),
+		remoteBytes: new Counter({
+			name: 'galena_remote_bytes_total', help: 'Bytes of the bodies of these requests, by service.', labelNames: ['service'], registers,
+		}),
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
@@ -47,6 +53,9 @@
 		endpointWorkFactor: new Gauge({
 			name: 'galena_endpoint_work_factor', help: 'Factor by which the work of an endpoint takes longer than predicted.', labelNames: ['endpoint'], registers,
 		}),
+		overflowFraction: new Gauge({
+			name: 'galena_overflow_fraction', help: 'Fraction of the requests of a service that may leave the data centre.', labelNames: ['service'], registers,
+		}),
 		endpointReportTrust: new Gauge({
 			name: 'galena_endpoint_report_trust', help: 'Weight of the work factor that an endpoint states, from 0 to 1.', labelNames: ['endpoint'], registers,
 		}),
@@ -68,7 +77,7 @@
 	return {
 		apply(effect) {
 			if (effect.kind === 'count') {
-				counters[effect.metric].inc(effect.labels, 1);
+				counters[effect.metric].inc(effect.labels, effect.amount ?? 1);
 			} else {
 				histograms[effect.metric].observe(effect.labels, effect.milliseconds);
 			}
--- a/src/edge/place.ts
+++ b/src/edge/place.ts
@@ -3,6 +3,9 @@
 import {addPromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
+import {
+	computeRemoteCostMs, isOverflowing, noOverflow, recordAdvantage,
+} from '../overflow/index.js';
 import {
 	chooseEndpoint, computeConnectionShare, computeSpread, listCandidates, listUsable, pickAffinityPart,
 } from '../placement/index.js';
@@ -19,9 +22,10 @@
 } from '../registry/index.js';
 import type {Endpoint} from '../registry/index.js';
 import {
-	computeRetryAfter, updateKnownEndpoint, putRequest, rejectRequest,
+	computeRetryAfter, createLogEffect, updateKnownEndpoint, putRequest, rejectRequest,
 } from './common.js';
 import {checkPoison, rejectPoison, startRequestTrial} from './poison.js';
+import type {EdgeEffect} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
 const computeConnections = (state: EdgeState, request: InFlightRequest): number => {
@@ -29,6 +33,30 @@
 	return service === undefined ? 0 : computeConnectionShare(service.maxConnections, state.liveRouters.length);
 };
 
+/** Updates the part of the load that leaves the data centre, and logs when it begins and ends. */
+const updateOverflow = (state: EdgeState, {service}: InFlightRequest, {advantageMs}: Placement & {kind: 'endpoint'}, now: number): EdgeStep => {
+	if (advantageMs === undefined) {
+		return keepState(state);
+	}
+
+	const before = state.overflow.get(service) ?? noOverflow;
+	const after = recordAdvantage(before, advantageMs, now);
+	const isActive = isOverflowing(after);
+	return {
+		state: {...state, overflow: state.overflow.set(service, after)},
+		effects: isActive === isOverflowing(before) ? [] : [createLogEffect(isActive ? 'overflow-began' : 'overflow-ended', {service, advantage: Math.round(after.advantageMs)})],
+	};
+};
+
+const countRemote = (state: EdgeState, {service, bodyBytes = 0}: InFlightRequest, {dataCentre}: Endpoint): readonly EdgeEffect[] => dataCentre === state.dataCentre
+	? []
+	: [
+		{kind: 'count', metric: 'remoteRequests', labels: {service}},
+		{
+			kind: 'count', metric: 'remoteBytes', labels: {service}, amount: bodyBytes,
+		},
+	];
+
 const sendRequest = (state: EdgeState, request: InFlightRequest, placement: Placement & {kind: 'endpoint'}, now: number): EdgeStep => {
 	const {
 		endpoint, predicted, newTokens, workload,
@@ -61,6 +89,7 @@
 	return {
 		state: updated,
 		effects: [
+			...countRemote(state, request, endpoint),
 			{
 				kind: 'send',
 				call: request.id,
@@ -115,8 +144,9 @@
 	return rejectRequest(state, request, request.hasPossiblyRun ? createFault('endpoint-failed', detail) : createFault('overloaded', detail, retryAfter), now);
 };
 
-/** Makes a second random number of one whose leading digits select the candidates. */
+/** Make further random numbers of one whose leading digits select the candidates. */
 const candidateRandomFactor = 997;
+const overflowRandomFactor = 8191;
 
 type Choice = Readonly<{choice: Placement; count: number}>;
 
@@ -132,6 +162,7 @@
 const placeSound = (state: EdgeState, request: InFlightRequest, random: number, now: number): EdgeStep => {
 	const service = state.config?.services.get(request.service);
 	const canUse = (endpoint: Endpoint) => isUsable(endpoint, now) && canServe(endpoint, request);
+	const spread = computeSpread(state.liveRouters.length, state.peers.size, (random * candidateRandomFactor) % 1);
 	const {choice, count: endpointCount}: Choice = service === undefined
 		? {choice: {kind: 'none'}, count: 0}
 		: chooseAmong(state, request, canUse, {
@@ -142,7 +173,13 @@
 			triedEndpoints: request.triedEndpoints,
 			peers: state.peerLoadTotals,
 			rates: computeRates(state.performance.get(request.service)),
-			spread: computeSpread(state.liveRouters.length, state.peers.size, (random * candidateRandomFactor) % 1),
+			spread,
+			remoteCostMs: computeRemoteCostMs(state.remoteCostMs, {
+				bodyBytes: request.bodyBytes, promptTokens: request.head.modelRequest?.promptTokens ?? 0, maxOutputTokens: request.head.modelRequest?.maxOutputTokens ?? 0,
+			}),
+			overflow: spread === undefined && state.remoteCostMs === undefined
+				? undefined
+				: {state: state.overflow.get(request.service) ?? noOverflow, random: (random * overflowRandomFactor) % 1},
 			timeToTargetMs: request.arrivedAt + request.route.targetMs - now,
 			now,
 		}, random);
@@ -154,16 +191,16 @@
 			request, predicted, predictedIdleMs, waiting: countQueued(), endpointCount, now,
 		})
 		: 'send';
-	const dispatchers: Readonly<Record<Dispatch, (placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
-		send: placement => sendRequest(state, request, placement, now),
-		wait: () => queueRequest(state, request, now),
-		refuse(placement) {
+	const dispatchers: Readonly<Record<Dispatch, (current: EdgeState, placement: Placement & {kind: 'endpoint'}) => EdgeStep>> = {
+		send: (current, placement) => sendRequest(current, request, placement, now),
+		wait: current => queueRequest(current, request, now),
+		refuse(current, placement) {
 			const detail = `the first output would take ${Math.round(placement.predicted)} ms`;
-			return rejectRequest(state, request, createFault('overloaded', detail, suggestRetryAfter(request.expiresAt - now, random)), now);
+			return rejectRequest(current, request, createFault('overloaded', detail, suggestRetryAfter(request.expiresAt - now, random)), now);
 		},
 	};
 	const handlers: Readonly<{[Kind in Placement['kind']]: (placement: Placement & {kind: Kind}) => EdgeStep}> = {
-		endpoint: placement => dispatchers[dispatch(placement)](placement),
+		endpoint: placement => chain(updateOverflow(state, request, placement, now), current => dispatchers[dispatch(placement)](current, placement)),
 		busy: () => queueRequest(state, request, now),
 		limited({nextSendAt, requestsPerSecond}) {
 			const query: LimitedQuery = {
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -55,6 +55,7 @@
 		maxCostTokens,
 		arrivedAt: event.receivedAt,
 		unreadMs: event.unreadMs,
+		bodyBytes: event.bodyBytes,
 		// The client's time runs from when it sent the request.
 		expiresAt: event.receivedAt - event.unreadMs + Math.min(route.timeout, event.head.clientTimeoutMs ?? route.timeout),
 		phaseAt: now,
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -35,6 +35,8 @@
 		'repeat-ratio': fraction,
 		/** Retry budget: additional retries per time window, over all routers. */
 		'repeat-slack': wholeNumber,
+		/** Time of waiting that a megabyte between data centres is worth, in ms; empty for a constant cost of 30 ms for each request. */
+		'remote-cost': z.union([z.literal('').transform(() => undefined), wholeNumber]).optional(),
 	}),
 });
 
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -7,6 +7,7 @@
 import type {EndpointLoads, PeerLoads, PromptNews} from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import type {Step} from '../loop/loop.js';
+import type {Overflow} from '../overflow/index.js';
 import {createLocalQuota} from '../quota/index.js';
 import type {LocalQuota} from '../quota/index.js';
 import {createPoisonGuard, createVerdictRows} from '../poison/index.js';
@@ -71,6 +72,10 @@
 	endpointsCheckedAt: number;
 	/** What has been learned of the endpoints of each service. */
 	performance: Map<string, ServicePerformance>;
+	/** The part of the load of each service that leaves the data centre. */
+	overflow: Map<string, Overflow>;
+	/** Time of waiting that a megabyte between data centres is worth, in ms; undefined for a constant cost of a request. */
+	remoteCostMs: number | undefined;
 	/** How long requests take, by route. */
 	serviceTimes: ServiceTimes;
 	/** During the shutdown, when the last responses must have been sent, in ms; undefined before. */
@@ -92,6 +97,8 @@
 	retryBudgetBounds: RetryBudgetBounds;
 	/** Time for which an endpoint that leaves goes on serving, in ms. */
 	drainMs: number;
+	/** Time of waiting that a megabyte between data centres is worth, in ms. */
+	remoteCostMs?: number | undefined;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -132,6 +139,8 @@
 	tick: {at: 0, isLate: false},
 	endpointsCheckedAt: 0,
 	performance: Map(),
+	overflow: Map(),
+	remoteCostMs: options.remoteCostMs,
 	serviceTimes: Map(),
 	answerBy: undefined,
 });
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -100,6 +100,8 @@
 	budget: string | undefined;
 	/** 0 is the most urgent. */
 	priority: number;
+	/** Size of its body; undefined if it is not known. */
+	bodyBytes?: number | undefined;
 	/** Upper bound of the charge. */
 	maxCostTokens: number;
 	/** Tokens reserved for it; 0 until they are granted. */
@@ -164,7 +166,7 @@
 @returns The request, without reserved tokens or attempts.
 */
 export const createInFlightRequest = (fields: Pick<
-	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'expiresAt' | 'phaseAt'
+	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'bodyBytes' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
 	reserved: 0,
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -3,6 +3,8 @@
 import type {EndpointLoads} from '../gossip/index.js';
 import {computeSlots, countStatedRequests, priorRates} from '../endpoint-performance/index.js';
 import type {ServiceRates, Workload} from '../endpoint-performance/index.js';
+import {defaultRemoteCostMs, hasSlotsForOthers, shouldOverflow} from '../overflow/index.js';
+import type {Overflow} from '../overflow/index.js';
 import {hasRoom, isAtRest} from '../pushback/index.js';
 import {hashText} from '../random/index.js';
 import {canSend, computeNextSendAt, computeRate} from '../rate-limit/index.js';
@@ -32,6 +34,8 @@
 	remoteCostMs?: number;
 	/** How far choices are spread; the best endpoint is always taken if it is not given. */
 	spread?: Spread | undefined;
+	/** The part of the load that leaves the data centre, and a random number in [0, 1); the endpoint with the least cost is taken if it is not given. */
+	overflow?: Readonly<{state: Overflow; random: number}> | undefined;
 	now: number;
 }>;
 
@@ -48,6 +52,8 @@
 		newTokens: number;
 		/** What the request meets there. */
 		workload: Workload;
+		/** By how much the best endpoint of another data centre is better than the best one of this; undefined if that was not compared. */
+		advantageMs: number | undefined;
 	}>
 	/** All slots of every endpoint that may be sent a request are taken, or all connections that this router may open to it. */
 	| Readonly<{kind: 'busy'}>
@@ -56,9 +62,6 @@
 	/** The service has no endpoint. */
 	| Readonly<{kind: 'none'}>;
 
-/** Cost of sending a request to another data centre: its traffic is billed, and routers there know best how loaded an endpoint is. */
-const defaultRemoteCostMs = 30;
-
 /** Slots that are assumed of an endpoint without a model, to determine how much one request delays others. */
 const plainSlots = 6;
 
@@ -237,9 +240,13 @@
 };
 
 /** Finds the candidate with the lowest cost among those that are on time, or among all if none is; -1 if there is none. */
-const findBest = ({predicted, costMs}: Scores, timeToTargetMs: number): number => {
+const findBest = ({predicted, costMs}: Scores, timeToTargetMs: number, isCandidate: (index: number) => boolean = () => true): number => {
 	let best = -1;
 	predicted.forEach((predictedMs, index) => {
+		if (!isCandidate(index)) {
+			return;
+		}
+
 		const isOnTime = predictedMs <= timeToTargetMs;
 		const isBestOnTime = best !== -1 && predicted[best]! <= timeToTargetMs;
 		if (best === -1 || (isOnTime === isBestOnTime ? costMs[index]! < costMs[best]! : isOnTime)) {
@@ -260,23 +267,53 @@
 		: rates.plainRequestMs / (service.engine?.slots ?? plainSlots);
 };
 
-/** Chooses the best candidate, or one that is as good as far as this is known; -1 if there is none. */
-const chooseScored = (endpoints: readonly Endpoint[], scores: Scores, query: PlacementQuery): number => {
-	const {spread, timeToTargetMs} = query;
-	const best = findBest(scores, timeToTargetMs);
+/** Chooses a candidate that is as good as the best one as far as this is known. */
+const chooseSpread = (best: number, endpoints: readonly Endpoint[], scores: Scores, query: PlacementQuery): number => {
+	const {spread, timeToTargetMs, dataCentre} = query;
 	if (best === -1 || spread === undefined) {
 		return best;
 	}
 
 	const isBestOnTime = scores.predicted[best]! <= timeToTargetMs;
-	const isBestLocal = endpoints[best]!.dataCentre === query.dataCentre;
+	const isBestLocal = endpoints[best]!.dataCentre === dataCentre;
 	// The choice is not spread to other data centres, which costs traffic, nor over the time limit.
 	const costMs = scores.costMs.map((cost, index) =>
-		(isBestOnTime && scores.predicted[index]! > timeToTargetMs) || (endpoints[index]!.dataCentre === query.dataCentre) !== isBestLocal ? Number.POSITIVE_INFINITY : cost);
+		(isBestOnTime && scores.predicted[index]! > timeToTargetMs) || (endpoints[index]!.dataCentre === dataCentre) !== isBestLocal ? Number.POSITIVE_INFINITY : cost);
 	const marginMs = Math.min(maxSpreadMs, spread.unseenRequests * computeRequestDelayMs(query, scores.newTokens[best]!));
 	return pickSpread(costMs, best, marginMs, spread.random);
 };
 
+/** By how much a late endpoint counts as worse than one that is on time, in ms. */
+const lateCostMs = 300;
+
+const computeAdvantage = ({predicted, costMs}: Scores, {timeToTargetMs}: PlacementQuery, local: number, remote: number): number => {
+	const isLate = (index: number) => predicted[index]! > timeToTargetMs;
+	return costMs[local]! - costMs[remote]! + (lateCostMs * ((isLate(local) ? 1 : 0) - (isLate(remote) ? 1 : 0)));
+};
+
+type Selection = Readonly<{index: number; advantageMs: number | undefined}>;
+
+/** Selects the candidate to which the request goes; its index is -1 if there is none. */
+const selectCandidate = (endpoints: readonly Endpoint[], scores: Scores, query: PlacementQuery): Selection => {
+	const {overflow, timeToTargetMs, dataCentre, peers, now} = query;
+	const isLocal = (index: number) => endpoints[index]!.dataCentre === dataCentre;
+	const local = overflow === undefined ? -1 : findBest(scores, timeToTargetMs, isLocal);
+	if (overflow === undefined || local === -1) {
+		return {index: chooseSpread(findBest(scores, timeToTargetMs), endpoints, scores, query), advantageMs: undefined};
+	}
+
+	const remote = findBest(scores, timeToTargetMs, index => {
+		const endpoint = endpoints[index]!;
+		return !isLocal(index) && hasSlotsForOthers(computeSlots(endpoint.load, endpoint.slots, now), countRequests(endpoint, peers, now));
+	});
+	if (remote === -1) {
+		return {index: chooseSpread(local, endpoints, scores, query), advantageMs: Number.NEGATIVE_INFINITY};
+	}
+
+	const advantageMs = computeAdvantage(scores, query, local, remote);
+	return {index: chooseSpread(shouldOverflow(overflow.state, advantageMs, overflow.random) ? remote : local, endpoints, scores, query), advantageMs};
+};
+
 const listPermitted = (endpoints: readonly Endpoint[], now: number): readonly Endpoint[] =>
 	endpoints.filter(endpoint => !isAtRest(endpoint.pushback, now) && canSend(endpoint.rateLimit, now));
 
@@ -312,7 +349,7 @@
 
 	const available = permitted.filter(endpoint => endpoint.open < connections && hasRoom(endpoint.pushback, now) && !isFull(endpoint, peers, now));
 	const scores = scoreEndpoints(available, query);
-	const best = chooseScored(available, scores, query);
+	const {index: best, advantageMs} = selectCandidate(available, scores, query);
 	const endpoint = available[best];
 	return endpoint === undefined
 		? {kind: 'busy'}
@@ -322,6 +359,7 @@
 			predicted: scores.predicted[best]!,
 			predictedIdleMs: predictIdleFirstOutputMs(scores.newTokens[best]!, query),
 			newTokens: scores.newTokens[best]!,
+			advantageMs,
 			workload: describeWorkload(endpoint, query, scores.newTokens[best]!),
 		};
 };
