--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -285,6 +285,7 @@
 			coldBounds: getColdBounds(settings),
 			regions: listRegions(settings),
 			readinessLimits,
+			remoteCostMs: settings.bounds['remote-cost'],
 		}),
 		handle: handleEdge,
 		perform(effect) {
@@ -437,7 +438,7 @@
 			requestCount += 1;
 			proxy.accept(requestCount, head.val, hostHeader, body, response);
 			loop.post({
-				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, unreadMs, random: random(),
+				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, unreadMs, random: random(), bodyBytes: body.length,
 			});
 		};
 
@@ -605,7 +606,7 @@
 			const isRestartNeeded = JSON.stringify([settings.host, settings.listen, settings.store]) !== JSON.stringify([next.host, next.listen, next.store]);
 			graceMs = next.bounds.grace;
 			loop.post({
-				kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain, coldBounds: getColdBounds(next), regions: listRegions(next),
+				kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain, coldBounds: getColdBounds(next), regions: listRegions(next), remoteCostMs: next.bounds['remote-cost'],
 			});
 			// Changed addresses take effect at the next start.
 			log.write('routine', 'settings-reloaded', {grace: graceMs, repeatSlack: next.bounds['repeat-slack'], needsRestart: isRestartNeeded});
--- a/src/edge/gauges.ts
+++ b/src/edge/gauges.ts
@@ -26,6 +26,7 @@
 	...state.performance.entrySeq().toArray().flatMap(([service, known]) => Object.entries(computeRates(known)).map(([rate, value]): GaugeValue => ({
 		metric: 'serviceRate', labels: {service, rate}, value,
 	}))),
+	...state.overflow.entrySeq().toArray().map(([service, {fraction}]): GaugeValue => ({metric: 'overflowFraction', labels: {service}, value: fraction})),
 	...state.registry.endpoints.valueSeq().toArray().flatMap((endpoint): readonly GaugeValue[] => [
 		{metric: 'endpointWorkFactor', labels: {endpoint: endpoint.id}, value: computeWorkFactor(endpoint, now)},
 		...(endpoint.load?.workFactor === undefined ? [] : [{metric: 'endpointReportTrust', labels: {endpoint: endpoint.id}, value: endpoint.load.trust} as const]),
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -51,6 +51,7 @@
 		state: {
 			...state, config, serviceTimes: config === state.config ? state.serviceTimes : retainServiceTimes(state.serviceTimes, listRouteNames(config)),
 			performance: state.performance.filter((_, service) => config.services.has(service)),
+			overflow: state.overflow.filter((_, service) => config.services.has(service)),
 		},
 		effects: config === state.config
 			? []
@@ -273,7 +274,7 @@
 	tick: receiveTick,
 	'load-measured': receiveLoad,
 	'bounds-changed': (state, event) => keepState({
-		...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs, coldBounds: event.coldBounds ?? state.coldBounds, regions: event.regions ?? state.regions,
+		...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs, coldBounds: event.coldBounds ?? state.coldBounds, regions: event.regions ?? state.regions, remoteCostMs: event.remoteCostMs,
 	}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
 	'stop-wanted': (state, event) => keepState(beginShutdown(state, event.answerBy)),
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -41,6 +41,12 @@
 		streamsResumed: new Counter({
 			name: 'galena_streams_resumed_total', help: 'Streams that clients resume, by service and how their origin is known.', labelNames: ['service', 'origin'], registers,
 		}),
+		remoteRequests: new Counter({
+			name: 'galena_remote_requests_total', help: 'Requests sent to endpoints of other data centres, by service.', labelNames: ['service'], registers,
+		}),
+		remoteBytes: new Counter({
+			name: 'galena_remote_bytes_total', help: 'Bytes of the bodies of these requests, by service.', labelNames: ['service'], registers,
+		}),
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
@@ -55,6 +61,9 @@
 		endpointWorkFactor: new Gauge({
 			name: 'galena_endpoint_work_factor', help: 'Factor by which the work of an endpoint takes longer than predicted.', labelNames: ['endpoint'], registers,
 		}),
+		overflowFraction: new Gauge({
+			name: 'galena_overflow_fraction', help: 'Fraction of the requests of a service that may leave the data centre.', labelNames: ['service'], registers,
+		}),
 		endpointReportTrust: new Gauge({
 			name: 'galena_endpoint_report_trust', help: 'Weight of the work factor that an endpoint states, from 0 to 1.', labelNames: ['endpoint'], registers,
 		}),
@@ -82,7 +91,7 @@
 		},
 		apply(effect) {
 			if (effect.kind === 'count') {
-				counters[effect.metric].inc(effect.labels, 1);
+				counters[effect.metric].inc(effect.labels, effect.amount ?? 1);
 			} else {
 				histograms[effect.metric].observe(effect.labels, effect.milliseconds);
 			}
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -57,6 +57,8 @@
 		/** Multiple of its rate that all routers together may send to a cold endpoint in any second, and number of requests beyond that. */
 		'cold-over': createOptionalText('1.5').pipe(nonNegativeNumber),
 		'cold-slack': createOptionalText('5').pipe(nonNegativeNumber),
+		/** Time of waiting that a megabyte between data centres is worth, in ms; empty for a constant cost of 30 ms for each request. */
+		'remote-cost': createOptionalText('').transform(text => text === '' ? undefined : Number(text)).pipe(z.number('must be a number').nonnegative().optional()),
 	}),
 	places: z.object({
 		/** Region of this host's data centre. */
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -16,6 +16,7 @@
 } from '../gossip/index.js';
 import type {InFlightRequest} from '../in-flight/index.js';
 import type {Step} from '../loop/loop.js';
+import type {Overflow} from '../overflow/index.js';
 import {createLocalQuota} from '../quota/index.js';
 import type {LocalQuota} from '../quota/index.js';
 import {createPoisonGuard, createVerdictRows} from '../poison/index.js';
@@ -103,6 +104,10 @@
 	demand: Demand;
 	/** What has been learned of the endpoints of each service. */
 	performance: Map<string, ServicePerformance>;
+	/** The part of the load of each service that leaves the data centre. */
+	overflow: Map<string, Overflow>;
+	/** Time of waiting that a megabyte between data centres is worth, in ms; undefined for a constant cost of a request. */
+	remoteCostMs: number | undefined;
 	/** How long requests take, by route. */
 	serviceTimes: ServiceTimes;
 	/** During the shutdown, when the last responses must have been sent, in ms; undefined before. */
@@ -132,6 +137,8 @@
 	regions?: Regions;
 	/** Limits of the machine; undefined if the settings give none. */
 	readinessLimits?: ReadinessLimits | undefined;
+	/** Time of waiting that a megabyte between data centres is worth, in ms. */
+	remoteCostMs?: number | undefined;
 }>;
 
 /** Start time of the process on the monotonic clock that event handlers are given. */
@@ -183,6 +190,8 @@
 	prioritizesUrgent: options.prioritizesUrgent ?? false,
 	demand: emptyDemand,
 	performance: Map(),
+	overflow: Map(),
+	remoteCostMs: options.remoteCostMs,
 	serviceTimes: Map(),
 	answerBy: undefined,
 });
