Pass tokens between routers by datagram, and wait for them

Cause: a request whose tokens other routers held was rejected at once, and its client, told to come back after 0.2 to 1.5 s, was rejected again. During a store outage no token could move.

Change: in a fleet of more than 6 routers, a request that the store cannot bring tokens for waits up to 300 ms while its router asks peers (src/token-transfer: token-request, token-grant, token-ack). The giver charges the tokens to its row before it sends the grant, and first widens its spend bound by a write if that is needed and the store answers. The receiver accepts a grant once, by an id that names its incarnation, and keeps the tokens out of its row. A rejection for held tokens names the time after which peers have returned theirs. A 402 needs the budget to be used up by the previous reading as well, since what a peer draws between the readings of holds and budgets is in neither. Counters and log lines for both directions and for shortages.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -27,6 +27,7 @@
 import {verdictTable} from '../poison/index.js';
 import type {StoredRow} from '../store/index.js';
 import {decodeOrigin, locateOrigin, versionTable} from '../stream-origin/index.js';
+import {isTransfer, parseTransfer} from '../token-transfer/index.js';
 import {watchAcceptQueue} from './accept-queue.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
 import {followTable} from './table-feed.js';
@@ -490,14 +491,19 @@
 	peerSocket.on('error', error => {
 		log.write('failure', 'peer-socket-failed', {reason: error.message});
 	});
+	/** Parses a datagram of a peer. Messages about tokens name their kind first; load messages name none. */
+	const parsePeerMessage = (text: string): Result<EdgeEvent> => isTransfer(text)
+		? parseTransfer(text).map(message => ({kind: 'transfer-received', message, random: random()}))
+		: parseLoads(text).map(message => ({kind: 'peer-heard', ...message}));
+
 	peerSocket.on('message', bytes => {
-		const decoded = parseLoads(bytes.toString('utf8'));
+		const decoded = parsePeerMessage(bytes.toString('utf8'));
 		if (decoded.err) {
 			log.write('failure', 'peer-message-unreadable', {reason: decoded.val.detail});
 			return;
 		}
 
-		loop.post({kind: 'peer-heard', ...decoded.val});
+		loop.post(decoded.val);
 	});
 	peerSocket.bind(settings.listen.peers.port, settings.listen.peers.host);
 
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -996,7 +996,7 @@
 			...edge.state, quota: {
 				...edge.state.quota,
 				holds: Map(),
-				budgets: Map([['o', {version: 1, taken: 1_000_000}]]),
+				budgets: Map([['o', {version: 1, taken: 1_000_000, previousTaken: 1_000_000}]]),
 				peers: Map([['r2', {
 					peerAddress: '', dataCentre: '', isLive: true, era: undefined, holds: Map([['o', {held: 500, demand: 0}]]),
 				}]]),
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -22,7 +22,7 @@
 import {
 	expireRequest, receiveClientDisconnect, receiveEndpointResponse, receiveEndpointFailure, receiveFirstOutput, receiveStreamEnd, receiveCancellation,
 } from './attempt.js';
-import {expireTokenWait, applyTokenEvent} from './reserve.js';
+import {applyTokenEvent, expireTokenWait, receivePeerTransfer} from './reserve.js';
 import {
 	expireLocating, expireVerifying, receiveOrigin, receiveVersions, receiveVersionsInUse, receiveVersionSave, resetVersions, saveOrigins, saveVersions,
 } from './resume.js';
@@ -197,6 +197,7 @@
 	'verdicts-saved': receiveVerdictSave,
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.isDone, state.liveRouters.length, now)}),
 	'peer-heard': receivePeerMessage,
+	'transfer-received': (state, event, now) => receivePeerTransfer(state, event.message, event.random, now),
 	tick: receiveTick,
 	'bounds-changed': (state, event) => keepState({...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -8,6 +8,7 @@
 import type {Incarnation, RegistryEntry} from '../registry/index.js';
 import type {StoredRow, StoreReply, StoreWrite} from '../store/index.js';
 import type {VersionReading} from '../stream-origin/index.js';
+import type {TransferMessage} from '../token-transfer/index.js';
 
 /** How far a failed attempt got. */
 export type FailureStage =
@@ -62,6 +63,8 @@
 	| Readonly<{kind: 'verdicts-saved'; isDone: boolean}>
 	/** A peer reported its requests in flight, and rate limits of endpoints. */
 	| (Readonly<{kind: 'peer-heard'}> & PeerMessage)
+	/** A peer sent a message about tokens. */
+	| Readonly<{kind: 'transfer-received'; message: TransferMessage; random: number}>
 	| Readonly<{kind: 'tick'; random: number}>
 	/** The bounds in the settings were reconfigured. */
 	| Readonly<{kind: 'bounds-changed'; retryBudgetBounds: RetryBudgetBounds; drainMs: number}>
@@ -104,14 +107,14 @@
 	/** Saves what this router knows of crashes; a save that fails is not repeated as such. */
 	| Readonly<{kind: 'save-crashes'; writes: readonly StoreWrite[]}>
 	| Readonly<{kind: 'read-verdicts'}>
-	/** Sends a load message to peers. */
+	/** Sends a message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
 	| Readonly<{kind: 'log'; level: Level; event: string; fields: Fields}>
-	| Readonly<{kind: 'count'; metric: CounterName; labels: Readonly<Record<string, string>>}>
+	| Readonly<{kind: 'count'; metric: CounterName; labels: Readonly<Record<string, string>>; amount?: number}>
 	| Readonly<{kind: 'observe'; metric: HistogramName; labels: Readonly<Record<string, string>>; milliseconds: number}>;
 
 /** Names of counters. */
-export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed';
+export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed' | 'tokensGranted' | 'tokensReceived' | 'tokenShortages';
 
 /** Names of histograms. */
 export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -32,6 +32,15 @@
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
+		tokensGranted: new Counter({
+			name: 'galena_tokens_granted_total', help: 'Tokens sent to other routers directly.', registers,
+		}),
+		tokensReceived: new Counter({
+			name: 'galena_tokens_received_total', help: 'Tokens received from other routers directly.', registers,
+		}),
+		tokenShortages: new Counter({
+			name: 'galena_token_shortages_total', help: 'Requests rejected because tokens were short, by reason.', labelNames: ['reason'], registers,
+		}),
 	};
 	const histograms: Readonly<Record<TimerName, Histogram>> = {
 		call: new Histogram({
@@ -50,7 +59,7 @@
 	return {
 		apply(effect) {
 			if (effect.kind === 'count') {
-				counters[effect.metric].inc(effect.labels, 1);
+				counters[effect.metric].inc(effect.labels, effect.amount ?? 1);
 			} else {
 				histograms[effect.metric].observe(effect.labels, effect.milliseconds);
 			}
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -15,6 +15,8 @@
 import type {ServiceTimes} from '../service-time/index.js';
 import {createSavedVersions, createStreamOrigins} from '../stream-origin/index.js';
 import type {RetiredVersions, SavedVersions, StreamOrigins} from '../stream-origin/index.js';
+import {createTokenTransfers} from '../token-transfer/index.js';
+import type {TokenTransfers} from '../token-transfer/index.js';
 import type {EdgeEffect} from './messages.js';
 
 /** The state of an edge router. */
@@ -39,6 +41,8 @@
 	origins: StreamOrigins;
 	/** Tokens that this router holds of the budgets. */
 	quota: LocalQuota;
+	/** Tokens that pass between this router and its peers directly. */
+	transfers: TokenTransfers;
 	/** Retry credits of this router, by service. */
 	retryBudget: RetryBudget;
 	/** Requests and prompt parts on which endpoints crash. */
@@ -112,6 +116,7 @@
 	versionReading: undefined,
 	origins: createStreamOrigins(),
 	quota: createLocalQuota(options.router, options.incarnation, processStartMs, options.peerAddress, options.dataCentre),
+	transfers: createTokenTransfers(options.incarnation),
 	retryBudget: createRetryBudget(),
 	poison: createPoisonGuard(),
 	verdictRows: createVerdictRows(),
--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -10,7 +10,7 @@
 import {getBudgetTotals, getPeerTotals} from './peer-totals.js';
 import {computeDemandShare} from './share.js';
 import {
-	computeReleased, countFreeTokens, countLiveRouters, countSpendableTokens, getBudgetHold,
+	computeReleased, computeTransferIntervalMs, countAvailableTokens, countFreeTokens, countLiveRouters, countSpendableTokens, getBudgetHold, isLargeFleet, readIntervalMs,
 } from './state.js';
 import type {
 	BudgetHold, BudgetRow, PeerRouter, PendingChange, LocalQuota, Restoration, SpendBound, SyncState, Transfer,
@@ -69,9 +69,6 @@
 /** Margin by which a successor process overestimates the time that its predecessor had for spending, because clocks differ slightly. */
 const clockErrorMargin = {ms: 20, factor: 1.02} as const;
 
-/** Interval between reads of all rows. */
-const readIntervalMs = 1000;
-
 /** Time for which drawn tokens are kept before they may be returned, so that they do not oscillate between routers. */
 const returnDelayMs = 500;
 
@@ -154,14 +151,6 @@
 /** Sums the other live routers' demand for a budget, as stated in their rows, in tokens per second. */
 const sumPeerDemand = (quota: LocalQuota, organisation: string): number => getBudgetTotals(quota.peers, organisation).demand;
 
-/**
-Routers up to which rows are written, and tokens drawn ahead of need, whenever that helps. The store has no room for
-that in a larger fleet, and each router there has too few requests of an organisation to know its demand.
-*/
-const maxEagerRouters = 6;
-
-const isEager = (quota: LocalQuota): boolean => countLiveRouters(quota) <= maxEagerRouters;
-
 /** Tokens that a request is taken to reserve at a router that has seen none yet. */
 const defaultReservationTokens = 4000;
 
@@ -182,7 +171,7 @@
 
 /** Computes this router's fair fraction of the held tokens: mostly in proportion to demand, of its data centre in a large fleet. */
 const computeShareFraction = (quota: LocalQuota, organisation: string): number => {
-	if (!isEager(quota)) {
+	if (isLargeFleet(quota)) {
 		return computeLargeFleetShare(quota, organisation);
 	}
 
@@ -205,7 +194,7 @@
 */
 const computeDrawTokens = (quota: LocalQuota, organisation: string, context: QuotaContext): number => {
 	const hold = getBudgetHold(quota, organisation);
-	const free = countFreeTokens(hold);
+	const free = countAvailableTokens(hold);
 	const unallocated = countUnallocatedTokens(quota, organisation, context);
 	const target = computeTargetTokens(quota, organisation, context);
 	const prefetch = Math.min(target - free, unallocated);
@@ -236,8 +225,8 @@
 	}
 
 	// Each of many routers holds less than what is unallocated, so that this tells nothing of the need of the others.
-	const isNeeded = !isEager(quota) || countUnallocatedTokens(quota, organisation, context) < free;
-	const hasExcess = target === 0 ? free > 0 : free > (target * (isEager(quota) ? 2 : largeFleetExcessFactor)) + minimumDrawTokens;
+	const isNeeded = isLargeFleet(quota) || countUnallocatedTokens(quota, organisation, context) < free;
+	const hasExcess = target === 0 ? free > 0 : free > (target * (isLargeFleet(quota) ? largeFleetExcessFactor : 2)) + minimumDrawTokens;
 	return isNeeded && hasExcess && hold.waitingTokens === 0 && now - hold.drawnAtMs >= returnDelayMs ? free - target : 0;
 };
 
@@ -276,11 +265,11 @@
 const computeSpendWindow = ({demand, typicalReservation}: BudgetHold, {requests, seconds}: RequestAllowance): number =>
 	(demand * windowHorizonSeconds) + Math.max(minimumWindowTokens, Math.min(requests * typicalReservation, demand * seconds));
 
-const getAllowance = (quota: LocalQuota): RequestAllowance => isEager(quota) ? eagerAllowance : createLargeFleetAllowance(countLiveRouters(quota));
+const getAllowance = (quota: LocalQuota): RequestAllowance => isLargeFleet(quota) ? createLargeFleetAllowance(countLiveRouters(quota)) : eagerAllowance;
 
 /** Plans what may be spent of a hold until its row is written again. In-flight requests stay reserved in the new row. */
 const planSpendBound = (hold: BudgetHold, allowance: RequestAllowance, now: number): SpendBound => ({
-	window: Math.ceil(hold.reserved + Math.max(computeSpendWindow(hold, allowance), hold.held * windowFraction, hold.waitingTokens)),
+	window: Math.ceil(hold.reserved + Math.max(computeSpendWindow(hold, allowance), hold.held * windowFraction, hold.waitingTokens) + hold.promised),
 	rate: Math.ceil(Math.max(hold.demand * outageSpendFactor.first, hold.held / fullReleaseSeconds)),
 	delay: releaseDelayMs,
 	laterRate: Math.ceil(hold.demand * (outageSpendFactor.later - outageSpendFactor.first)),
@@ -303,7 +292,7 @@
 */
 const isInScope = (quota: LocalQuota, organisation: string, scope: TransferScope): boolean => {
 	const hold = getBudgetHold(quota, organisation);
-	return scope === 'all' || quota.isLeaving || hold.waitingTokens > countFreeTokens(hold);
+	return scope === 'all' || quota.isLeaving || hold.waitingTokens > countAvailableTokens(hold);
 };
 
 const planChange = (quota: LocalQuota, context: QuotaContext, scope: TransferScope, now: number): PendingChange => {
@@ -413,7 +402,7 @@
 
 /** Checks whether the spend window keeps tokens that are free from requests that need this many. */
 const isWindowLimiting = (quota: LocalQuota, organisation: string, neededTokens: number, now: number): boolean =>
-	countFreeTokens(getBudgetHold(quota, organisation)) >= neededTokens && countSpendableTokens(quota, organisation, now) < neededTokens;
+	countAvailableTokens(getBudgetHold(quota, organisation)) >= neededTokens && countSpendableTokens(quota, organisation, now) < neededTokens;
 
 /** Checks whether requests wait only for the row to be written. */
 const isWindowAwaited = (quota: LocalQuota, organisation: string, now: number): boolean => {
@@ -427,6 +416,12 @@
 	return hold.waitingTokens === 0 && isWindowLimiting(quota, organisation, computeSpendWindow(hold, getAllowance(quota)) / 2, now);
 };
 
+/** Checks whether tokens that peers have asked for wait only for the row to be written. */
+const isGrantAwaited = (quota: LocalQuota, organisation: string, now: number): boolean => {
+	const {promised} = getBudgetHold(quota, organisation);
+	return promised > 0 && isWindowLimiting(quota, organisation, promised, now);
+};
+
 const computeSettleIntervalMs = (quota: LocalQuota): number => Math.max(minSettleIntervalMs, countLiveRouters(quota) * 1000 / maxSettlementsPerSecond);
 
 const isSettlementDue = (quota: LocalQuota, now: number): boolean => {
@@ -435,23 +430,21 @@
 		|| (isIntervalOver && quota.holds.some(hold => hold.charged > 0))
 		|| (now - quota.settledAtMs >= heartbeatIntervalMs && !quota.isLeaving)
 		|| quota.holds.keySeq().some(organisation => isWindowAwaited(quota, organisation, now))
-		|| ((isIntervalOver || isEager(quota)) && quota.holds.keySeq().some(organisation => isWindowUsedUp(quota, organisation, now)));
+		|| (now - quota.settledAtMs >= minSettleIntervalMs && quota.holds.keySeq().some(organisation => isGrantAwaited(quota, organisation, now)))
+		|| ((isIntervalOver || !isLargeFleet(quota)) && quota.holds.keySeq().some(organisation => isWindowUsedUp(quota, organisation, now)));
 };
 
-/** Changes with transfers ahead of need, of all routers together, per second: few enough that they seldom meet at one row. */
-const maxTransfersPerSecond = 40;
-
 /** Time after its start for which a router draws no tokens ahead of need: only then has it read the rows of all routers that start along with it. */
 const settlingInMs = 2000;
 
 /** Decides which transfers are due: those ahead of need are paced, and give way to requests that wait for the row alone. */
 const chooseTransferScope = (quota: LocalQuota, now: number): TransferScope => {
-	const isIntervalOver = now - (quota.transfers.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY) >= countLiveRouters(quota) * 1000 / maxTransfersPerSecond;
+	const isIntervalOver = now - (quota.transfers.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY) >= computeTransferIntervalMs(quota);
 	if (now - quota.startedAtMs < settlingInMs) {
 		return 'needed';
 	}
 
-	return isEager(quota) || (isIntervalOver && !quota.holds.keySeq().some(organisation => isWindowAwaited(quota, organisation, now))) ? 'all' : 'needed';
+	return !isLargeFleet(quota) || (isIntervalOver && !quota.holds.keySeq().some(organisation => isWindowAwaited(quota, organisation, now))) ? 'all' : 'needed';
 };
 
 const needsTransfer = (quota: LocalQuota, context: QuotaContext, scope: TransferScope, now: number): boolean =>
@@ -531,6 +524,12 @@
 	? transfers
 	: [...transfers.filter(transfer => now - transfer.atMs <= maxCopyAgeMs), {change: parseChangeId(id).change, atMs: now, drawn}];
 
+/** Gets the smallest count of a budget's taken tokens that was known since the last but one reading of the rows. */
+const getSmallestTaken = ({budgets}: LocalQuota, organisation: string): number => {
+	const row = budgets.get(organisation);
+	return row === undefined ? 0 : Math.min(row.taken, row.previousTaken);
+};
+
 /** Applies a change that is known to be committed, with the resulting version of the router's row. */
 const applyChange = (quota: LocalQuota, change: PendingChange, version: number, context: QuotaContext, now: number): QuotaStep => {
 	const updated: LocalQuota = {
@@ -538,7 +537,7 @@
 		version,
 		changes: quota.changes + 1,
 		holds: applyChangeToHolds(quota, change, now),
-		budgets: quota.budgets.merge(change.taken.map((taken): BudgetRow => ({version, taken}))),
+		budgets: quota.budgets.merge(change.taken.map((taken, organisation): BudgetRow => ({version, taken, previousTaken: getSmallestTaken(quota, organisation)}))),
 		settledAtMs: change.isTakeover ? quota.settledAtMs : now,
 		transfers: recordTransfer(quota.transfers, change, now),
 		restoration: quota.restoration?.ownRow === 'read' ? {...quota.restoration, ownRow: 'written', lostDraws: Map()} : quota.restoration,
@@ -549,12 +548,12 @@
 	return {state: next.state, effects: [...takenOver.effects, {kind: 'changed'}, ...next.effects]};
 };
 
-/** Updates the known budgets of some organisations from rows that were read; a missing row counts as nothing taken. */
-const updateBudgets = (quota: LocalQuota, organisations: readonly string[], rows: readonly StoredRow[]): LocalQuota => ({
+/** Updates the known budgets of some organisations from rows; a missing row counts as nothing taken. */
+const updateBudgets = (quota: LocalQuota, organisations: readonly string[], rows: readonly StoredRow[], getPreviousTaken: (organisation: string) => number): LocalQuota => ({
 	...quota,
 	budgets: organisations.reduce((budgets, organisation) => {
 		const row = findRow(rows, tables.budgets, organisation);
-		return budgets.set(organisation, {version: row?.version ?? 0, taken: decodeTakenTokens(row)});
+		return budgets.set(organisation, {version: row?.version ?? 0, taken: decodeTakenTokens(row), previousTaken: getPreviousTaken(organisation)});
 	}, quota.budgets),
 });
 
@@ -585,7 +584,7 @@
 		return fence(quota);
 	}
 
-	const refreshed = updateBudgets({...quota, sync: {step: 'idle'}}, [...change.taken.keys()], rows);
+	const refreshed = updateBudgets({...quota, sync: {step: 'idle'}}, [...change.taken.keys()], rows, organisation => getSmallestTaken(quota, organisation));
 	const next = startSync(refreshed, context, now);
 	return {state: next.state, effects: [{kind: 'changed'}, ...next.effects]};
 };
@@ -668,7 +667,7 @@
 };
 
 const receiveBudgets = (quota: LocalQuota, rows: readonly StoredRow[], context: QuotaContext, now: number): QuotaStep => {
-	const updated = updateBudgets({...quota, readAtMs: now, sync: {step: 'idle'}}, rows.map(row => row.key), rows);
+	const updated = updateBudgets({...quota, readAtMs: now, sync: {step: 'idle'}}, rows.map(row => row.key), rows, organisation => quota.budgets.get(organisation)?.taken ?? decodeTakenTokens(findRow(rows, tables.budgets, organisation)));
 	const next = startSync(updated, context, now);
 	return {state: next.state, effects: [...logUnreadableRows(rows, budgetRowSchema), {kind: 'changed'}, ...next.effects]};
 };
--- a/src/quota/index.ts
+++ b/src/quota/index.ts
@@ -1,7 +1,8 @@
 export {handleQuotaEvent} from './handle.js';
 export type {QuotaStoreCall, QuotaEffect, QuotaEvent} from './messages.js';
 export {
-	chargeTokens, countFreeTokens, countSpendableTokens, createLocalQuota, explainShortage, getBudgetHold, listLiveRouters, recordUnmetDemand, reserveTokens,
+	chargeTokens, countAvailableTokens, countFreeTokens, countGrantableTokens, countSpareTokens, countSpendableTokens, createLocalQuota,
+	estimateReturnMs, estimateSpareTokens, explainShortage, getBudgetHold, grantTokens, isLargeFleet, listLiveRouters, receiveTokens, recordUnmetDemand, reserveTokens, setPromisedTokens,
 	setWaitingTokens,
 } from './state.js';
 export type {
--- a/src/quota/state.ts
+++ b/src/quota/state.ts
@@ -31,8 +31,14 @@
 	bound: SpendBound;
 	/** Tokens spent but not yet subtracted from the row. */
 	charged: number;
-	/** Maximum tokens that in-flight requests may still cost. */
+	/** Maximum tokens that in-flight requests may still cost, without `receivedReserved`. */
 	reserved: number;
+	/** Free tokens that peers have granted. They have been charged there, so they are in no row, and are lost with this process. */
+	received: number;
+	/** Received tokens that in-flight requests may still cost. */
+	receivedReserved: number;
+	/** Tokens that peers have asked for and that the spend bound does not allow to be granted yet. */
+	promised: number;
 	/** Tokens that all waiting requests need together. */
 	waitingTokens: number;
 	/** Tokens that the smallest waiting request needs. */
@@ -48,7 +54,12 @@
 }>;
 
 /** A budget's row as last read; `taken` counts the tokens that routers have drawn and not returned. */
-export type BudgetRow = Readonly<{version: number; taken: number}>;
+export type BudgetRow = Readonly<{
+	version: number;
+	taken: number;
+	/** Smallest count since the reading before the latest reading of the rows. */
+	previousTaken: number;
+}>;
 
 /** A transaction sent to the store, and its effect on each hold once it is committed. */
 export type PendingChange = Readonly<{
@@ -125,7 +136,8 @@
 
 Invariants: for each organisation, `charged + reserved` is at most `held`, and at
 most what the spend bound allows of every version of the row that may be in the
-store. The budget's row counts at least what all routers' rows hold plus what was
+store. Tokens granted to peers are part of `charged`, and those received from them
+of neither. The budget's row counts at least what all routers' rows hold plus what was
 settled.
 */
 export type LocalQuota = Readonly<{
@@ -176,7 +188,8 @@
 export const emptyBudgetHold: BudgetHold = {
 	held: 0, bound: {
 		window: 0, rate: 0, delay: 0, laterRate: 0, laterDelay: 0, plannedAt: 0,
-	}, charged: 0, reserved: 0, waitingTokens: 0, smallestWaitingTokens: 0, usedSinceTick: 0, demand: 0, typicalReservation: 0, drawnAtMs: Number.NEGATIVE_INFINITY,
+	}, charged: 0, reserved: 0, received: 0, receivedReserved: 0, promised: 0,
+	waitingTokens: 0, smallestWaitingTokens: 0, usedSinceTick: 0, demand: 0, typicalReservation: 0, drawnAtMs: Number.NEGATIVE_INFINITY,
 };
 
 /**
@@ -234,13 +247,21 @@
 	({...quota, holds: quota.holds.set(organisation, {...getBudgetHold(quota, organisation), ...fields})});
 
 /**
-Counts the tokens of a hold that are neither charged nor reserved.
+Counts the tokens of a hold that are neither charged nor reserved, without those received from peers.
 
 @param hold - The hold.
 @returns Tokens.
 */
 export const countFreeTokens = (hold: BudgetHold): number => hold.held - hold.charged - hold.reserved;
 
+/**
+Counts the tokens that are neither charged nor reserved, with those received from peers.
+
+@param hold - The hold.
+@returns Tokens.
+*/
+export const countAvailableTokens = (hold: BudgetHold): number => countFreeTokens(hold) + hold.received;
+
 /**
 Computes the maximum that may have been spent of a hold.
 
@@ -257,16 +278,8 @@
 const getUnconfirmedChange = (sync: SyncState): PendingChange | undefined =>
 	sync.step === 'writing' || sync.step === 'checking' || sync.step === 'waiting' ? sync.change : undefined;
 
-/**
-Counts the tokens that may be reserved now: the free ones, limited by the spend
-bounds of the confirmed row and of an unconfirmed change.
-
-@param quota - The local quota.
-@param organisation - The organisation that owns the budget.
-@param now - The time in ms.
-@returns Tokens.
-*/
-export const countSpendableTokens = (quota: LocalQuota, organisation: string, now: number): number => {
+/** Counts the tokens of this router's row that may be spent now: free ones, as far as the bounds of the confirmed row and of an unconfirmed change allow. */
+const countSpendableRowTokens = (quota: LocalQuota, organisation: string, now: number): number => {
 	const hold = getBudgetHold(quota, organisation);
 	const committed = hold.charged + hold.reserved;
 	const confirmedLimit = computeReleasedNow(hold.bound, now) - committed;
@@ -277,11 +290,22 @@
 		: (bound === undefined ? 0 : computeReleasedNow(bound, now)) - committed + (change.settled.get(organisation) ?? 0);
 	// Tokens that a change returns must not be spent while it may have been committed.
 	const returningTokens = Math.max(0, -(change?.drawn.get(organisation) ?? 0));
-	return Math.min(countFreeTokens(hold) - returningTokens, confirmedLimit, unconfirmedLimit);
+	return Math.max(0, Math.min(countFreeTokens(hold) - returningTokens, confirmedLimit, unconfirmedLimit));
 };
 
 /**
-Reserves tokens for a request.
+Counts the tokens that may be reserved now: those received from peers, and of this router's row what its spend bound allows.
+
+@param quota - The local quota.
+@param organisation - The organisation that owns the budget.
+@param now - The time in ms.
+@returns Tokens.
+*/
+export const countSpendableTokens = (quota: LocalQuota, organisation: string, now: number): number =>
+	countSpendableRowTokens(quota, organisation, now) + getBudgetHold(quota, organisation).received;
+
+/**
+Reserves tokens for a request. Those received from peers are used first, since they are lost if the process ends.
 
 @param quota - The local quota.
 @param organisation - The organisation that pays.
@@ -290,18 +314,26 @@
 @returns The updated quota; undefined if too few tokens may be spent now.
 */
 export const reserveTokens = (quota: LocalQuota, organisation: string, tokens: number, now: number): LocalQuota | undefined => {
+	if (quota.sync.step === 'fenced' || countSpendableTokens(quota, organisation, now) < tokens) {
+		return undefined;
+	}
+
 	const hold = getBudgetHold(quota, organisation);
-	return quota.sync.step === 'fenced' || countSpendableTokens(quota, organisation, now) < tokens
-		? undefined
-		: updateBudgetHold(quota, organisation, {
-			reserved: hold.reserved + tokens,
-			typicalReservation: hold.typicalReservation === 0 ? tokens : hold.typicalReservation + ((tokens - hold.typicalReservation) * typicalReservationWeight),
-		});
+	const received = Math.min(hold.received, tokens);
+	return updateBudgetHold(quota, organisation, {
+		received: hold.received - received,
+		receivedReserved: hold.receivedReserved + received,
+		reserved: hold.reserved + tokens - received,
+		typicalReservation: hold.typicalReservation === 0 ? tokens : hold.typicalReservation + ((tokens - hold.typicalReservation) * typicalReservationWeight),
+	});
 };
 
 /**
 Ends a reservation and charges the cost of its request.
 
+Which request reserved the received tokens does not matter: the reservations of all in-flight requests together are always
+`reserved + receivedReserved`, so the first one to end may be charged to the received tokens.
+
 @param quota - The local quota.
 @param organisation - The organisation that pays.
 @param reserved - The reserved tokens.
@@ -311,9 +343,94 @@
 export const chargeTokens = (quota: LocalQuota, organisation: string, reserved: number, charged: number): LocalQuota => {
 	const hold = getBudgetHold(quota, organisation);
 	const chargedTokens = Math.min(charged, reserved);
-	return updateBudgetHold(quota, organisation, {reserved: hold.reserved - reserved, charged: hold.charged + chargedTokens, usedSinceTick: hold.usedSinceTick + chargedTokens});
+	const received = Math.min(hold.receivedReserved, reserved);
+	const chargedToReceived = Math.min(chargedTokens, received);
+	return updateBudgetHold(quota, organisation, {
+		received: hold.received + received - chargedToReceived,
+		receivedReserved: hold.receivedReserved - received,
+		reserved: hold.reserved - (reserved - received),
+		charged: hold.charged + chargedTokens - chargedToReceived,
+		usedSinceTick: hold.usedSinceTick + chargedTokens,
+	});
+};
+
+/** Seconds of its own demand that a router keeps when it grants tokens to a peer. */
+const keptDemandSeconds = 0.5;
+
+/**
+Estimates the tokens that a router can do without.
+
+@param available - Tokens that it has.
+@param demand - Its demand in tokens per second.
+@returns Tokens, at least 0.
+*/
+export const estimateSpareTokens = (available: number, demand: number): number => Math.max(0, Math.floor(available - (demand * keptDemandSeconds)));
+
+/**
+Counts the tokens that this router can do without, whether or not its spend bound allows to grant them now.
+
+@param quota - The local quota.
+@param organisation - The organisation that owns the budget.
+@returns Tokens.
+*/
+export const countSpareTokens = (quota: LocalQuota, organisation: string): number => {
+	const hold = getBudgetHold(quota, organisation);
+	return quota.hasTakenOver && quota.sync.step !== 'fenced' ? estimateSpareTokens(countAvailableTokens(hold) - hold.waitingTokens, hold.demand) : 0;
 };
 
+/**
+Counts the tokens that may be granted to a peer now.
+
+@param quota - The local quota.
+@param organisation - The organisation that owns the budget.
+@param now - The time in ms.
+@returns Tokens.
+*/
+export const countGrantableTokens = (quota: LocalQuota, organisation: string, now: number): number =>
+	Math.floor(Math.min(countSpareTokens(quota, organisation), countSpendableTokens(quota, organisation, now)));
+
+/**
+Takes tokens for a peer. They count as spent before anything is sent: as charged, they stay within the spend bound of each version
+of the row that may be in the store, so that no successor takes them back.
+
+@param quota - The local quota.
+@param organisation - The organisation that owns the budget.
+@param tokens - The tokens.
+@param now - The time in ms.
+@returns The updated quota; undefined if they may not be granted now.
+*/
+export const grantTokens = (quota: LocalQuota, organisation: string, tokens: number, now: number): LocalQuota | undefined => {
+	if (countGrantableTokens(quota, organisation, now) < tokens) {
+		return undefined;
+	}
+
+	const hold = getBudgetHold(quota, organisation);
+	const received = Math.min(hold.received, tokens);
+	return updateBudgetHold(quota, organisation, {received: hold.received - received, charged: hold.charged + tokens - received});
+};
+
+/**
+Adds tokens that a peer has granted. They never enter this router's row.
+
+@param quota - The local quota.
+@param organisation - The organisation that owns the budget.
+@param tokens - The tokens.
+@returns The updated quota.
+*/
+export const receiveTokens = (quota: LocalQuota, organisation: string, tokens: number): LocalQuota =>
+	updateBudgetHold(quota, organisation, {received: getBudgetHold(quota, organisation).received + tokens});
+
+/**
+Records how many tokens are to be granted once the spend bound allows it; the next change of the row widens the bound.
+
+@param quota - The local quota.
+@param organisation - The organisation that owns the budget.
+@param tokens - Tokens that peers have asked for.
+@returns The updated quota.
+*/
+export const setPromisedTokens = (quota: LocalQuota, organisation: string, tokens: number): LocalQuota =>
+	getBudgetHold(quota, organisation).promised === tokens ? quota : updateBudgetHold(quota, organisation, {promised: tokens});
+
 /**
 Records how many tokens waiting requests need.
 
@@ -357,6 +474,42 @@
 */
 export const countLiveRouters = (quota: LocalQuota): number => 1 + getPeerTotals(quota.peers).liveRouters.length;
 
+/**
+Routers up to which rows are written, and tokens drawn ahead of need, whenever that helps. The store has no room for
+that in a larger fleet, and each router there has too few requests of an organisation to know its demand.
+*/
+const maxEagerRouters = 6;
+
+/**
+Tells whether many routers share the budgets: shares then follow the demand of data centres, and peers are asked for tokens directly.
+
+@param quota - The local quota.
+@returns False for up to 6 live routers.
+*/
+export const isLargeFleet = (quota: LocalQuota): boolean => countLiveRouters(quota) > maxEagerRouters;
+
+/** Time between readings of the rows, in ms. */
+export const readIntervalMs = 1000;
+
+/** Changes with transfers ahead of need, of all routers together, per second: few enough that they seldom meet at one row. */
+const maxTransfersPerSecond = 40;
+
+/**
+Computes how often this router draws or returns tokens ahead of need.
+
+@param quota - The local quota.
+@returns The interval in ms.
+*/
+export const computeTransferIntervalMs = (quota: LocalQuota): number => countLiveRouters(quota) * 1000 / maxTransfersPerSecond;
+
+/**
+Estimates when tokens that other routers hold reach this one by the store: they read of its demand, and return what exceeds their shares.
+
+@param quota - The local quota.
+@returns Time from now, in ms.
+*/
+export const estimateReturnMs = (quota: LocalQuota): number => readIntervalMs + computeTransferIntervalMs(quota);
+
 /** Why tokens are short: the budget is exhausted, other routers hold tokens that may be returned, or the store is unavailable. */
 export type Shortage = 'exhausted' | 'held-elsewhere' | 'unavailable';
 
@@ -376,15 +529,17 @@
 
 	const row = quota.budgets.get(organisation);
 	const hold = getBudgetHold(quota, organisation);
-	if (quota.restoration !== undefined && countFreeTokens(hold) < tokens) {
+	if (quota.restoration !== undefined && countAvailableTokens(hold) < tokens) {
 		return 'unavailable';
 	}
 
-	if (limit - (row?.taken ?? 0) + countFreeTokens(hold) >= tokens) {
+	if (limit - (row?.taken ?? 0) + countAvailableTokens(hold) >= tokens) {
 		return undefined;
 	}
 
 	const {held: peerHeldTokens} = getBudgetTotals(quota.peers, organisation);
 	// Reservations of in-flight requests on this router may release unused tokens.
-	return limit - (row?.taken ?? 0) + hold.held - hold.charged + peerHeldTokens >= tokens ? 'held-elsewhere' : 'exhausted';
+	const ownTokens = countAvailableTokens(hold) + hold.reserved + hold.receivedReserved;
+	// What a peer has drawn since its row was read is in none of the sums, but was in the budget when that was read before.
+	return limit - Math.min(row?.taken ?? 0, row?.previousTaken ?? 0) + ownTokens + peerHeldTokens >= tokens ? 'held-elsewhere' : 'exhausted';
 };
