--- a/src/token-transfer/safety.test.ts
+++ b/src/token-transfer/safety.test.ts
@@ -1,6 +1,10 @@
+import {Map} from 'immutable';
 import {expect, test} from 'vitest';
 import {playQuotaLoad} from '../../test/quota-play.js';
 import type {QuotaLoad, StoreFault} from '../../test/quota-play.js';
+import {createLocalQuota, getBudgetHold, setWaitingTokens} from '../quota/index.js';
+import type {PeerRouter} from '../quota/index.js';
+import {askForTokens, createTokenTransfers, receiveTransfer} from './index.js';
 
 const faults: readonly StoreFault[] = ['none', 'none', 'none', 'none', 'call-lost', 'answer-lost', 'late'];
 
@@ -28,3 +32,23 @@
 	expect(outcomes.flatMap(({overspentAt}, seed) => overspentAt === undefined ? [] : [{seed, overspentAt}])).toEqual([]);
 	expect(outcomes.reduce((sum, {granted}) => sum + granted, 0)).toBeGreaterThan(0);
 }, 300_000);
+
+const giver: PeerRouter = {
+	peerAddress: '127.0.0.1:2', dataCentre: 'z', isLive: true, era: 1, holds: Map([['o', {held: 50_000, demand: 0}]]),
+};
+
+// Guards against tokens that two processes on the same address accept, or that one accepts twice.
+test('a grant is accepted once, and only by the incarnation that asked', () => {
+	const peers = Map(Array.from({length: 7}, (_, index) => [`peer-${index}`, giver] as const));
+	const quota = setWaitingTokens({...createLocalQuota('r', 'r#2', 0, '127.0.0.1:1', 'z'), hasTakenOver: true, peers}, 'o', 1000, 1000);
+	const asked = askForTokens({quota, transfers: createTokenTransfers('r#2')}, 'o', 0, 10);
+	const grant = (id: string) => ({
+		kind: 'token-grant', id, address: '127.0.0.1:2', organisation: 'o', tokens: 1000,
+	} as const);
+	expect(asked.effects).toMatchObject([{kind: 'tell', message: {kind: 'token-request', id: 'r#2.1', tokens: 1000}}]);
+	const former = receiveTransfer(asked.state, grant('r#1.1'), 20);
+	const first = receiveTransfer(former.state, grant('r#2.1'), 21);
+	const again = receiveTransfer(first.state, grant('r#2.1'), 22);
+	expect([former, first, again].map(({state}) => getBudgetHold(state.quota, 'o').received)).toEqual([0, 1000, 1000]);
+	expect(again.effects).toMatchObject([{kind: 'tell', message: {kind: 'token-ack', id: 'r#2.1'}}]);
+});
