--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -50,6 +50,15 @@
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
+		tokensGranted: new Counter({
+			name: 'galena_tokens_granted_total', help: 'Tokens sent to other routers directly.', registers,
+		}),
+		tokensReceived: new Counter({
+			name: 'galena_tokens_received_total', help: 'Tokens received from other routers directly.', registers,
+		}),
+		tokenShortages: new Counter({
+			name: 'galena_token_shortages_total', help: 'Requests rejected because tokens were short, by reason.', labelNames: ['reason'], registers,
+		}),
 	};
 	const gauges: Readonly<Record<GaugeName, Gauge>> = {
 		evacuatedDataCentres: new Gauge({name: 'galena_evacuated_data_centres', help: 'Data centres whose endpoints get nothing new.', registers}),
