--- /dev/null
+++ b/test/edge-process.ts
@@ -0,0 +1,321 @@
+import {Buffer} from 'node:buffer';
+import {execFileSync, spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {
+	mkdtempSync, readdirSync, readFileSync, writeFileSync,
+} from 'node:fs';
+import {createServer, get, request} from 'node:http';
+import type {IncomingMessage, RequestOptions, ServerResponse} from 'node:http';
+import {connect, createServer as createSocketServer} from 'node:net';
+import type {AddressInfo, Server as SocketServer, Socket} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect, onTestFinished} from 'vitest';
+import {createStore} from './soak/store.js';
+
+/** Time that clients have to send what they send, in ms. A client that the process does not read may need longer. */
+const sendingMs = 8000;
+
+/** Time after which the effects of what clients sent are looked at, in ms. */
+const settlingMs = 1500;
+
+/** A program of the bundle that runs in a child process. */
+export type BundledProgram = Readonly<{
+	/** Address of its clients. */
+	port: number;
+	/** Returns false once the process has ended. */
+	isAlive: () => boolean;
+	/** Returns the largest resident memory so far, in MB. */
+	readPeakMemory: () => number;
+	/** Returns the largest number of open descriptors seen so far. */
+	getPeakDescriptors: () => number;
+	/** Lines that the program has logged. */
+	lines: readonly string[];
+}>;
+
+/** Bundles the programs as the deploy file does. */
+export const bundlePrograms = (): void => {
+	execFileSync('npm', ['run', '--silent', 'bundle']);
+};
+
+const listen = async (server: SocketServer): Promise<number> => new Promise(resolve => {
+	server.listen(0, '127.0.0.1', () => {
+		resolve((server.address() as AddressInfo).port);
+	});
+});
+
+const findPort = async (): Promise<number> => {
+	const server = createSocketServer();
+	const port = await listen(server);
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return port;
+};
+
+const countDescriptors = (pid: number): number => {
+	try {
+		return readdirSync(`/proc/${pid}/fd`).length;
+	} catch {
+		return 0;
+	}
+};
+
+/** Starts a program with the memory limit of its run line in `deploy/system.toml`. */
+const startBundled = (name: string, oldSpaceMb: number, settings: string, port: number): BundledProgram => {
+	const file = path.join(mkdtempSync(path.join(tmpdir(), 'galena-')), `${name}.ini`);
+	writeFileSync(file, settings);
+	const child: ChildProcess = spawn(process.execPath, [`--max-old-space-size=${oldSpaceMb}`, `target/bin/${name}.js`, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
+	const pid = child.pid!;
+	const lines: string[] = [];
+	[child.stdout, child.stderr].forEach(output => {
+		output?.on('data', bytes => {
+			lines.push(...String(bytes).trimEnd().split('\n'));
+		});
+	});
+	let peakDescriptors = 0;
+	const timer = setInterval(() => {
+		peakDescriptors = Math.max(peakDescriptors, countDescriptors(pid));
+	}, 20);
+	onTestFinished(() => {
+		clearInterval(timer);
+		child.kill('SIGKILL');
+	});
+	return {
+		port,
+		lines,
+		isAlive: () => child.exitCode === null && child.signalCode === null,
+		readPeakMemory: () => Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.kilobytes) / 1024,
+		getPeakDescriptors: () => peakDescriptors,
+	};
+};
+
+const readStatus = async (options: RequestOptions, body: Buffer | string): Promise<number | undefined> => new Promise(resolve => {
+	const outgoing = request({host: '127.0.0.1', agent: false, ...options}, incoming => {
+		incoming.resume();
+		incoming.on('close', () => {
+			resolve(incoming.statusCode);
+		});
+	});
+	outgoing.on('error', () => {
+		resolve(undefined);
+	});
+	outgoing.end(body);
+});
+
+/** How the endpoint answers the paths of uncontrolled clients; it answers any other path at once. */
+const endpointResponders: Readonly<Record<string, (incoming: IncomingMessage, response: ServerResponse, headers: Readonly<Record<string, string>>) => void>> = {
+	'/held'(incoming, response, headers) {
+		incoming.resume();
+		setTimeout(() => {
+			response.writeHead(200, headers).end('late');
+		}, 5000);
+	},
+	'/large'(incoming, response, headers) {
+		incoming.resume();
+		response.writeHead(200, headers).end(Buffer.alloc(7 * 1024 * 1024));
+	},
+	'/stream'(incoming, response, headers) {
+		incoming.resume();
+		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		const event = `data: ${'x'.repeat(8000)}\n\n`;
+		const timer = setInterval(() => {
+			if (!response.writableNeedDrain) {
+				response.write(event.repeat(8));
+			}
+		}, 20);
+		response.on('close', () => {
+			clearInterval(timer);
+		});
+	},
+};
+
+/**
+Starts the edge with a store and an endpoint.
+
+@param limits - Memory in MB, and descriptors, of the settings.
+@returns The edge, which is ready.
+*/
+export const startEdgeProcess = async ({memory, descriptors}: Readonly<{memory: number; descriptors: number}>): Promise<BundledProgram> => {
+	const store = createStore();
+	const endpoint = createServer((incoming, response) => {
+		const headers = {'response-seal': 's', 'attempt-id': String(incoming.headers['attempt-id'])};
+		const respond = endpointResponders[incoming.url ?? ''];
+		response.on('error', () => undefined);
+		if (respond !== undefined) {
+			respond(incoming, response, headers);
+			return;
+		}
+
+		incoming.resume();
+		incoming.on('end', () => {
+			response.writeHead(200, headers).end('whole');
+		});
+	});
+	const [storePort, endpointPort] = await Promise.all([listen(store.server), listen(endpoint)]);
+	store.put('servers', 'i-1', {
+		service: 's', address: `127.0.0.1:${endpointPort}`, zone: 'z', version: 'v1', slots: 2000, state: 'ready', born: 1,
+	});
+	store.put('op', 'config', {
+		version: 1,
+		routes: [{
+			name: 'r', host: 'h', prefix: '/', kind: 'unsafe', timeoutMs: 30_000, targetLatencyMs: 5000, priority: 1, service: 's', anonymous: true,
+		}],
+		services: [{name: 's', maxConnections: 200}],
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 30_000, idleTimeoutMs: 30_000,
+		},
+	});
+	const [callers, ready, metrics, peers] = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
+	const program = startBundled('galena-edge', 120, `[host]
+name = r
+address = 127.0.0.1
+data-centre = z
+[listen]
+callers = 127.0.0.1:${callers}
+ready = 127.0.0.1:${ready}
+metrics = 127.0.0.1:${metrics}
+peers = 127.0.0.1:${peers}
+[store]
+address = 127.0.0.1:${storePort}
+relays =
+[bounds]
+grace = 7s
+repeat-ratio = 0.2
+repeat-slack = 50
+[limits]
+memory = ${memory}
+descriptors = ${descriptors}
+`, callers);
+	onTestFinished(() => {
+		[endpoint, store.server].forEach(server => {
+			server.closeAllConnections();
+			server.close();
+		});
+	});
+	await expect.poll(async () => new Promise(resolve => {
+		get({host: '127.0.0.1', port: ready}, incoming => {
+			incoming.resume();
+			resolve(incoming.statusCode);
+		}).on('error', () => {
+			resolve(undefined);
+		});
+	}), {timeout: 20_000}).toBe(200);
+	return program;
+};
+
+/**
+Starts the relay with a store that reads HTTP requests, and nothing else.
+
+@param descriptors - Descriptors in the settings.
+@returns The relay.
+*/
+export const startRelayProcess = async (descriptors: number): Promise<BundledProgram> => {
+	const accepted = new Set<Socket>();
+	const store = createSocketServer(socket => {
+		accepted.add(socket);
+		socket.on('error', () => undefined);
+		socket.once('data', bytes => {
+			if (String(bytes).startsWith('POST ')) {
+				socket.end('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+			} else {
+				socket.pause();
+			}
+		});
+	});
+	const [storePort, routers, metrics] = await Promise.all([listen(store), findPort(), findPort()]);
+	const program = startBundled('galena-relay', 40, `[host]
+name = s
+[listen]
+routers = 127.0.0.1:${routers}
+metrics = 127.0.0.1:${metrics}
+[store]
+address = 127.0.0.1:${storePort}
+[limits]
+memory = 210
+descriptors = ${descriptors}
+`, routers);
+	onTestFinished(() => {
+		accepted.forEach(socket => {
+			socket.destroy();
+		});
+		store.close();
+	});
+	await expect.poll(async () => sendOrdinaryRequest(program), {timeout: 20_000}).toBe(200);
+	return program;
+};
+
+/**
+Sends a request over a connection of its own.
+
+@param program - The program.
+@param body - The body, which is small by default.
+@returns The status of the response; undefined if the connection was closed without one.
+*/
+export const sendOrdinaryRequest = async ({port}: BundledProgram, body: Buffer | string = 'small'): Promise<number | undefined> => readStatus({
+	port, method: 'POST', path: '/plain', headers: {
+		host: 'h', 'attempt-id': 'ordinary', 'request-deadline-ms': '5000', 'content-length': body.length,
+	},
+}, body);
+
+/** What a client writes after it has connected, in order. */
+export type Script = Iterable<Buffer | string>;
+
+/** Clients that write and then stay connected. */
+export type Clients = Readonly<{
+	count: number;
+	/** Returns what the client with the given index writes. */
+	createScript: (index: number) => Script;
+	/** Time between the connections of two clients, in ms; 0 if left out. */
+	intervalMs?: number;
+	/** False for clients that read nothing. */
+	isReading?: boolean;
+}>;
+
+const writeScript = async (socket: Socket, script: Script): Promise<void> => {
+	for (const bytes of script) {
+		if (socket.destroyed) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			socket.once('close', resolve);
+			socket.write(bytes, () => {
+				socket.off('close', resolve);
+				resolve();
+			});
+		});
+	}
+};
+
+/**
+Opens connections that write and then stay open until the test ends, and waits until what they wrote has had its effect.
+
+@param program - The program.
+@param clients - The clients.
+*/
+export const sendFromClients = async ({port}: BundledProgram, {
+	count, createScript, intervalMs = 0, isReading = true,
+}: Clients): Promise<void> => {
+	const sockets = new Set<Socket>();
+	onTestFinished(() => {
+		sockets.forEach(socket => {
+			socket.destroy();
+		});
+	});
+	const run = async (index: number): Promise<void> => {
+		await sleep(index * intervalMs);
+		const socket = connect(port, '127.0.0.1').on('error', () => undefined);
+		sockets.add(socket);
+		if (isReading) {
+			socket.resume();
+		}
+
+		return writeScript(socket, createScript(index));
+	};
+
+	await Promise.race([Promise.all(Array.from({length: count}, async (_, index) => run(index))), sleep(sendingMs)]);
+	await sleep(settlingMs);
+};
