Bound what the edge holds for its clients

The total of bodies, heads, connections, and responses that clients do not read was not bounded, so that clients within their own limits made the process exceed the memory and descriptors of its machine. One account now covers them, measured against [limits] memory and descriptors; it gives up the largest and oldest incomplete requests first.

--- a/src/byte-buffer/index.ts
+++ b/src/byte-buffer/index.ts
@@ -16,9 +16,10 @@
 /**
 Creates an empty buffer. Adding chunks takes linear time in total.
 
+@param expectedBytes - Size of all chunks, if it is known: the buffer takes up no more, and copies each chunk once.
 @returns The buffer.
 */
-export const createByteBuffer = (): ByteBuffer => {
+export const createByteBuffer = (expectedBytes = 0): ByteBuffer => {
 	let block: Buffer = Buffer.alloc(0);
 	let length = 0;
 	return {
@@ -28,7 +29,7 @@
 				block = chunk;
 			} else {
 				if (length + chunk.length > block.length) {
-					const larger = Buffer.allocUnsafe(Math.max(length * 2, length + chunk.length));
+					const larger = Buffer.allocUnsafe(length + chunk.length <= expectedBytes ? expectedBytes : Math.max(length * 2, length + chunk.length));
 					block.copy(larger, 0, 0, length);
 					block = larger;
 				}
--- a/src/edge/buffer-limits.ts
+++ b/src/edge/buffer-limits.ts
@@ -8,7 +8,7 @@
 const maxBufferedBytes = 32 * 1024 * 1024;
 
 /** Size up to which a response or event is kept even if others use up the memory, in bytes. */
-const smallBytes = 64 * 1024;
+export const smallBytes = 64 * 1024;
 
 /**
 Explains why a response or event cannot be kept in memory.
--- a/src/edge/client-response.ts
+++ b/src/edge/client-response.ts
@@ -2,6 +2,9 @@
 import type {ServerResponse} from 'node:http';
 import type {FinalHead} from '../http-head/index.js';
 
+/** Time after which a client is given up that reads nothing of its response, in ms. Node.js notices it after one to two of these. */
+const stallTimeoutMs = 2000;
+
 /** A response of which nothing has been sent. */
 export type OpenResponse = Readonly<{
 	state: 'open';
@@ -60,8 +63,16 @@
 
 const createStreamResponse = (response: ServerResponse): StreamResponse => ({
 	state: 'streaming',
-	write: events => response.write(events),
+	write(events) {
+		const isAccepted = response.write(events);
+		if (!isAccepted) {
+			response.setTimeout(stallTimeoutMs);
+		}
+
+		return isAccepted;
+	},
 	end(rest) {
+		response.setTimeout(stallTimeoutMs);
 		response.end(rest);
 	},
 	break() {
@@ -75,20 +86,32 @@
 @param response - The response, of which nothing has been sent.
 @param onDrain - Called when the client of a stream reads again.
 @param isLast - Called as the head is written: whether the response closes the client's connection.
+@param onStall - Called when the client has stopped reading, before its connection is closed.
 @returns The response.
 */
-export const openClientResponse = (response: ServerResponse, onDrain: () => void, isLast: () => boolean): OpenResponse => ({
-	state: 'open',
-	answer(head, body) {
-		writeHead(response, head, ['Content-Length', String(body.length)], isLast());
-		response.end(body);
-	},
-	begin(head) {
-		writeHead(response, head, [], isLast());
-		response.on('drain', onDrain);
-		return createStreamResponse(response);
-	},
-	break() {
-		closeConnection(response);
-	},
-});
+export const openClientResponse = (response: ServerResponse, onDrain: () => void, isLast: () => boolean, onStall: () => void): OpenResponse => {
+	// Node.js takes progress of a write for activity.
+	response.on('timeout', () => {
+		onStall();
+		response.destroy();
+	});
+	return {
+		state: 'open',
+		answer(head, body) {
+			writeHead(response, head, ['Content-Length', String(body.length)], isLast());
+			response.setTimeout(stallTimeoutMs);
+			response.end(body);
+		},
+		begin(head) {
+			writeHead(response, head, [], isLast());
+			response.on('drain', () => {
+				response.setTimeout(0);
+				onDrain();
+			});
+			return createStreamResponse(response);
+		},
+		break() {
+			closeConnection(response);
+		},
+	};
+};
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -33,6 +33,8 @@
 import type {FeedEvent} from './table-feed.js';
 import {handleEdge} from './handle.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
+import {openMemoryGuard} from './memory-guard.js';
+import type {RequestHolding} from './memory-guard.js';
 import {openMetrics} from './metrics.js';
 import {readRequestBody, rejectUnread} from './request-body.js';
 import type {EdgeSettings} from './settings.js';
@@ -126,10 +128,33 @@
 		return isLast;
 	};
 
+	const guard = openMemoryGuard({
+		machine: {memoryMb: settings.limits.memory, descriptors: settings.limits.descriptors},
+		clock,
+		onGivenUp(kind, bytes, ageMs) {
+			metrics.apply({kind: 'count', metric: 'givenUp', labels: {kind}});
+			log.write('failure', 'held-given-up', {
+				kind, bytes, age: Math.round(ageMs), held: guard.count().bytes, connections: guard.count().connections,
+			});
+		},
+	});
+
+	/** What the requests hold whose bodies are complete. */
+	const holdings = new Map<number, RequestHolding>();
+
 	const proxy = openHttpProxy({
 		post(event) {
 			loop.post(event);
-		}, isLastResponse, random, clock,
+		},
+		isLastResponse,
+		random,
+		clock,
+		hold: (requestId, kind, bytes) => holdings.get(requestId)?.set(kind, bytes) ?? true,
+		addRead: guard.addRead,
+		onStall(key) {
+			metrics.apply({kind: 'count', metric: 'givenUp', labels: {kind: 'stalled'}});
+			log.write('failure', 'client-stalled', {call: key});
+		},
 	});
 
 	const requestStore = async (effect: EdgeEffect & {kind: 'store'}) => {
@@ -376,6 +401,9 @@
 		'era-unreadable': () => undefined,
 	};
 
+	/** Requests whose clients send the body only when they are asked for it. */
+	const awaitingContinue = new WeakSet<IncomingMessage>();
+
 	/** Rejects the requests whose bodies are not complete. */
 	const unreadBodies = new Set<(fault: Fault) => void>();
 
@@ -410,12 +438,49 @@
 			head.val.clientTimeoutMs ?? Number.POSITIVE_INFINITY,
 			route?.timeout ?? config?.limits.idleTimeoutMs ?? defaultBodyTimeoutMs,
 		);
+		const expectedBytes = Number(incoming.headers['content-length'] ?? 0);
 		const limits = {
+			expectedBytes,
 			maxBytes: config?.limits.maxBodyBytes ?? defaultMaxBodyBytes,
 			timeoutMs: Math.max(0, Math.min(timeLimitMs - unreadMs, (answerBy ?? Number.POSITIVE_INFINITY) - receivedAt)),
 		};
+		const rejectRequest = (fault: Fault) => {
+			log.write('failure', 'call-malformed', {call: head.val.key, reason: fault.detail});
+			rejectUnread(incoming, response, fault);
+		};
+
+		if (expectedBytes > limits.maxBytes) {
+			incoming.resume();
+			rejectRequest(createFault('too-large', `body: larger than the limit of ${limits.maxBytes} bytes`));
+			return;
+		}
+
+		const createMemoryFault = () => createFault('overloaded', 'the router has no memory left for the request', suggestRetryAfter(timeLimitMs, random()));
+		const holding = guard.admit(expectedBytes, kind => {
+			if (kind === 'reading') {
+				rejectBody(createMemoryFault());
+			} else {
+				response.destroy();
+			}
+		});
+		if (holding === undefined) {
+			incoming.resume();
+			rejectRequest(createMemoryFault());
+			return;
+		}
+
+		response.on('close', holding.release);
+		if (awaitingContinue.has(incoming)) {
+			response.writeContinue();
+		}
+
 		const acceptRequest = (body: Buffer) => {
 			requestCount += 1;
+			const requestId = requestCount;
+			holdings.set(requestId, holding);
+			response.on('close', () => {
+				holdings.delete(requestId);
+			});
 			proxy.accept(requestCount, head.val, hostHeader, body, response);
 			loop.post({
 				kind: 'call-arrived', call: requestCount, head: head.val, bodyDigest: digestBody(body), receivedAt, unreadMs, random: random(),
@@ -446,13 +511,19 @@
 		};
 		const rejectBody = readRequestBody(incoming, limits, body => {
 			unreadBodies.delete(rejectBody);
+			holding.set('running', body.length);
 			intakeHandlers[decideAdmission({
 				lagMs: getDelay(), unreadMs, timeLimitMs, isFirstOnConnection: isFirstRequest,
 			})](body);
 		}, fault => {
 			unreadBodies.delete(rejectBody);
-			log.write('failure', 'call-malformed', {call: head.val.key, reason: fault.detail});
-			rejectUnread(incoming, response, fault);
+			holding.release();
+			rejectRequest(fault);
+		}, {
+			addRead: guard.addRead,
+			hold(bytes) {
+				holding.set('reading', Math.max(bytes, expectedBytes));
+			},
 		});
 		unreadBodies.add(rejectBody);
 		response.on('close', () => {
@@ -463,6 +534,12 @@
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000, noDelay: true,
 	}, receiveRequest);
+	// Without a listener, Node.js asks for each body itself.
+	server.on('checkContinue', (incoming: IncomingMessage, response: ServerResponse) => {
+		awaitingContinue.add(incoming);
+		server.emit('request', incoming, response);
+	});
+	guard.watch(server);
 	const responses = trackResponses(server);
 	const acceptQueue = watchAcceptQueue({
 		server,
@@ -538,6 +615,8 @@
 	}));
 	runForever(async () => periodic(1000).observe(() => {
 		log.tick(clock());
+		metrics.setHeld(guard.count());
+		proxy.limitConnections(guard.maxOutgoingConnections);
 	}));
 
 	const awaitDrained = async (deadline: number): Promise<void> => {
@@ -594,6 +673,7 @@
 			clearTimeout(timer);
 			log.write('routine', 'stopped', {incarnation, calls: loop.state().requests.size, responses: responses.count()});
 			client.close();
+			guard.close();
 			peerSocket.close();
 			proxy.close();
 		},
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -25,7 +25,7 @@
 import {
 	createAgent, limitResponses, pauseReading, resumeReading, takeTurns,
 } from '../server/http-client.js';
-import {findBufferExcess} from './buffer-limits.js';
+import {findBufferExcess, smallBytes} from './buffer-limits.js';
 import {openClientResponse, writeHead} from './client-response.js';
 import type {ClientResponse, StreamResponse} from './client-response.js';
 import {canEndAfter, createEventSplitter} from './event-stream.js';
@@ -104,6 +104,8 @@
 	fail: (requestId: number, isEnded: boolean) => void;
 	/** Closes the idle connections to an address. */
 	closeIdleConnections: (address: string) => void;
+	/** Closes idle connections while there are more connections to endpoints than this. */
+	limitConnections: (maxConnections: number) => void;
 	close: () => void;
 }>;
 
@@ -114,6 +116,12 @@
 	random: () => number;
 	/** The current time in ms. */
 	clock: () => number;
+	/** Takes into account what a request holds, in bytes, and whether its client reads it; returns false if there is no room for more. */
+	hold?: (requestId: number, kind: 'running' | 'unread', bytes: number) => boolean;
+	/** Counts bytes that were read from endpoints in pieces. */
+	addRead?: (bytes: number) => void;
+	/** Called when a client is given up that has stopped reading. */
+	onStall?: (key: string) => void;
 }>;
 
 const formatErrorResponse = (fault: Fault): Readonly<{head: FinalHead; body: Buffer}> => {
@@ -175,6 +183,8 @@
 	return framing === 'close' && upstream.eventCount === 0 && !upstream.isResumed ? 'stream ended with its connection before its first event' : undefined;
 };
 
+const countSockets = (sockets: Agent['freeSockets']): number => Object.values(sockets).reduce((sum, list) => sum + (list?.length ?? 0), 0);
+
 const pauseResponse = (incoming: IncomingMessage): void => {
 	incoming.pause();
 	// The connection of a complete response may carry another one.
@@ -197,7 +207,9 @@
 @returns The proxy.
 */
 export const openHttpProxy = (options: HttpProxyOptions): HttpProxy => {
-	const {post, random, clock} = options;
+	const {
+		post, random, clock, hold = () => true, addRead = () => undefined, onStall = () => undefined,
+	} = options;
 	const activeRequests = new Map<number, ActiveRequest>();
 	const agents = new Map<string, Agent>();
 	const refusals = createRefusalHistory();
@@ -247,8 +259,16 @@
 	const countBufferedBytes = (): number => [...activeRequests.values()].flatMap(({upstream}) => upstream ?? [])
 		.reduce((sum, {body, splitter}) => sum + body.countMemory() + splitter.countMemory(), 0);
 
+	/** Explains why the rest of a response cannot be kept beside what else is held. Small responses always can. */
+	const findMemoryExcess = (requestId: number, upstream: Upstream): string | undefined => {
+		const bytes = upstream.body.countMemory();
+		const hasRoom = hold(requestId, 'running', (activeRequests.get(requestId)?.body.length ?? 0) + bytes);
+		return hasRoom || bytes <= smallBytes ? undefined : 'there is no memory left for the response';
+	};
+
 	/** Charges a response for a piece; returns why it may not go on, if so. */
 	const chargePiece = (upstream: Upstream, {socket}: IncomingMessage, bytes: number): string | undefined => {
+		addRead(bytes);
 		upstream.allowance = takePiece(upstream.allowance, bytes, clock());
 		if (isAllowanceLow(upstream.allowance)) {
 			takeTurns(socket);
@@ -324,7 +344,9 @@
 			}
 
 			const hasGrown = upstream.body.add(chunk);
-			const excess = findBufferExcess('response', upstream.body.countBytes(), hasGrown ? countBufferedBytes : () => 0) ?? chargePiece(upstream, incoming, chunk.length);
+			const excess = findBufferExcess('response', upstream.body.countBytes(), hasGrown ? countBufferedBytes : () => 0)
+				?? chargePiece(upstream, incoming, chunk.length)
+				?? (hasGrown ? findMemoryExcess(requestId, upstream) : undefined);
 			if (excess !== undefined) {
 				failAttempt(requestId, upstream, 'sent', excess);
 			}
@@ -556,6 +578,7 @@
 		upstream.lastEventId = events.lastEventId ?? upstream.lastEventId;
 		if (!stream.write(events.bytes)) {
 			pauseResponse(response.incoming);
+			hold(requestId, 'unread', activeRequest.body.length + events.bytes.length);
 		}
 
 		if (isFirst) {
@@ -632,10 +655,13 @@
 				body,
 				client: openClientResponse(response, () => {
 					const incoming = activeRequests.get(requestId)?.upstream?.response?.incoming;
+					hold(requestId, 'running', body.length);
 					if (incoming !== undefined) {
 						resumeResponse(incoming);
 					}
-				}, () => options.isLastResponse(response)),
+				}, () => options.isLastResponse(response), () => {
+					onStall(head.key);
+				}),
 				hasLeft: false,
 				upstream: undefined,
 			});
@@ -664,7 +690,9 @@
 			const activeRequest = activeRequests.get(requestId);
 			const upstream = activeRequest?.upstream;
 			if (activeRequest !== undefined && upstream?.response !== undefined) {
-				answerOrBreak(activeRequest.client, upstream.response.forwarded, upstream.body.getBytes());
+				const body = upstream.body.getBytes();
+				answerOrBreak(activeRequest.client, upstream.response.forwarded, body);
+				hold(requestId, 'unread', body.length);
 			}
 
 			activeRequests.delete(requestId);
@@ -691,6 +719,14 @@
 				socket.destroy();
 			});
 		},
+		limitConnections(maxConnections) {
+			const sumOpen = [...agents.values()].reduce((sum, agent) => sum + countSockets(agent.sockets) + countSockets(agent.freeSockets), 0);
+			[...agents.values()].flatMap(agent => Object.values(agent.freeSockets).flatMap(sockets => sockets ?? []))
+				.slice(0, Math.max(0, sumOpen - maxConnections))
+				.forEach(socket => {
+					socket.destroy();
+				});
+		},
 		close() {
 			agents.forEach(agent => {
 				agent.destroy();
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -111,7 +111,7 @@
 	| Readonly<{kind: 'observe'; metric: HistogramName; labels: Readonly<Record<string, string>>; milliseconds: number}>;
 
 /** Names of counters. */
-export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed';
+export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed' | 'givenUp';
 
 /** Names of histograms. */
 export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,4 +1,6 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import type {CounterName, EdgeEffect, HistogramName as TimerName} from './messages.js';
 
 /** Upper bounds of the histogram buckets, in ms. Dense around the latency targets of 0.2 to 0.5 s, and up to the longest timeouts. */
@@ -7,6 +9,8 @@
 /** Counters and histograms of a process. */
 export type Metrics = Readonly<{
 	apply: (effect: EdgeEffect & {kind: 'count' | 'observe'}) => void;
+	/** Sets what is held for clients. */
+	setHeld: (held: Readonly<{bytes: number; connections: number}>) => void;
 	/** Formats all metrics in the Prometheus text format. */
 	format: () => Promise<string>;
 }>;
@@ -29,6 +33,9 @@
 		streamsResumed: new Counter({
 			name: 'galena_streams_resumed_total', help: 'Streams that clients resume, by service and how their origin is known.', labelNames: ['service', 'origin'], registers,
 		}),
+		givenUp: new Counter({
+			name: 'galena_given_up_total', help: 'Connections, requests and responses given up for lack of memory or descriptors, by what they were held for; "refused" were not read.', labelNames: ['kind'], registers,
+		}),
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
@@ -47,7 +54,13 @@
 			name: 'galena_lag_milliseconds', help: 'Lag of a timer that fires every 20 ms: how long the event loop did not poll its sockets.', buckets: bucketsMs, registers,
 		}),
 	};
+	const heldBytes = new Gauge({name: 'galena_held_bytes', help: 'Memory that is held for clients.', registers});
+	const connections = new Gauge({name: 'galena_client_connections', help: 'Open connections of clients.', registers});
 	return {
+		setHeld(held) {
+			heldBytes.set(held.bytes);
+			connections.set(held.connections);
+		},
 		apply(effect) {
 			if (effect.kind === 'count') {
 				counters[effect.metric].inc(effect.labels, 1);
--- a/src/edge/request-body.ts
+++ b/src/edge/request-body.ts
@@ -9,8 +9,41 @@
 /** Time for which the rest of a rejected body is discarded, in ms. Closing at once would reset the connection before the client has read the response. */
 const lingerMs = 500;
 
+/** Bytes of a rejected body that are discarded. A client that sends more of them gets its response only if it reads before it has sent all. */
+const maxDiscardedBytes = 1024 * 1024;
+
+/** Memory of a small piece besides its bytes, in bytes. */
+const pieceBytes = 256;
+
 /** Bounds of a request's body. */
-export type BodyLimits = Readonly<{maxBytes: number; timeoutMs: number}>;
+export type BodyLimits = Readonly<{
+	maxBytes: number;
+	timeoutMs: number;
+	/** Size of the body; 0 if its head does not announce it. */
+	expectedBytes: number;
+}>;
+
+/** Takes what is read of a body into account. */
+export type BodyAccount = Readonly<{
+	/** Called with the size of each piece and the memory of its bookkeeping, in bytes. */
+	addRead: (bytes: number) => void;
+	/** Called with the memory that the body takes up, in bytes, when it has grown; may reject the body. */
+	hold: (bytes: number) => void;
+}>;
+
+/**
+Reads no more of a connection whose request is rejected. Pausing the request alone does not: Node.js reads on until it
+holds 16 KB, which in pieces of a byte take up several megabytes.
+
+@param incoming - The rejected request.
+*/
+const stopReading = (incoming: IncomingMessage): void => {
+	// The pieces that have been read already are parsed in this turn of the event loop, and discarded.
+	setImmediate(() => {
+		incoming.pause();
+		incoming.socket.pause();
+	});
+};
 
 /**
 Reads the body of a client's request.
@@ -21,10 +54,17 @@
 @param limits - Bounds of the body.
 @param onComplete - Called with the whole body.
 @param onFault - Called at most once, and not after `onComplete`, as soon as the body is too large or late.
+@param account - Takes what is read into account.
 @returns A function that rejects a body which is not complete yet.
 */
-export const readRequestBody = (incoming: IncomingMessage, limits: BodyLimits, onComplete: (body: Buffer) => void, onFault: (fault: Fault) => void): ((fault: Fault) => void) => {
-	const buffer = createByteBuffer();
+export const readRequestBody = (
+	incoming: IncomingMessage,
+	limits: BodyLimits,
+	onComplete: (body: Buffer) => void,
+	onFault: (fault: Fault) => void,
+	account: BodyAccount,
+): ((fault: Fault) => void) => {
+	const buffer = createByteBuffer(limits.expectedBytes);
 	let isSettled = false;
 	let allowance = createAllowance(performance.now());
 	const settle = (report: () => void) => {
@@ -46,26 +86,33 @@
 		fail(createFault('body-late', `body: not complete within ${limits.timeoutMs} ms`));
 	}, limits.timeoutMs);
 	incoming.on('data', (chunk: Buffer) => {
+		account.addRead(chunk.length + pieceBytes);
+		if (isSettled) {
+			return;
+		}
+
 		allowance = takePiece(allowance, chunk.length, performance.now());
 		const excess = findPieceExcess(allowance);
 		if (excess !== undefined) {
 			// The client can still read its response, but nothing more is read of it.
-			incoming.pause();
+			stopReading(incoming);
 			fail(createFault('too-large', `body: ${excess}`));
+			return;
 		}
 
-		if (isSettled) {
-			return;
+		if (buffer.add(chunk)) {
+			account.hold(buffer.countMemory());
 		}
 
-		buffer.add(chunk);
 		if (buffer.countBytes() > limits.maxBytes) {
 			fail(createFault('too-large', `body: larger than the limit of ${limits.maxBytes} bytes`));
 		}
 	});
 	incoming.on('end', () => {
 		settle(() => {
-			onComplete(buffer.getBytes());
+			const body = buffer.getBytes();
+			buffer.clear();
+			onComplete(body);
 		});
 	});
 	incoming.on('error', () => undefined);
@@ -90,6 +137,13 @@
 	};
 
 	const timer = setTimeout(end, lingerMs);
+	let discardedBytes = 0;
+	incoming.on('data', (chunk: Buffer) => {
+		discardedBytes += chunk.length + pieceBytes;
+		if (discardedBytes > maxDiscardedBytes) {
+			stopReading(incoming);
+		}
+	});
 	if (incoming.readableEnded) {
 		end();
 	} else {
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {limitsSection} from '../settings/limits.js';
 import {
 	address, addresses, wholeNumber, duration, label, fraction,
 } from '../settings/settings.js';
@@ -36,6 +37,7 @@
 		/** Retry budget: additional retries per time window, over all routers. */
 		'repeat-slack': wholeNumber,
 	}),
+	limits: limitsSection,
 });
 
 /** Validated settings of the edge process. */
