Close the quietest connections of a relay that has too many

The relay opened up to 2,000 descriptors whatever its machine had: 813 with 400 connections and [limits] descriptors = 700.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -80,6 +80,9 @@
 /** A running edge process. */
 export type Edge = Readonly<{stop: () => Promise<void>; reload: (settings: Result<EdgeSettings>) => void}>;
 
+/** Returns the size that a head announces for its body; 0 if it announces none. */
+const getAnnouncedBytes = ({headers}: IncomingMessage): number => Number(headers['content-length'] ?? 0);
+
 const getRetryBounds = ({bounds}: EdgeSettings): RetryBudgetBounds => ({ratio: bounds['repeat-ratio'], slack: bounds['repeat-slack']});
 
 /**
@@ -438,7 +441,7 @@
 			head.val.clientTimeoutMs ?? Number.POSITIVE_INFINITY,
 			route?.timeout ?? config?.limits.idleTimeoutMs ?? defaultBodyTimeoutMs,
 		);
-		const expectedBytes = Number(incoming.headers['content-length'] ?? 0);
+		const expectedBytes = getAnnouncedBytes(incoming);
 		const limits = {
 			expectedBytes,
 			maxBytes: config?.limits.maxBodyBytes ?? defaultMaxBodyBytes,
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -34,7 +34,7 @@
 			name: 'galena_streams_resumed_total', help: 'Streams that clients resume, by service and how their origin is known.', labelNames: ['service', 'origin'], registers,
 		}),
 		givenUp: new Counter({
-			name: 'galena_given_up_total', help: 'Connections, requests and responses given up for lack of memory or descriptors, by what they were held for; "refused" were not read.', labelNames: ['kind'], registers,
+			name: 'galena_given_up_total', help: 'What was given up for lack of memory or descriptors, by kind; "refused" was not read.', labelNames: ['kind'], registers,
 		}),
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
--- a/src/relay/relay.test.ts
+++ b/src/relay/relay.test.ts
@@ -46,6 +46,7 @@
 		host: {name: 'h'},
 		listen: {routers: {host: '127.0.0.1', port: 0}, metrics: {host: '127.0.0.1', port: 0}},
 		store: {address: {host: '127.0.0.1', port: storePort}},
+		limits: {memory: 210, descriptors: 2212},
 	}, log);
 	const store = openStoreClient();
 	cleanups = [...cleanups, async () => relay.stop(), () => {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -8,6 +8,9 @@
 import type {BoundedLog} from '../log/bounded.js';
 import {runInBackground} from '../loop/background.js';
 import {sleep} from '../loop/sleep.js';
+import {
+	canKeepAll, computeAccountLimits, createAccount, listExcess, removeHolding, setHolding,
+} from '../memory-account/index.js';
 import {listen} from '../server/http.js';
 import type {RelaySettings} from './settings.js';
 
@@ -17,9 +20,12 @@
 /** Idle time after which a connection is closed. Well above the longest request to the store. */
 const idleTimeoutMs = 10_000;
 
-/** Maximum number of connections. A router keeps a few, so this serves hundreds of routers and limits memory use. */
+/** Maximum number of connections, whatever the machine has. A router keeps a few, so this serves hundreds of routers. */
 const maxConnections = 1000;
 
+/** Memory that a connection takes up, in bytes: a read of 64 KB waits in at most one of its directions, as requests and replies alternate. */
+const connectionBytes = 48 * 1024;
+
 /** Time that a stopping relay waits for in-flight requests. The store replies within a few milliseconds. */
 const drainDelayMs = 300;
 
@@ -38,6 +44,7 @@
 	const registers = [registry];
 	return {
 		connections: new Counter({name: 'galena_relay_connections_total', help: 'Connections from routers.', registers}),
+		givenUp: new Counter({name: 'galena_relay_given_up_total', help: 'Connections closed for lack of memory or descriptors.', registers}),
 		failures: new Counter({name: 'galena_relay_store_failures_total', help: 'Connections to the store that could not be opened.', registers}),
 		open: new Gauge({name: 'galena_relay_open_connections', help: 'Connections from routers that are open.', registers}),
 		format: async () => registry.metrics(),
@@ -70,11 +77,48 @@
 		}
 	};
 
+	const machineLimits = computeAccountLimits({memoryMb: settings.limits.memory, descriptors: settings.limits.descriptors});
+	let account = createAccount({...machineLimits, connections: Math.min(maxConnections, machineLimits.connections)});
+	let connectionCount = 0;
+	const openConnections = new Map<number, Readonly<{getLastActivity: () => number; close: () => void}>>();
+
+	const setConnection = (id: number, since: number) => {
+		account = setHolding(account, id, {
+			kind: 'idle', bytes: connectionBytes, since, isConnection: true,
+		});
+	};
+
+	/** Closes the connections that have carried nothing for the longest time, if there are too many. */
+	const giveUpExcess = () => {
+		if (canKeepAll(account)) {
+			return;
+		}
+
+		openConnections.forEach(({getLastActivity}, id) => {
+			setConnection(id, getLastActivity());
+		});
+		listExcess(account).forEach(id => {
+			const connection = openConnections.get(id);
+			metrics.givenUp.inc();
+			log.write('failure', 'connection-given-up', {age: Math.round(performance.now() - (connection?.getLastActivity() ?? 0)), connections: account.connections});
+			connection?.close();
+		});
+	};
+
 	const forwardConnection = (router: Socket) => {
+		connectionCount += 1;
+		const id = connectionCount;
+		let lastActivity = performance.now();
+		const recordActivity = () => {
+			lastActivity = performance.now();
+		};
+
 		const store = connect({...settings.store.address, noDelay: true});
 		let isConnected = false;
 		const close = () => {
 			clearTimeout(timer);
+			openConnections.delete(id);
+			account = removeHolding(account, id);
 			router.destroy();
 			store.destroy();
 		};
@@ -109,10 +153,14 @@
 		router.setTimeout(idleTimeoutMs, close);
 		router.pipe(store);
 		store.pipe(router);
+		router.on('data', recordActivity);
+		store.on('data', recordActivity);
+		openConnections.set(id, {getLastActivity: () => lastActivity, close});
+		setConnection(id, lastActivity);
+		giveUpExcess();
 	};
 
 	const server = createServer({noDelay: true}, forwardConnection);
-	server.maxConnections = maxConnections;
 	const metricsServer = createHttpServer((incoming, response) => {
 		incoming.resume();
 		runInBackground(async () => {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {limitsSection} from '../settings/limits.js';
 import {address, label} from '../settings/settings.js';
 
 /** Schema of the `galena-relay` settings, by section. */
@@ -11,6 +12,7 @@
 		metrics: address,
 	}),
 	store: z.object({address}),
+	limits: limitsSection,
 });
 
 /** Validated settings of a relay. */
--- a/test/broken-heads.test.ts
+++ b/test/broken-heads.test.ts
@@ -129,6 +129,7 @@
 			host: {name: 'h'},
 			listen: {routers: {host: '127.0.0.1', port: 0}, metrics: {host: '127.0.0.1', port: 0}},
 			store: {address: {host: '127.0.0.1', port: storePort}},
+			limits: {memory: 210, descriptors: 2212},
 		}, {write: () => undefined, tick: () => undefined});
 		const client = openStoreClient();
 		onTestFinished(async () => {
