--- a/src/memory-account/memory-account.test.ts
+++ b/src/memory-account/memory-account.test.ts
@@ -50,7 +50,7 @@
 	expect(admitRequest(hogs, 4 * mebibyte, 500)).toEqual({isAdmitted: true, givenUp: [0]});
 	expect(admitRequest(hogs, 40_000, 100)).toEqual({isAdmitted: true, givenUp: []});
 	const many = fill(Array.from({length: Math.floor(limits.bytes / 62_000)}, (_, index) => hold('reading', 62_000, index)));
-	const {isAdmitted, givenUp} = admitRequest(many, 40_000, 800);
+	const {isAdmitted, givenUp} = admitRequest(many, 60_000, 800);
 	expect(isAdmitted).toBe(true);
 	expect(givenUp).toEqual([0]);
 	const connections = fill(Array.from({length: limits.connections + 1}, (_, index) => hold('idle', 1, index, true)));
