Spread the reads of connections once clients flood them with small pieces

libuv 1.46 accepts and reads all ready connections in one iteration, so 200 clients with chunks of a byte stopped the process for 4 to 14 s, and new connections were reset. Once a body was rejected for its pieces, connections without a request are read one in each iteration.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -524,6 +524,7 @@
 			rejectRequest(fault);
 		}, {
 			addRead: guard.addRead,
+			onFlood: guard.spreadReads,
 			hold(bytes) {
 				holding.set('reading', Math.max(bytes, expectedBytes));
 			},
--- a/src/edge/memory-guard.ts
+++ b/src/edge/memory-guard.ts
@@ -5,6 +5,7 @@
 } from '../memory-account/index.js';
 import type {HoldingKind, MachineLimits} from '../memory-account/index.js';
 import {openGarbageCollector} from './garbage.js';
+import {getReadTurns} from './read-gate.js';
 
 /** Memory that a connection takes up besides the bytes of requests, in bytes. */
 const connectionBytes = 12 * 1024;
@@ -38,6 +39,8 @@
 	watch: (server: Server) => void;
 	/** Admits a request whose body is about to be read; undefined if there is no room. `giveUp` is called if it must make room for others. */
 	admit: (bytes: number, giveUp: (kind: HoldingKind) => void) => RequestHolding | undefined;
+	/** Lets connections without a request be read one in each iteration of the event loop, as other connections bring requests that take long to read. */
+	spreadReads: () => void;
 	/** Counts bytes that were read in pieces. */
 	addRead: (bytes: number) => void;
 	/** Returns the memory and connections that are held. */
@@ -58,7 +61,7 @@
 type WatchedConnection = Readonly<{set: (kind: 'reading' | 'running') => void; rest: () => void}>;
 
 /** A connection without a request. */
-type QuietConnection = Readonly<{socket: Socket; startBytes: number; headBytes: number}>;
+type QuietConnection = Readonly<{socket: Socket; startBytes: number; headBytes: number; awaitTurn: () => void}>;
 
 /**
 Opens the guard of a process.
@@ -105,8 +108,11 @@
 	const watchConnection = (socket: Socket): WatchedConnection => {
 		holdingCount += 1;
 		const id = holdingCount;
+		const awaitTurn = getReadTurns(socket);
 		const rest = () => {
-			quiet.set(id, {socket, startBytes: socket.bytesRead, headBytes: 0});
+			quiet.set(id, {
+				socket, startBytes: socket.bytesRead, headBytes: 0, awaitTurn,
+			});
 			setConnection(id, 'idle', 0);
 		};
 
@@ -225,6 +231,11 @@
 				},
 			};
 		},
+		spreadReads() {
+			quiet.forEach(({awaitTurn}) => {
+				awaitTurn();
+			});
+		},
 		addRead: garbage.addRead,
 		count: () => ({bytes: account.bytes, connections: account.connections}),
 		maxOutgoingConnections: limits.outgoingConnections,
--- a/src/edge/request-body.ts
+++ b/src/edge/request-body.ts
@@ -4,8 +4,8 @@
 import {createAllowance, findPieceExcess, takePiece} from '../byte-buffer/pieces.js';
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
-import {createTurnQueue} from '../loop/turns.js';
 import {writeErrorResponse} from './http-proxy.js';
+import {getReadTurns, openReadGate} from './read-gate.js';
 
 /** Time for which the rest of a rejected body is discarded, in ms. Closing at once would reset the connection before the client has read the response. */
 const lingerMs = 500;
@@ -30,60 +30,10 @@
 	addRead: (bytes: number) => void;
 	/** Called with the memory that the body takes up, in bytes, when it has grown; may reject the body. */
 	hold: (bytes: number) => void;
+	/** Called when the body is rejected for its many small pieces. */
+	onFlood: () => void;
 }>;
 
-/** Lets a connection be read or not. */
-type Gate = Readonly<{close: () => void; open: () => void}>;
-
-/**
-Opens a gate of a connection. Pausing its request does not stop reading: Node.js reads on until the request holds 16 KB, which
-in pieces of a byte take up several megabytes. Closing the gate takes effect at once, as libuv reads up to 32 times from a
-connection before it turns to another one; what has been read already is still parsed.
-*/
-const openGate = ({socket}: IncomingMessage): Gate => {
-	let isClosed = false;
-	// Node.js resumes the socket for each request that flows.
-	socket.on('resume', () => {
-		if (isClosed) {
-			socket.pause();
-		}
-	});
-	return {
-		close() {
-			isClosed = true;
-			socket.pause();
-		},
-		open() {
-			isClosed = false;
-			socket.resume();
-		},
-	};
-};
-
-const awaitTurn = createTurnQueue();
-
-/**
-Lets a connection whose request comes in chunks take turns with other such connections, one read in each iteration of the event
-loop. A read of 64 KB takes 40 ms where each chunk has a byte, and all connections may be read in one iteration.
-*/
-const takeTurns = (incoming: IncomingMessage): void => {
-	const gate = openGate(incoming);
-	let isWaiting = false;
-	const wait = () => {
-		if (!isWaiting) {
-			isWaiting = true;
-			gate.close();
-			awaitTurn(() => {
-				isWaiting = false;
-				gate.open();
-			});
-		}
-	};
-
-	wait();
-	incoming.on('data', wait);
-};
-
 /**
 Reads the body of a client's request.
 
@@ -125,7 +75,9 @@
 		fail(createFault('body-late', `body: not complete within ${limits.timeoutMs} ms`));
 	}, limits.timeoutMs);
 	if (incoming.headers['transfer-encoding'] !== undefined) {
-		takeTurns(incoming);
+		const awaitTurn = getReadTurns(incoming.socket);
+		awaitTurn();
+		incoming.on('data', awaitTurn);
 	}
 
 	incoming.on('data', (chunk: Buffer) => {
@@ -138,7 +90,8 @@
 		const excess = findPieceExcess(allowance);
 		if (excess !== undefined) {
 			// The client can still read its response, but nothing more is read of it.
-			openGate(incoming).close();
+			openReadGate(incoming.socket).close();
+			account.onFlood();
 			fail(createFault('too-large', `body: ${excess}`));
 			return;
 		}
@@ -185,7 +138,7 @@
 		discardedBytes += chunk.length + pieceBytes;
 		if (discardedBytes > maxDiscardedBytes) {
 			incoming.off('data', discard);
-			openGate(incoming).close();
+			openReadGate(incoming.socket).close();
 		}
 	};
 
