--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -16,6 +16,8 @@
 	apply: (effect: EdgeEffect & {kind: 'count' | 'observe'}) => void;
 	/** Sets whether the process is overloaded and says that it is not ready. */
 	setOverloaded: (isOverloaded: boolean) => void;
+	/** Sets what is held for clients. */
+	setHeld: (held: Readonly<{bytes: number; connections: number}>) => void;
 	/** Formats all metrics in the Prometheus text format. */
 	format: (gauges: readonly GaugeValue[]) => Promise<string>;
 }>;
@@ -47,6 +49,9 @@
 		remoteBytes: new Counter({
 			name: 'galena_remote_bytes_total', help: 'Bytes of the bodies of these requests, by service.', labelNames: ['service'], registers,
 		}),
+		givenUp: new Counter({
+			name: 'galena_given_up_total', help: 'What was given up for lack of memory or descriptors, by kind; "refused" was not read.', labelNames: ['kind'], registers,
+		}),
 		streamsEnded: new Counter({
 			name: 'galena_streams_ended_total', help: 'Streams that ended normally, by service and framing.', labelNames: ['service', 'framing'], registers,
 		}),
@@ -94,10 +99,16 @@
 	const overloaded = new Gauge({
 		name: 'galena_overloaded', help: '1 while the process is overloaded and says that it is not ready.', registers,
 	});
+	const heldBytes = new Gauge({name: 'galena_held_bytes', help: 'Memory that is held for clients.', registers});
+	const connections = new Gauge({name: 'galena_client_connections', help: 'Open connections of clients.', registers});
 	return {
 		setOverloaded(isOverloaded) {
 			overloaded.set(isOverloaded ? 1 : 0);
 		},
+		setHeld(held) {
+			heldBytes.set(held.bytes);
+			connections.set(held.connections);
+		},
 		apply(effect) {
 			if (effect.kind === 'count') {
 				counters[effect.metric].inc(effect.labels, effect.amount ?? 1);
--- a/src/edge/request-body.ts
+++ b/src/edge/request-body.ts
@@ -5,12 +5,34 @@
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
 import {writeErrorResponse} from './http-proxy.js';
+import {getReadTurns, openReadGate} from './read-gate.js';
 
 /** Time for which the rest of a rejected body is discarded, in ms. Closing at once would reset the connection before the client has read the response. */
 const lingerMs = 500;
 
+/** Bytes of a rejected body that are discarded. A client that sends more of them gets its response only if it reads before it has sent all. */
+const maxDiscardedBytes = 1024 * 1024;
+
+/** Memory of a small piece besides its bytes, in bytes. */
+const pieceBytes = 256;
+
 /** Bounds of a request's body. */
-export type BodyLimits = Readonly<{maxBytes: number; timeoutMs: number}>;
+export type BodyLimits = Readonly<{
+	maxBytes: number;
+	timeoutMs: number;
+	/** Size of the body; 0 if its head does not announce it. */
+	expectedBytes: number;
+}>;
+
+/** Takes what is read of a body into account. */
+export type BodyAccount = Readonly<{
+	/** Called with the size of each piece and the memory of its bookkeeping, in bytes. */
+	addRead: (bytes: number) => void;
+	/** Called with the memory that the body takes up, in bytes, when it has grown; may reject the body. */
+	hold: (bytes: number) => void;
+	/** Called when the body is rejected for its many small pieces. */
+	onFlood: () => void;
+}>;
 
 /**
 Reads the body of a client's request.
@@ -21,10 +43,17 @@
 @param limits - Bounds of the body.
 @param onComplete - Called with the whole body.
 @param onFault - Called at most once, and not after `onComplete`, as soon as the body is too large or late.
+@param account - Takes what is read into account.
 @returns A function that rejects a body which is not complete yet.
 */
-export const readRequestBody = (incoming: IncomingMessage, limits: BodyLimits, onComplete: (body: Buffer) => void, onFault: (fault: Fault) => void): ((fault: Fault) => void) => {
-	const buffer = createByteBuffer();
+export const readRequestBody = (
+	incoming: IncomingMessage,
+	limits: BodyLimits,
+	onComplete: (body: Buffer) => void,
+	onFault: (fault: Fault) => void,
+	account: BodyAccount,
+): ((fault: Fault) => void) => {
+	const buffer = createByteBuffer(limits.expectedBytes);
 	let isSettled = false;
 	let allowance = createAllowance(performance.now());
 	const settle = (report: () => void) => {
@@ -45,27 +74,41 @@
 	const timer = setTimeout(() => {
 		fail(createFault('body-late', `body: not complete within ${limits.timeoutMs} ms`));
 	}, limits.timeoutMs);
+	if (incoming.headers['transfer-encoding'] !== undefined) {
+		const awaitTurn = getReadTurns(incoming.socket);
+		awaitTurn();
+		incoming.on('data', awaitTurn);
+	}
+
 	incoming.on('data', (chunk: Buffer) => {
+		account.addRead(chunk.length + pieceBytes);
+		if (isSettled) {
+			return;
+		}
+
 		allowance = takePiece(allowance, chunk.length, performance.now());
 		const excess = findPieceExcess(allowance);
 		if (excess !== undefined) {
 			// The client can still read its response, but nothing more is read of it.
-			incoming.pause();
+			openReadGate(incoming.socket).close();
+			account.onFlood();
 			fail(createFault('too-large', `body: ${excess}`));
+			return;
 		}
 
-		if (isSettled) {
-			return;
+		if (buffer.add(chunk)) {
+			account.hold(buffer.countMemory());
 		}
 
-		buffer.add(chunk);
 		if (buffer.countBytes() > limits.maxBytes) {
 			fail(createFault('too-large', `body: larger than the limit of ${limits.maxBytes} bytes`));
 		}
 	});
 	incoming.on('end', () => {
 		settle(() => {
-			onComplete(buffer.getBytes());
+			const body = buffer.getBytes();
+			buffer.clear();
+			onComplete(body);
 		});
 	});
 	incoming.on('error', () => undefined);
@@ -90,6 +133,16 @@
 	};
 
 	const timer = setTimeout(end, lingerMs);
+	let discardedBytes = 0;
+	const discard = (chunk: Buffer) => {
+		discardedBytes += chunk.length + pieceBytes;
+		if (discardedBytes > maxDiscardedBytes) {
+			incoming.off('data', discard);
+			openReadGate(incoming.socket).close();
+		}
+	};
+
+	incoming.on('data', discard);
 	if (incoming.readableEnded) {
 		end();
 	} else {
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -1,6 +1,7 @@
 import {Map} from 'immutable';
 import {z} from 'zod';
 import type {Regions} from '../home/index.js';
+import {limitsSchema} from '../settings/limits.js';
 import {
 	address, addresses, duration, label, fraction, names,
 } from '../settings/settings.js';
@@ -66,10 +67,10 @@
 		/** Table from data centre to region. */
 		zones: createOptionalText('{}').pipe(nameTable),
 	}).prefault({}),
-	/** Limits of the machine; an empty or absent one is none. */
-	limits: z.object({
+	/** Limits of the machine; an empty or absent CPU share is none. */
+	limits: limitsSchema.extend({
 		/** Cores that the process may use, such as 0.184. Below 0.4, an overloaded router says that it is not ready, and sheds load earlier. */
-		'cpu-share': z.string().default('').transform(text => text === '' ? undefined : Number(text)).pipe(z.number('must be a number').positive().optional()),
+		'cpu-share': createOptionalText('').transform(text => text === '' ? undefined : Number(text)).pipe(z.number('must be a number').positive().optional()),
 	}).prefault({}),
 });
 
