--- a/src/bench/decide.ts
+++ b/src/bench/decide.ts
@@ -9,7 +9,10 @@
 import {createEdge} from '../edge/state.js';
 import type {EdgeState} from '../edge/state.js';
 import {createRandom} from '../random/index.js';
-import {recordPromptParts, updateEndpoints} from '../registry/index.js';
+import {
+	chooseEndpoint, listCandidates, pickAffinityPart,
+} from '../placement/index.js';
+import {isUsable, recordPromptParts, updateEndpoints} from '../registry/index.js';
 import type {RegistryEntry} from '../registry/index.js';
 import type {Route, RoutingConfig} from '../routing-config/index.js';
 
@@ -103,12 +106,12 @@
 };
 
 /**
-Prints the time of one placement and of one whole arrival of a request, by numbers of endpoints and routers.
+Prints the time of one decision, of one placement (the decision and the change of the state) and of one whole arrival of a request, by numbers of endpoints and routers.
 
 @param write - Receives each line of the result.
 */
 export const benchDecide = async (write: (line: string) => void): Promise<void> => {
-	write('endpoints | routers | placement us | arrival us');
+	write('endpoints | routers | decision us | placement us | arrival us');
 	endpointCounts.forEach(endpointCount => {
 		routerCounts.forEach(routerCount => {
 			const state = createState(endpointCount, routerCount, 1);
@@ -116,6 +119,15 @@
 				id: index, head: createHead(index), fingerprint: `f${index}`, route, service: 's', organisation: undefined, budget: undefined,
 				priority: 1, maxCostTokens: 0, arrivedAt: 1, unreadMs: 0, expiresAt: 4000, phaseAt: 1,
 			}));
+			const decisionUs = measureMicroseconds(index => {
+				const {modelRequest} = requests[index]!.head;
+				const {endpoints} = listCandidates(state.registry, {
+					service: 's', dataCentre: 'a', part: pickAffinityPart(modelRequest), random: index / callsPerRound,
+				}, endpoint => isUsable(endpoint, 1));
+				chooseEndpoint(endpoints, {
+					service: config.services.get('s')!, modelRequest, dataCentre: 'a', triedEndpoints: [], connections: 100, peers: state.peerLoadTotals, timeToTargetMs: 800, now: 1,
+				});
+			});
 			const placementUs = measureMicroseconds(index => {
 				placeRequest(state, requests[index]!, index / callsPerRound, 1);
 			});
@@ -124,7 +136,7 @@
 					kind: 'call-arrived', call: index, head: requests[index]!.head, bodyDigest: `b${index}`, receivedAt: 1, unreadMs: 0, random: index / callsPerRound,
 				}, 1);
 			});
-			write(`${endpointCount} | ${routerCount} | ${placementUs.toFixed(1)} | ${arrivalUs.toFixed(1)}`);
+			write(`${endpointCount} | ${routerCount} | ${decisionUs.toFixed(1)} | ${placementUs.toFixed(1)} | ${arrivalUs.toFixed(1)}`);
 		});
 	});
 };
