--- a/src/poison/index.ts
+++ b/src/poison/index.ts
@@ -2,7 +2,9 @@
 	recordAbandonment, recordAnswer, recordOutput, recordUnreachable, refuteCrash,
 } from './evidence.js';
 export type {Evidence} from './evidence.js';
-export {hasNews, hasPoisonNews, listPoisonNews, mergePoisonNews} from './news.js';
+export {
+	hasNews, hasPoisonNews, listPoisonNews, mergePoisonNews,
+} from './news.js';
 export type {PoisonNews} from './news.js';
 export {createPoisonGuard, recordBreak, tickPoisonGuard} from './poison.js';
 export type {PoisonGuard, VerdictChange} from './poison.js';
