--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -650,7 +650,7 @@
 			}
 
 			const next = changed.val;
-			const isRestartNeeded = JSON.stringify([settings.host, settings.listen, settings.store]) !== JSON.stringify([next.host, next.listen, next.store]);
+			const isRestartNeeded = JSON.stringify([settings.host, settings.listen, settings.store, settings.limits]) !== JSON.stringify([next.host, next.listen, next.store, next.limits]);
 			graceMs = next.bounds.grace;
 			loop.post({kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain});
 			// Changed addresses take effect at the next start.
