Send news of prompt parts and of crashes in separate messages

The bound of a message (8,192 bytes, src/edge/poison.test.ts) was exceeded at 300 requests a second with a crash each 100 ms, since the totals of peers' loads apply sooner and other requests meet there.

--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -117,8 +117,10 @@
 	}
 
 	const state = removeSilentPeers(updateGossipPeers(before), now);
-	const {gossipCount, gossipPeers, promptNews} = state;
+	const {gossipCount, gossipPeers} = state;
 	const isPoisonDue = (state.isPoisonNewsUrgent || now - state.poisonToldAt >= poisonIntervalMs) && hasPoisonNews(state.poison);
+	// News of parts wait for the next message, so that one with crashes stays under 8 KB.
+	const promptNews = isPoisonDue ? [] : state.promptNews;
 	const report: LoadReport = {
 		router: state.quota.router,
 		dataCentre: state.dataCentre,
@@ -141,7 +143,7 @@
 	return {
 		state: {
 			...state, gossipSentAt: now, gossipCount: gossipCount + 1, poisonToldAt: isPoisonDue ? now : state.poisonToldAt, isPoisonNewsUrgent: false,
-			promptNews: [], gossipSent: isUnchanged ? state.gossipSent : {message, at: now},
+			promptNews: isPoisonDue ? state.promptNews : [], gossipSent: isUnchanged ? state.gossipSent : {message, at: now},
 		},
 		effects: promptNews.length === 0
 			? [{kind: 'tell-peers', addresses, message}]
