--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -695,7 +695,12 @@
 			const isRestartNeeded = JSON.stringify([settings.host, settings.listen, settings.store, settings.limits]) !== JSON.stringify([next.host, next.listen, next.store, next.limits]);
 			graceMs = next.bounds.grace;
 			loop.post({
-				kind: 'bounds-changed', retryBudgetBounds: getRetryBounds(next), drainMs: next.bounds.drain, coldBounds: getColdBounds(next), regions: listRegions(next), remoteCostMs: next.bounds['remote-cost'],
+				kind: 'bounds-changed',
+				retryBudgetBounds: getRetryBounds(next),
+				drainMs: next.bounds.drain,
+				coldBounds: getColdBounds(next),
+				regions: listRegions(next),
+				remoteCostMs: next.bounds['remote-cost'],
 			});
 			// Changed addresses take effect at the next start.
 			log.write('routine', 'settings-reloaded', {grace: graceMs, repeatSlack: next.bounds['repeat-slack'], needsRestart: isRestartNeeded});
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -277,7 +277,12 @@
 	tick: receiveTick,
 	'load-measured': receiveLoad,
 	'bounds-changed': (state, event) => keepState({
-		...state, retryBudgetBounds: event.retryBudgetBounds, drainMs: event.drainMs, coldBounds: event.coldBounds ?? state.coldBounds, regions: event.regions ?? state.regions, remoteCostMs: event.remoteCostMs,
+		...state,
+		retryBudgetBounds: event.retryBudgetBounds,
+		drainMs: event.drainMs,
+		coldBounds: event.coldBounds ?? state.coldBounds,
+		regions: event.regions ?? state.regions,
+		remoteCostMs: event.remoteCostMs,
 	}),
 	'leave-wanted': (state, event, now) => applyTokenEvent(state, {kind: 'leave'}, event.random, now),
 	'stop-wanted': (state, event) => keepState(beginShutdown(state, event.answerBy)),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -123,7 +123,8 @@
 	| Readonly<{kind: 'observe'; metric: HistogramName; labels: Readonly<Record<string, string>>; milliseconds: number}>;
 
 /** Names of counters. */
-export type CounterName = 'heldBack' | 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed' | 'remoteRequests' | 'remoteBytes' | 'tokensGranted' | 'tokensReceived' | 'tokenShortages' | 'givenUp';
+export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed' | 'heldBack' | 'remoteRequests' | 'remoteBytes'
+	| 'tokensGranted' | 'tokensReceived' | 'tokenShortages' | 'givenUp';
 
 /** Names of gauges. */
 export type GaugeName = 'evacuatedDataCentres' | 'coldEndpoints' | 'coldShare' | 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust' | 'overflowFraction';
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -173,7 +173,9 @@
 @returns The request, without reserved tokens or attempts.
 */
 export const createInFlightRequest = (fields: Pick<
-	InFlightRequest, 'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'homeRegions' | 'priority' | 'maxCostTokens' | 'arrivedAt' | 'unreadMs' | 'bodyBytes' | 'expiresAt' | 'phaseAt'
+	InFlightRequest,
+	'id' | 'head' | 'fingerprint' | 'route' | 'service' | 'organisation' | 'budget' | 'homeRegions' | 'priority' | 'maxCostTokens'
+	| 'arrivedAt' | 'unreadMs' | 'bodyBytes' | 'expiresAt' | 'phaseAt'
 >): InFlightRequest => ({
 	...fields,
 	firstArrivedAt: fields.arrivedAt,
--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -667,7 +667,8 @@
 };
 
 const receiveBudgets = (quota: LocalQuota, rows: readonly StoredRow[], context: QuotaContext, now: number): QuotaStep => {
-	const updated = updateBudgets({...quota, readAtMs: now, sync: {step: 'idle'}}, rows.map(row => row.key), rows, organisation => quota.budgets.get(organisation)?.taken ?? decodeTakenTokens(findRow(rows, tables.budgets, organisation)));
+	const getTakenBefore = (organisation: string) => quota.budgets.get(organisation)?.taken ?? decodeTakenTokens(findRow(rows, tables.budgets, organisation));
+	const updated = updateBudgets({...quota, readAtMs: now, sync: {step: 'idle'}}, rows.map(row => row.key), rows, getTakenBefore);
 	const next = startSync(updated, context, now);
 	return {state: next.state, effects: [...logUnreadableRows(rows, budgetRowSchema), {kind: 'changed'}, ...next.effects]};
 };
--- a/test/placement-play.ts
+++ b/test/placement-play.ts
@@ -93,9 +93,9 @@
 		const state = createEdge({
 			dataCentre: fleet.routers[index]!, router: name, incarnation: name, peerAddress: `${name}:1`, retryBudgetBounds: {ratio: 0.2, slack: 54}, drainMs: 2000,
 		});
-		const peers = Map<string, PeerRouter>(names.flatMap((each, peer) => each === name ? [] : [[each, {
+		const peers = Map<string, PeerRouter>(names.map((each, peer) => [each, {
 			peerAddress: `${each}:1`, dataCentre: fleet.routers[peer]!, isLive: true, era: undefined, holds: Map(),
-		}] as const]));
+		}] as const)).delete(name);
 		const started: EdgeState = {...state, quota: {...state.quota, peers}, liveRouters: names.toSorted()};
 		return fleet.getState?.(started) ?? started;
 	});
