--- a/src/edge/client-response.ts
+++ b/src/edge/client-response.ts
@@ -3,7 +3,7 @@
 import type {FinalHead} from '../http-head/index.js';
 
 /** Time after which a client is given up that reads nothing of its response, in ms. Node.js notices it after one to two of these. */
-const stallTimeoutMs = 4000;
+const stallTimeoutMs = 3000;
 
 /** A response of which nothing has been sent. */
 export type OpenResponse = Readonly<{
