Tell other data centres of load at full rate while requests overflow there

Cause: since neighbours are told first, routers of other data centres learned every 320 ms what an overloaded one sends to their endpoints. Change: a router that sends a part of its load elsewhere tells all its peers at the same rate.

--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -11,6 +11,7 @@
 	updateEntry, removeMissing, markUnavailable, markAvailable, markRestored, recordPromptParts, replaceEntries,
 } from '../registry/index.js';
 import type {Registry} from '../registry/index.js';
+import {isOverflowing} from '../overflow/index.js';
 import {retainServiceTimes} from '../service-time/index.js';
 import {completeSave} from '../stream-origin/index.js';
 import {
@@ -146,6 +147,7 @@
 		ordered: gossipPeers.ordered.filter(({router, isLive}) => isLive || state.peers.has(router)),
 		dataCentre: state.dataCentre,
 		dataCentres: gossipPeers.dataCentres,
+		isOverflowing: state.overflow.some(overflow => isOverflowing(overflow)),
 		round: Math.floor(gossipCount / seldomPeriod),
 	});
 	const addresses = [...(isUnchanged ? [] : often), ...(isSeldomDue ? seldom : [])].map(({peerAddress}) => peerAddress);
--- a/src/gossip/choose-peers.ts
+++ b/src/gossip/choose-peers.ts
@@ -56,6 +56,8 @@
 	dataCentre: string;
 	/** Data centres of the peers that have named theirs. */
 	dataCentres: Map<string, string>;
+	/** True while this router sends a part of its load to other data centres, whose routers must know of it as soon as neighbours do. */
+	isOverflowing?: boolean;
 	/** Number of the round in which peers are told seldom. */
 	round: number;
 }>;
@@ -70,13 +72,15 @@
 @param query - The candidates and what is known of them.
 @returns The peers that are told often and seldom.
 */
-export const choosePeers = ({ordered, dataCentre, dataCentres, round}: PeerQuery): Readonly<{often: readonly GossipPeer[]; seldom: readonly GossipPeer[]}> => {
+export const choosePeers = ({
+	ordered, dataCentre, dataCentres, isOverflowing = false, round,
+}: PeerQuery): Readonly<{often: readonly GossipPeer[]; seldom: readonly GossipPeer[]}> => {
 	const isNear = ({router}: GossipPeer) => dataCentres.get(router) === dataCentre;
 	const near = ordered.filter(peer => isNear(peer));
 	const far = ordered.filter(peer => !isNear(peer));
 	const ranked = [...near.slice(0, maxNearPeers), ...far, ...near.slice(maxNearPeers)];
 	const told = ranked.slice(0, maxGossipPeers);
 	const rest = ranked.slice(maxGossipPeers);
-	const [often, seldom] = [false, true].map(isSeldom => told.filter(({router}) => isToldSeldom(dataCentres.get(router), dataCentre, told.length) === isSeldom));
+	const [often, seldom] = [false, true].map(isSeldom => told.filter(({router}) => (!isOverflowing && isToldSeldom(dataCentres.get(router), dataCentre, told.length)) === isSeldom));
 	return {often: often!, seldom: rest.length === 0 ? seldom! : [...seldom!, rest[round % rest.length]!]};
 };
