Let the first 16 bodies in chunks be read without turns

Cause: every request in chunks waited for its turn, one read in each iteration of the event loop. Change: turns are taken only while more than 16 such bodies are read at a time, as ordinary ones arrive in one or two reads.

--- a/src/edge/request-body.ts
+++ b/src/edge/request-body.ts
@@ -34,6 +34,32 @@
 	onFlood: () => void;
 }>;
 
+/**
+Bodies in chunks that are read at a time without taking turns. Ordinary ones arrive in one or two reads, so that few are read at a
+time; turns would delay each of them by iterations of the event loop, which are long when the process is busy.
+*/
+const maxReadFreely = 16;
+
+let chunkedBodies = 0;
+
+/** Lets a body in chunks take turns with others if many are being read. */
+const takeTurnsAmongMany = (incoming: IncomingMessage): void => {
+	chunkedBodies += 1;
+	let isReading = true;
+	const finish = () => {
+		chunkedBodies -= isReading ? 1 : 0;
+		isReading = false;
+	};
+
+	incoming.on('end', finish);
+	incoming.on('close', finish);
+	if (chunkedBodies > maxReadFreely) {
+		const awaitTurn = getReadTurns(incoming.socket);
+		awaitTurn();
+		incoming.on('data', awaitTurn);
+	}
+};
+
 /**
 Reads the body of a client's request.
 
@@ -75,9 +101,7 @@
 		fail(createFault('body-late', `body: not complete within ${limits.timeoutMs} ms`));
 	}, limits.timeoutMs);
 	if (incoming.headers['transfer-encoding'] !== undefined) {
-		const awaitTurn = getReadTurns(incoming.socket);
-		awaitTurn();
-		incoming.on('data', awaitTurn);
+		takeTurnsAmongMany(incoming);
 	}
 
 	incoming.on('data', (chunk: Buffer) => {
