Open the read gate of a connection only when reads are spread

Cause: each accepted connection got a gate with a listener on its socket, which is needed only while clients flood the process with small pieces; and the documentation of isReady had two results. Change: the gate is opened where reads are spread. Behaviour stays as it is.

--- a/src/edge/memory-guard.ts
+++ b/src/edge/memory-guard.ts
@@ -61,7 +61,7 @@
 type WatchedConnection = Readonly<{set: (kind: 'reading' | 'running') => void; rest: () => void}>;
 
 /** A connection without a request. */
-type QuietConnection = Readonly<{socket: Socket; startBytes: number; headBytes: number; awaitTurn: () => void}>;
+type QuietConnection = Readonly<{socket: Socket; startBytes: number; headBytes: number}>;
 
 /**
 Opens the guard of a process.
@@ -108,11 +108,8 @@
 	const watchConnection = (socket: Socket): WatchedConnection => {
 		holdingCount += 1;
 		const id = holdingCount;
-		const awaitTurn = getReadTurns(socket);
 		const rest = () => {
-			quiet.set(id, {
-				socket, startBytes: socket.bytesRead, headBytes: 0, awaitTurn,
-			});
+			quiet.set(id, {socket, startBytes: socket.bytesRead, headBytes: 0});
 			setConnection(id, 'idle', 0);
 		};
 
@@ -232,8 +229,8 @@
 			};
 		},
 		spreadReads() {
-			quiet.forEach(({awaitTurn}) => {
-				awaitTurn();
+			quiet.forEach(({socket}) => {
+				getReadTurns(socket)();
 			});
 		},
 		addRead: garbage.addRead,
--- a/src/edge/state.ts
+++ b/src/edge/state.ts
@@ -205,8 +205,7 @@
 Tells whether the process accepts new connections.
 
 @param state - The edge state.
-@returns True once configuration, evacuations (which are read before it) and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown.
-@returns True once configuration and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown, and while the process is overloaded.
+@returns True once configuration, evacuations (which are read before it) and registry are read and, if there are budgets, the quota is open; false from the start of the shutdown, and while the process is overloaded.
 */
 export const isReady = (state: EdgeState): boolean =>
 	state.answerBy === undefined && !state.readiness.isOverloaded && state.config !== undefined && state.registryReadAt !== undefined && (state.quota.hasTakenOver || state.config.budgets.isEmpty());
