Failing test: a large configuration is late on the smallest host

Requests were handled by an older version than one that was confirmed more than configMs before. Change: the edge process gets a link of limited rate and a share of a core; the stand-in of the store can feed all versions of a row. Each version adds a route, and a request for it is sent 3,000 ms after the version was confirmed.

--- a/test/edge-process.ts
+++ b/test/edge-process.ts
@@ -10,10 +10,14 @@
 import type {AddressInfo, Server as SocketServer, Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, onTestFinished} from 'vitest';
+import {startRateProxy} from './soak/proxy.js';
+import type {RateProxy} from './soak/proxy.js';
 import {createStore} from './soak/store.js';
+import type {FakeStore, FakeStoreOptions} from './soak/store.js';
 
 /** Time that clients have to send what they send, in ms. A client that the process does not read may need longer. */
 const sendingMs = 8000;
@@ -31,6 +35,9 @@
 	readPeakMemory: () => number;
 	/** Returns the largest number of open descriptors seen so far. */
 	getPeakDescriptors: () => number;
+	/** Limits the process to a share of a core. */
+	limitProcessor: (share: number) => void;
+	kill: () => void;
 	/** Lines that the program has logged. */
 	lines: readonly string[];
 }>;
@@ -63,6 +70,39 @@
 	}
 };
 
+/** Returns the processor time that all threads of a process have used, in ms. */
+const readProcessorTime = (pid: number): number => {
+	try {
+		return readdirSync(`/proc/${pid}/task`)
+			.map(thread => Number(readFileSync(`/proc/${pid}/task/${thread}/schedstat`, 'utf8').split(' ', 1)[0]) / 1e6)
+			.reduce((sum, used) => sum + used, 0);
+	} catch {
+		return 0;
+	}
+};
+
+/** Interval at which a capped process is stopped or continued, and the time of its share that it may save up, in ms. */
+const capIntervalMs = 4;
+const capPeriodMs = 100;
+
+/** Limits a process to a share of a core, as a usage cap does: it runs until its share of a tenth of a second is used up. */
+const capProcessor = (pid: number, share: number): (() => void) => {
+	let usedBefore = readProcessorTime(pid);
+	let cappedAt = performance.now();
+	let credit = 0;
+	const timer = setInterval(() => {
+		const used = readProcessorTime(pid);
+		const now = performance.now();
+		credit = Math.min(share * capPeriodMs, credit + ((now - cappedAt) * share) - (used - usedBefore));
+		usedBefore = used;
+		cappedAt = now;
+		process.kill(pid, credit < 0 ? 'SIGSTOP' : 'SIGCONT');
+	}, capIntervalMs);
+	return () => {
+		clearInterval(timer);
+	};
+};
+
 /** Starts a program with the memory limit of its run line in `deploy/system.toml`. */
 const startBundled = (name: string, oldSpaceMb: number, settings: string, port: number): BundledProgram => {
 	const file = path.join(mkdtempSync(path.join(tmpdir(), 'galena-')), `${name}.ini`);
@@ -79,16 +119,24 @@
 	const timer = setInterval(() => {
 		peakDescriptors = Math.max(peakDescriptors, countDescriptors(pid));
 	}, 20);
-	onTestFinished(() => {
+	let stopCap = () => undefined as void;
+	const kill = () => {
 		clearInterval(timer);
+		stopCap();
 		child.kill('SIGKILL');
-	});
+	};
+
+	onTestFinished(kill);
 	return {
 		port,
 		lines,
 		isAlive: () => child.exitCode === null && child.signalCode === null,
 		readPeakMemory: () => Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.kilobytes) / 1024,
 		getPeakDescriptors: () => peakDescriptors,
+		limitProcessor(share) {
+			stopCap = capProcessor(pid, share);
+		},
+		kill,
 	};
 };
 
@@ -132,14 +180,66 @@
 	},
 };
 
+/** The machine of an edge process. */
+type EdgeMachine = Readonly<{
+	/** Memory in MB, and descriptors, of the settings. */
+	memory: number;
+	descriptors: number;
+	/** Number of cores that the process may use once it is ready; unlimited if left out. */
+	cpuShare?: number;
+	/** Rate at which it receives from the store, in bytes per ms; unlimited if left out. */
+	linkBytesPerMs?: number;
+	/** Options of the store. */
+	store?: FakeStoreOptions;
+	/** Number of further routes in the first configuration. */
+	routeCount?: number;
+}>;
+
+/** A running edge process, its store and its link to the store. */
+export type EdgeProcess = BundledProgram & Readonly<{
+	store: FakeStore;
+	link: RateProxy | undefined;
+	/** Kills the process and starts it again with the same settings; it gets the same ports. Resolves when it is ready. */
+	restart: () => Promise<void>;
+}>;
+
+/** Path prefix of a further route of a configuration. */
+export const formatPrefix = (index: number): string => `/further-${index}/`;
+
+/**
+Builds a configuration.
+
+@param version - Its version.
+@param routeCount - Number of its routes beside the first one, of the length that routes have on the users' platform.
+@returns The configuration, in the platform's terms.
+*/
+export const buildConfig = (version: number, routeCount: number) => {
+	const route = {
+		name: 'r', host: 'h', prefix: '/', kind: 'unsafe', timeoutMs: 30_000, targetLatencyMs: 5000, priority: 1, service: 's', anonymous: true,
+	};
+	const further = Array.from({length: routeCount}, (_, index) => ({
+		...route, host: 'further', name: `r-further-${index}`, prefix: formatPrefix(index), maxAttempts: 2, sticky: true, resumable: true, gapAimMs: 300,
+	}));
+	return {
+		version,
+		routes: [route, ...further],
+		services: [{name: 's', maxConnections: 200}],
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 30_000, idleTimeoutMs: 30_000,
+		},
+	};
+};
+
 /**
 Starts the edge with a store and an endpoint.
 
-@param limits - Memory in MB, and descriptors, of the settings.
+@param machine - What the machine has, and what its store does.
 @returns The edge, which is ready.
 */
-export const startEdgeProcess = async ({memory, descriptors}: Readonly<{memory: number; descriptors: number}>): Promise<BundledProgram> => {
-	const store = createStore();
+export const startEdgeProcess = async ({
+	memory, descriptors, cpuShare, linkBytesPerMs, store: storeOptions, routeCount = 0,
+}: EdgeMachine): Promise<EdgeProcess> => {
+	const store = createStore(storeOptions);
 	const endpoint = createServer((incoming, response) => {
 		const headers = {'response-seal': 's', 'attempt-id': String(incoming.headers['attempt-id'])};
 		const respond = endpointResponders[incoming.url ?? ''];
@@ -158,18 +258,11 @@
 	store.put('servers', 'i-1', {
 		service: 's', address: `127.0.0.1:${endpointPort}`, zone: 'z', version: 'v1', slots: 2000, state: 'ready', born: 1,
 	});
-	store.put('op', 'config', {
-		version: 1,
-		routes: [{
-			name: 'r', host: 'h', prefix: '/', kind: 'unsafe', timeoutMs: 30_000, targetLatencyMs: 5000, priority: 1, service: 's', anonymous: true,
-		}],
-		services: [{name: 's', maxConnections: 200}],
-		limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 30_000, idleTimeoutMs: 30_000,
-		},
-	});
+	store.put('op', 'config', buildConfig(1, routeCount));
+	const link = linkBytesPerMs === undefined ? undefined : await startRateProxy(storePort, linkBytesPerMs);
+	const [storeAddress = `127.0.0.1:${storePort}`, relayAddress = ''] = link?.addresses ?? [];
 	const [callers, ready, metrics, peers] = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
-	const program = startBundled('galena-edge', 120, `[host]
+	const start = () => startBundled('galena-edge', 120, `[host]
 name = r
 address = 127.0.0.1
 data-centre = z
@@ -179,8 +272,8 @@
 metrics = 127.0.0.1:${metrics}
 peers = 127.0.0.1:${peers}
 [store]
-address = 127.0.0.1:${storePort}
-relays =
+address = ${storeAddress}
+relays = ${relayAddress}
 [bounds]
 grace = 7s
 repeat-ratio = 0.2
@@ -188,22 +281,41 @@
 [limits]
 memory = ${memory}
 descriptors = ${descriptors}
+${cpuShare === undefined ? '' : `cpu-share = ${cpuShare}`}
 `, callers);
+	let program = start();
 	onTestFinished(() => {
+		link?.close();
 		[endpoint, store.server].forEach(server => {
 			server.closeAllConnections();
 			server.close();
 		});
 	});
-	await expect.poll(async () => new Promise(resolve => {
-		get({host: '127.0.0.1', port: ready}, incoming => {
-			incoming.resume();
-			resolve(incoming.statusCode);
-		}).on('error', () => {
-			resolve(undefined);
-		});
-	}), {timeout: 20_000}).toBe(200);
-	return program;
+	const awaitReady = async () => {
+		await expect.poll(async () => new Promise(resolve => {
+			get({host: '127.0.0.1', port: ready}, incoming => {
+				incoming.resume();
+				resolve(incoming.statusCode);
+			}).on('error', () => {
+				resolve(undefined);
+			});
+		}), {timeout: 20_000}).toBe(200);
+		if (cpuShare !== undefined) {
+			program.limitProcessor(cpuShare);
+		}
+	};
+
+	await awaitReady();
+	return {
+		...program,
+		store,
+		link,
+		async restart() {
+			program.kill();
+			program = start();
+			return awaitReady();
+		},
+	};
 };
 
 /**
--- /dev/null
+++ b/test/late-configuration.test.ts
@@ -0,0 +1,65 @@
+import {request} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {beforeAll, expect, test} from 'vitest';
+import {
+	buildConfig, bundlePrograms, formatPrefix, startEdgeProcess,
+} from './edge-process.js';
+import type {EdgeProcess} from './edge-process.js';
+
+/** Time within which a confirmed version is in force, in ms. */
+const configMs = 3000;
+
+/** The smallest host: memory in MB, descriptors, cores, and its link of 7 Mbit/s. */
+const smallest = {
+	memory: 210, descriptors: 2212, cpuShare: 0.184, linkBytesPerMs: 875,
+};
+
+/** Routes of a large configuration. */
+const routeCount = 1440;
+
+beforeAll(bundlePrograms);
+
+/** Sends a request to the latest route of a version. Returns its status; undefined without a response. */
+const probe = async (edge: EdgeProcess, version: number): Promise<number | undefined> => new Promise(resolve => {
+	request({
+		host: '127.0.0.1', port: edge.port, agent: false, path: `${formatPrefix(routeCount + version - 1)}p`,
+		headers: {host: 'further', 'attempt-id': `probe-${version}`, 'request-deadline-ms': '2000'},
+	}, incoming => {
+		incoming.resume();
+		incoming.on('close', () => {
+			resolve(incoming.statusCode);
+		});
+	}).on('error', () => {
+		resolve(undefined);
+	}).end();
+});
+
+/** Writes versions one after another, each of which adds a route. Resolves to the statuses of requests to these routes, each sent `configMs` after the confirmation. */
+const writeVersions = async (edge: EdgeProcess, {count, gapMs}: Readonly<{count: number; gapMs: number}>): Promise<ReadonlyArray<number | undefined>> => {
+	const first = 2;
+	return Promise.all(Array.from({length: count}, async (_, index) => {
+		await sleep(index * gapMs);
+		const version = first + index;
+		edge.store.put('op', 'config', buildConfig(version, routeCount + version));
+		await sleep(configMs);
+		return probe(edge, version);
+	}));
+};
+
+type Storm = Readonly<{count: number; gapMs: number}>;
+
+/** Versions in quick succession, as operators write them. */
+const slowStorm: Storm = {count: 12, gapMs: 330};
+const fastStorm: Storm = {count: 25, gapMs: 80};
+
+// Guards against a configuration whose transfer is cut off by a time limit, sent twice, or queued behind older versions.
+test.each([
+	['alone', slowStorm, 1],
+	['in a faster storm', fastStorm, 1],
+	['beside other bytes on half of the link', slowStorm, 0.5],
+])('a large configuration is in force in time on the smallest host, %s', async (_, storm, freeFraction) => {
+	const edge = await startEdgeProcess({...smallest, routeCount: routeCount + 1, store: {feedsAllVersions: true}});
+	edge.link?.setRate(smallest.linkBytesPerMs * freeFraction);
+	const statuses = await writeVersions(edge, storm);
+	expect(statuses).toEqual(Array.from({length: storm.count}, () => 200));
+}, 60_000);
--- a/test/soak/store.ts
+++ b/test/soak/store.ts
@@ -53,12 +53,19 @@
 
 const formatRowKey = ({table, part, key}: Pick<Row, 'table' | 'part' | 'key'>): string => `${table}/${part}/${key}`;
 
+/** Options of the fake store. */
+export type FakeStoreOptions = Readonly<{
+	/** True if its feed contains all versions of a row, not the latest one alone. */
+	feedsAllVersions?: boolean;
+}>;
+
 /**
 Creates the fake store.
 
+@param options - What its feed contains.
 @returns The store; its server does not listen yet.
 */
-export const createStore = (): FakeStore => {
+export const createStore = ({feedsAllVersions = false}: FakeStoreOptions = {}): FakeStore => {
 	const rows = new Map<string, Row>();
 	let changes: ReadonlyArray<Readonly<{at: number; isPut: boolean; row: Row}>> = [];
 	let version = 0;
@@ -111,7 +118,8 @@
 			return;
 		}
 
-		const changed = [...rows.values()].filter(row => row.table === table && row.ver > after).toSorted((a, b) => a.ver - b.ver);
+		const candidates = feedsAllVersions ? changes.map(({row}) => row) : [...rows.values()];
+		const changed = candidates.filter(row => row.table === table && row.ver > after).toSorted((a, b) => a.ver - b.ver);
 		if (changed.length > 0 || performance.now() >= until) {
 			sendJson(response, 200, {rows: changed});
 		} else {
