Give up a reply of the store by its progress, not by its size

What callers saw: requests handled by an older configuration seconds after a newer one was confirmed. Cause: the time limit of 1,000 ms for a store request included the transfer of the reply. A version of 1,440 routes is 455 KB, so two of them in one reply, or one beside other bytes, exceed it on a link of 7 Mbit/s. The reply was given up and begun anew, one version larger. Evidence: feed-lost "no answer within 1000 ms, after 816967 bytes" in test/late-configuration.test.ts. Change: the head of a reply has the time limit; after it, the reply is given up once no byte came for 1,000 ms or its rate is below 32 bytes per ms on average. A path that goes silent is still noticed within 1,000 ms.

--- a/src/platform/platform.test.ts
+++ b/src/platform/platform.test.ts
@@ -340,6 +340,28 @@
 		expect(countWritten()).toBeLessThan(64 * 1024 * 1024);
 	});
 
+	// Guards against a large reply on a slow link that is given up and begun anew, for ever.
+	test('waits for a reply as long as it keeps coming, and no longer', async () => {
+		const pieces = ['{"ver":1,', '"rows":', '[', ']', '}'].map(piece => piece.padEnd(20_000, ' '));
+		const pieceIntervalMs = 300;
+		const store = await startServer(createServer((incoming, response) => {
+			incoming.resume();
+			response.writeHead(200);
+			const isStalling = incoming.url?.includes('stalling') ?? false;
+			pieces.slice(0, isStalling ? 1 : pieces.length).forEach((piece, index) => {
+				setTimeout(() => {
+					response.write(piece);
+					if (index === pieces.length - 1) {
+						response.end();
+					}
+				}, index * pieceIntervalMs);
+			});
+		}));
+		const [slow, stalled] = await Promise.all([store.read('slow'), store.follow('stalling', 1)]);
+		expect(slow).toMatchObject({kind: 'done', rows: []});
+		expect(stalled).toMatchObject({kind: 'lost', reason: expect.stringContaining('stalled') as string});
+	});
+
 	test('reads one row, whatever its key contains', async () => {
 		let requestPath = '';
 		const store = await startStore(url => {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -8,7 +8,7 @@
 import {parseAddress} from '../server/address.js';
 import type {SocketAddress} from '../server/address.js';
 import {createAgent, limitResponses} from '../server/http-client.js';
-import {getEra} from '../store/index.js';
+import {computeTransferWait, getEra} from '../store/index.js';
 import type {
 	ReplyTransfer, RowKey, StoredRow, StoreReply, StoreWrite,
 } from '../store/index.js';
@@ -32,13 +32,13 @@
 	close: () => void;
 }>;
 
-/** Timeout of a request. Above the response time of a store that is 50 times slower than usual. */
+/** Time until a reply must begin. Above the response time of a store that is 50 times slower than usual. */
 export const requestTimeoutMs = 1000;
 
 /** Time that the store may delay its reply to `follow`. Short, so that a dead connection is noticed before a new configuration has to be in force. */
 export const followWaitMs = 500;
 
-/** Time beyond `followWaitMs` after which a `follow` request times out. */
+/** Time beyond `followWaitMs` until which the reply to a `follow` request must begin. */
 const followMarginMs = 500;
 
 /** Maximum number of rows in a page. */
@@ -84,7 +84,7 @@
 
 type HttpReply = Readonly<{status: number; body: WireReply; era: Result<number | undefined>; transfer: ReplyTransfer}>;
 
-/** An HTTP request to the store. */
+/** An HTTP request to the store. Its reply must begin within `timeoutMs`, and then keep coming. */
 type StoreRequest = Readonly<{method: string; path: string; timeoutMs: number; body?: string}>;
 
 /** A decoded reply, whether a read has further pages, and whether the reply was lost because it is too large. */
@@ -154,9 +154,16 @@
 			resolveLost(buffer.countBytes() === 0 ? reason : `${reason}, after ${buffer.countBytes()} bytes`);
 		};
 
-		const cancelTimeout = startTimeout(() => {
+		let cancelTimeout = startTimeout(() => {
 			resolveIncomplete(`no answer within ${timeoutMs} ms`);
 		}, timeoutMs);
+		const awaitFurtherBytes = (elapsedMs: number) => {
+			cancelTimeout();
+			cancelTimeout = startTimeout(() => {
+				resolveIncomplete(`reply stalled after ${Math.round(performance.now() - sentAt)} ms`);
+			}, computeTransferWait(buffer.countBytes(), elapsedMs));
+		};
+
 		outgoing.on('error', error => {
 			resolveIncomplete(error.message);
 		});
@@ -166,10 +173,13 @@
 		limitResponses(outgoing, resolveLost);
 		outgoing.on('response', incoming => {
 			const beganAt = performance.now();
-			let allowance = createAllowance(performance.now());
+			let allowance = createAllowance(beganAt);
+			awaitFurtherBytes(0);
 			incoming.on('data', (chunk: Buffer) => {
+				const now = performance.now();
 				buffer.add(chunk);
-				allowance = takePiece(allowance, chunk.length, performance.now());
+				awaitFurtherBytes(now - beganAt);
+				allowance = takePiece(allowance, chunk.length, now);
 				const excess = findPieceExcess(allowance);
 				if (buffer.countBytes() > maxReplyBytes) {
 					resolveLost(`reply is larger than ${maxReplyBytes} bytes`, true);
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,4 +1,5 @@
 export {getEra, rejectOutdated} from './store.js';
+export {computeTransferWait} from './transfer-limit.js';
 export type {
 	ReplyTransfer, RowKey, StoredRow, StoreReply, StoreWrite,
 } from './store.js';
