Receive one of two copies of a read

Cause: a read is hedged over a second path if it is not complete after 120 ms. 455 KB take 520 ms on a link of 7 Mbit/s, so each read of a large configuration was sent twice over that link and took twice as long: at a start, and after each feed that was lost. Change: a read is hedged if its reply has not begun after 120 ms; of two replies, only the one that begins first is received. Transactions are hedged as before, as the copies are small and one of them may still be applied.

--- a/src/edge/store-failover.test.ts
+++ b/src/edge/store-failover.test.ts
@@ -1,7 +1,7 @@
 import {
 	afterEach, expect, test, vi,
 } from 'vitest';
-import type {StoreOperations} from '../platform/index.js';
+import type {StoreOperations, StoreRequestOptions} from '../platform/index.js';
 import type {StoreReply} from '../store/index.js';
 import {openFailoverStore} from './store-failover.js';
 
@@ -15,8 +15,8 @@
 	vi.useRealTimers();
 });
 
-/** The reply by each path, and its delay in ms. */
-type Replies = Readonly<Record<string, Readonly<{reply: StoreReply; delayMs: number}>>>;
+/** The reply by each path, when it begins and when it is complete, in ms; it begins with its end by default. */
+type Replies = Readonly<Record<string, Readonly<{reply: StoreReply; delayMs: number; beginMs?: number}>>>;
 
 const directAddress = '10.0.0.1:1';
 const relayAddress = '10.0.0.2:2';
@@ -25,22 +25,35 @@
 const openStore = (replies: Replies) => {
 	vi.useFakeTimers();
 	const attempted: string[] = [];
+	const received: string[] = [];
 	const changes: string[] = [];
-	const replyFrom = async (address: string) => {
+	const replyFrom = async (address: string, {onBegin, signal}: StoreRequestOptions = {}): Promise<StoreReply> => {
 		attempted.push(address);
-		const {reply, delayMs: after} = replies[address]!;
-		await new Promise(resolve => {
-			setTimeout(resolve, after);
+		const {reply, delayMs, beginMs = delayMs} = replies[address]!;
+		return new Promise(resolve => {
+			signal?.addEventListener('abort', () => {
+				resolve({kind: 'lost', reason: 'no longer needed'});
+			});
+			setTimeout(() => {
+				if (reply.kind === 'done') {
+					onBegin?.();
+				}
+			}, beginMs);
+			setTimeout(() => {
+				if (signal?.aborted !== true) {
+					received.push(address);
+					resolve(reply);
+				}
+			}, delayMs);
 		});
-		return reply;
 	};
 
 	const operations = openFailoverStore({
 		client: {
 			forAddress(address): StoreOperations {
-				const operate = async () => replyFrom(address);
+				const operate = async (_: unknown, options?: StoreRequestOptions) => replyFrom(address, options);
 				return {
-					transact: operate, read: operate, readRow: operate, follow: operate,
+					transact: operate, read: operate, readRow: operate, follow: async () => replyFrom(address),
 				};
 			},
 			close: () => undefined,
@@ -53,7 +66,7 @@
 		},
 	});
 	return {
-		attempted, changes, operations,
+		attempted, received, changes, operations,
 		/** Sends a transaction and waits until both paths have replied. */
 		async transact() {
 			const reply = operations.transact([]);
@@ -120,3 +133,20 @@
 	await vi.advanceTimersByTimeAsync(10);
 	expect(await second).toBe(done);
 });
+
+// Guards against a large table whose two copies share a slow link until both are given up.
+test.each([
+	['is requested once if its reply begins in time', 20, 20, [directAddress], [directAddress]],
+	['is received once if the reply to the hedged request begins first', 400, 20, [directAddress, relayAddress], [relayAddress]],
+	['is received once if the first reply begins after all', 130, 200, [directAddress, relayAddress], [directAddress]],
+])('a table that takes long to be sent %s', async (_, directBeginMs, relayBeginMs, attempted, received) => {
+	const setup = openStore({
+		[directAddress]: {reply: done, beginMs: directBeginMs, delayMs: 900},
+		[relayAddress]: {reply: done, beginMs: relayBeginMs, delayMs: 900},
+	});
+	const reply = setup.operations.read('op');
+	await vi.advanceTimersByTimeAsync(2500);
+	expect(await reply).toBe(done);
+	expect(setup.attempted).toEqual(attempted);
+	expect(setup.received).toEqual(received);
+});
--- a/src/edge/store-failover.ts
+++ b/src/edge/store-failover.ts
@@ -1,10 +1,10 @@
 import type {SocketAddress} from '../server/address.js';
 import type {StoreReply} from '../store/index.js';
-import type {StoreOperations, StoreClient} from '../platform/index.js';
+import type {StoreClient, StoreOperations, StoreRequestOptions} from '../platform/index.js';
 import {runInBackground} from '../loop/background.js';
 import {createStorePaths, recordPathResult, orderPaths} from '../store-path/index.js';
 
-/** Time without a reply after which a hedged request is sent over a second path, in ms. Well above the usual latency of 4 ms, and below the time that waiting clients have left. */
+/** Time without the beginning of a reply after which a hedged request is sent over a second path, in ms. Well above the usual latency of 4 ms, and below the time that waiting clients have left. */
 const hedgeDelayMs = 120;
 
 /** Returns true if the reply shows that the path to the store works. */
@@ -44,11 +44,15 @@
 		}
 	};
 
-	/** Sends a request over the preferred path, and also over the next path if the first one fails or is slow. */
-	const hedgeRequest = async (sendRequest: (operations: StoreOperations) => Promise<StoreReply>): Promise<StoreReply> => new Promise(resolve => {
+	/**
+	Sends a request over the preferred path, and also over the next path if the first one fails or no reply begins in time.
+	Of two replies to a read, only the one that begins first is received: both would share this host's link.
+	*/
+	const hedgeRequest = async (sendRequest: (operations: StoreOperations, options: StoreRequestOptions) => Promise<StoreReply>, isRead: boolean): Promise<StoreReply> => new Promise(resolve => {
 		const [primary = '', secondary] = orderPaths(paths, clock());
-		let inFlightCount = 0;
+		const inFlight = new Map<string, AbortController>();
 		let hasSentHedge = secondary === undefined;
+		let hasBegun = false;
 		let isSettled = false;
 		let failedReply: StoreReply | undefined;
 
@@ -58,29 +62,55 @@
 			resolve(reply);
 		};
 
+		const beginReply = (address: string) => {
+			if (hasBegun) {
+				return;
+			}
+
+			hasBegun = true;
+			clearTimeout(timer);
+			if (address === secondary && inFlight.has(primary)) {
+				recordReply(primary, {kind: 'lost', reason: `${secondary} answered first`});
+			}
+
+			if (isRead) {
+				[...inFlight].filter(([other]) => other !== address).forEach(([other, controller]) => {
+					inFlight.delete(other);
+					controller.abort();
+				});
+			}
+		};
+
 		const sendVia = (address: string) => {
-			inFlightCount += 1;
+			const controller = new AbortController();
+			inFlight.set(address, controller);
 			runInBackground(async () => {
-				const reply = await sendRequest(client.forAddress(address));
-				inFlightCount -= 1;
+				const reply = await sendRequest(client.forAddress(address), {
+					signal: controller.signal,
+					onBegin() {
+						beginReply(address);
+					},
+				});
+				if (controller.signal.aborted) {
+					return;
+				}
+
+				inFlight.delete(address);
 				recordReply(address, reply);
 				if (isSettled) {
 					return;
 				}
 
 				if (hasAnswered(reply)) {
+					beginReply(address);
 					settle(reply);
-					if (address === secondary && inFlightCount > 0) {
-						recordReply(primary, {kind: 'lost', reason: `${secondary} answered first`});
-					}
-
 					return;
 				}
 
 				// A copy without a reply may still be applied, whatever the reply to the other copy.
 				failedReply = failedReply?.kind === 'lost' ? failedReply : reply;
 				sendHedge();
-				if (inFlightCount === 0) {
+				if (inFlight.size === 0) {
 					settle(failedReply);
 				}
 			});
@@ -98,9 +128,9 @@
 	});
 
 	return {
-		transact: async writes => hedgeRequest(async operations => operations.transact(writes)),
-		read: async table => hedgeRequest(async operations => operations.read(table)),
-		readRow: async key => hedgeRequest(async operations => operations.readRow(key)),
+		transact: async writes => hedgeRequest(async (operations, options) => operations.transact(writes, options), false),
+		read: async table => hedgeRequest(async (operations, options) => operations.read(table, options), true),
+		readRow: async key => hedgeRequest(async (operations, options) => operations.readRow(key, options), true),
 		// The store delays its reply until rows change, so a slow reply does not indicate a broken path, and no hedged request is sent.
 		async follow(table, after) {
 			const [primary = ''] = orderPaths(paths, clock());
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -5,6 +5,6 @@
 export {splitOperatorRows} from './operator-rows.js';
 export type {OperatorRows} from './operator-rows.js';
 export {openStoreClient} from './store.js';
-export type {StoreOperations, StoreClient} from './store.js';
+export type {StoreClient, StoreOperations, StoreRequestOptions} from './store.js';
 export {tables} from './tables.js';
 export {decodeResponse, decodeRequest, encodeRequestHeaders} from './wire.js';
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -13,14 +13,22 @@
 	ReplyTransfer, RowKey, StoredRow, StoreReply, StoreWrite,
 } from '../store/index.js';
 
+/** Options of a request to the store. */
+export type StoreRequestOptions = Readonly<{
+	/** Called when a reply begins that carries an outcome. */
+	onBegin?: () => void;
+	/** Gives up the reply. */
+	signal?: AbortSignal;
+}>;
+
 /** Operations of the platform's store. */
 export type StoreOperations = Readonly<{
 	/** Applies all writes atomically, provided that each row has the version that its write states. */
-	transact: (writes: readonly StoreWrite[]) => Promise<StoreReply>;
+	transact: (writes: readonly StoreWrite[], options?: StoreRequestOptions) => Promise<StoreReply>;
 	/** Reads all rows of a table. Rows that change while several pages are read are repeated by `follow` from the returned version. */
-	read: (table: string) => Promise<StoreReply>;
+	read: (table: string, options?: StoreRequestOptions) => Promise<StoreReply>;
 	/** Reads one row; the reply has no rows if it does not exist. */
-	readRow: (key: RowKey) => Promise<StoreReply>;
+	readRow: (key: RowKey, options?: StoreRequestOptions) => Promise<StoreReply>;
 	/** Waits for rows of a table that changed after the given version (long polling). Changes that are too many for one reply count as forgotten: a read brings the rows in pages. */
 	follow: (table: string, after: number) => Promise<StoreReply>;
 }>;
@@ -85,7 +93,7 @@
 type HttpReply = Readonly<{status: number; body: WireReply; era: Result<number | undefined>; transfer: ReplyTransfer}>;
 
 /** An HTTP request to the store. Its reply must begin within `timeoutMs`, and then keep coming. */
-type StoreRequest = Readonly<{method: string; path: string; timeoutMs: number; body?: string}>;
+type StoreRequest = Readonly<{method: string; path: string; timeoutMs: number; body?: string; options?: StoreRequestOptions | undefined}>;
 
 /** A decoded reply, whether a read has further pages, and whether the reply was lost because it is too large. */
 type DecodedReply = Readonly<{reply: StoreReply; hasMore: boolean; isTooLarge: boolean}>;
@@ -103,6 +111,9 @@
 	503: () => ({kind: 'refused', reason: 'status 503'}),
 };
 
+/** Statuses of replies that say only that nothing was done. */
+const refusingStatuses: ReadonlySet<number> = new Set([429, 503]);
+
 const decodeReply = (reply: HttpReply): StoreReply =>
 	replyDecoders[reply.status]?.(reply) ?? {kind: 'lost', reason: `status ${reply.status}`};
 
@@ -129,7 +140,9 @@
 	const agent = createAgent({keepAlive: true, maxFreeSockets: 4}, readBytes);
 
 	const send = async ({host, port}: SocketAddress, storeRequest: StoreRequest): Promise<DecodedReply> => new Promise(resolve => {
-		const {method, path, timeoutMs, body} = storeRequest;
+		const {
+			method, path, timeoutMs, body, options,
+		} = storeRequest;
 		const outgoing = request({
 			agent, host, port, method, path,
 			headers: body === undefined ? {} : {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)},
@@ -164,6 +177,9 @@
 			}, computeTransferWait(buffer.countBytes(), elapsedMs));
 		};
 
+		options?.signal?.addEventListener('abort', () => {
+			resolveLost('no longer needed');
+		}, {once: true});
 		outgoing.on('error', error => {
 			resolveIncomplete(error.message);
 		});
@@ -174,6 +190,10 @@
 		outgoing.on('response', incoming => {
 			const beganAt = performance.now();
 			let allowance = createAllowance(beganAt);
+			if (replyDecoders[incoming.statusCode ?? 0] !== undefined && !refusingStatuses.has(incoming.statusCode ?? 0)) {
+				options?.onBegin?.();
+			}
+
 			awaitFurtherBytes(0);
 			incoming.on('data', (chunk: Buffer) => {
 				const now = performance.now();
@@ -216,18 +236,20 @@
 		outgoing.end(body);
 	});
 
-	const readPage = async (endpoint: SocketAddress, table: string, startKey: string | undefined): Promise<DecodedReply> => {
+	const readPage = async (endpoint: SocketAddress, table: string, startKey: string | undefined, options: StoreRequestOptions | undefined): Promise<DecodedReply> => {
 		// Unlike `encodeURIComponent`, this takes any text.
 		const parameters = new URLSearchParams({
 			table, part: '', limit: String(maxPageRows), ...(startKey !== undefined && {from: startKey}),
 		});
-		return send(endpoint, {method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs});
+		return send(endpoint, {
+			method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs, options,
+		});
 	};
 
-	const readAll = async (endpoint: SocketAddress, table: string, previousRows: readonly StoredRow[], first: (StoreReply & {kind: 'done'}) | undefined): Promise<StoreReply> => {
+	const readAll = async (endpoint: SocketAddress, table: string, options: StoreRequestOptions | undefined, previousRows: readonly StoredRow[] = [], first?: StoreReply & {kind: 'done'}): Promise<StoreReply> => {
 		const last = previousRows.at(-1);
 		// The smallest key above the last one that was read.
-		const {reply, hasMore} = await readPage(endpoint, table, last === undefined ? undefined : `${last.key}\0`);
+		const {reply, hasMore} = await readPage(endpoint, table, last === undefined ? undefined : `${last.key}\0`, options);
 		if (reply.kind !== 'done') {
 			return reply;
 		}
@@ -241,14 +263,14 @@
 		const rows = [...previousRows, ...reply.rows];
 		// A change feed that starts at the first page's version includes the changes made between the pages.
 		return hasMore && reply.rows.length > 0
-			? readAll(endpoint, table, rows, {...firstReply, transfer})
+			? readAll(endpoint, table, options, rows, {...firstReply, transfer})
 			: {
 				...reply, rows, version: firstReply.version, transfer,
 			};
 	};
 
 	const createOperations = (endpoint: SocketAddress): StoreOperations => ({
-		async transact(writes) {
+		async transact(writes, options) {
 			const updates = writes.filter(write => write.value !== undefined);
 			const body = JSON.stringify({
 				expectedRevision: writes.filter(write => write.version !== undefined).map(write => ({...encodeKey(write), ver: write.version})),
@@ -256,17 +278,19 @@
 				remove: writes.filter(write => write.value === undefined).map(write => encodeKey(write)),
 			});
 			const {reply} = await send(endpoint, {
-				method: 'POST', path: '/v1/rows-tx', timeoutMs: requestTimeoutMs, body,
+				method: 'POST', path: '/v1/rows-tx', timeoutMs: requestTimeoutMs, body, options,
 			});
 			return reply;
 		},
-		read: async table => readAll(endpoint, table, [], undefined),
-		async readRow(rowKey) {
+		read: async (table, options) => readAll(endpoint, table, options),
+		async readRow(rowKey, options) {
 			const {table, part, key} = encodeKey(rowKey);
 			const parameters = new URLSearchParams({
 				table, part, from: key, to: `${key}\0`, limit: '1',
 			});
-			const {reply} = await send(endpoint, {method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs});
+			const {reply} = await send(endpoint, {
+				method: 'GET', path: `/v1/rows-get?${parameters.toString()}`, timeoutMs: requestTimeoutMs, options,
+			});
 			return reply;
 		},
 		async follow(table, after) {
