Index routes by host and prefix

Cause: each route was sorted into the list of its host, so decoding took time with the square of the number of routes; and each request compared its path with every route of its host, twice. Change: a route table by host and prefix. A path is looked up once for each length that the prefixes of its host have.

--- a/src/bench/decide.ts
+++ b/src/bench/decide.ts
@@ -14,6 +14,7 @@
 } from '../placement/index.js';
 import {isUsable, recordPromptParts, updateEndpoints} from '../registry/index.js';
 import type {RegistryEntry} from '../registry/index.js';
+import {createRouteTable} from '../routing-config/index.js';
 import type {Route, RoutingConfig} from '../routing-config/index.js';
 
 /** Numbers of endpoints and routers for which a decision is measured. */
@@ -29,7 +30,7 @@
 
 const config: RoutingConfig = {
 	version: 1,
-	routes: Map([['h', [route]]]),
+	routes: createRouteTable([route]),
 	services: Map([['s', {name: 's', maxConnections: 2000, engine: {slots: 64, capacity: 551_016, tokensPerEvent: 4}}]]),
 	organisations: Map(),
 	budgets: Map(),
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -1,4 +1,4 @@
-import {selectNewerConfig} from '../routing-config/index.js';
+import {listRoutes, selectNewerConfig} from '../routing-config/index.js';
 import type {RoutingConfig} from '../routing-config/index.js';
 import {
 	choosePeers, encodeLoads, orderPeers, removeStalePeers, recordPeerLoads, replaceLoads, sumLoads,
@@ -45,7 +45,7 @@
 
 type Handler<Kind extends EdgeEvent['kind']> = (state: EdgeState, event: EdgeEvent & {kind: Kind}, now: number) => EdgeStep;
 
-const listRouteNames = ({routes}: RoutingConfig): ReadonlySet<string> => new Set(routes.valueSeq().toArray().flatMap(ofHost => ofHost.map(({name}) => name)));
+const listRouteNames = ({routes}: RoutingConfig): ReadonlySet<string> => new Set(listRoutes(routes).map(({name}) => name));
 
 /** Describes how a version of the configuration came, for the log. Times in ms. */
 const describeRetrieval = ({
@@ -73,7 +73,7 @@
 				createLogEffect('configuration-in-force', {
 					version: config.version,
 					before: state.config?.version ?? 0,
-					routes: config.routes.valueSeq().reduce((sum, ofHost) => sum + ofHost.length, 0),
+					routes: listRoutes(config.routes).length,
 					...event.retrieval && describeRetrieval(event.retrieval, now),
 				}),
 				...logHomeRegions(config, state.regions),
--- a/src/platform/catalog.ts
+++ b/src/platform/catalog.ts
@@ -4,6 +4,7 @@
 import type {Result} from '../errors/index.js';
 import {parseHomeRegions} from '../home/index.js';
 import type {HomeRegions, StatedRegions} from '../home/index.js';
+import {createRouteTable} from '../routing-config/index.js';
 import type {
 	RoutingConfig, Organisation, Route, RouteKind,
 } from '../routing-config/index.js';
@@ -104,10 +105,6 @@
 
 	const {data} = parsed;
 	const tenants = data.tenants ?? [];
-	const routes = data.routes.map(route => decodeRoute(route)).reduce(
-		(hosts, route) => hosts.set(route.host, [...hosts.get(route.host) ?? [], route].toSorted((a, b) => b.prefix.length - a.prefix.length)),
-		Map<string, readonly Route[]>(),
-	);
 	const organisationEntries = tenants.flatMap(tenant => {
 		const {name, apiKeys, priority, prepaid} = tenant;
 		const organisation: Organisation = {
@@ -119,7 +116,7 @@
 	return succeed({
 		version: data.version,
 		...(homeRegions.length > 0 && {homeRegions}),
-		routes,
+		routes: createRouteTable(data.routes.map(route => decodeRoute(route))),
 		services: Map(data.services.map(({name, maxConnections, coldStartS, coldPerS, engine}) => [name, {
 			name,
 			maxConnections,
--- a/src/routing-config/config.ts
+++ b/src/routing-config/config.ts
@@ -1,6 +1,8 @@
 import type {Map} from 'immutable';
 import type {HomeRegions, StatedRegions} from '../home/index.js';
 import {hashText} from '../random/index.js';
+import {findLongestMatch} from './route-table.js';
+import type {RouteTable} from './route-table.js';
 
 /** Whether a request may be retried: `safe` always, `unsafe` never, `stream` only if its route allows resumption. */
 export type RouteKind = 'safe' | 'unsafe' | 'stream';
@@ -71,8 +73,7 @@
 /** One decoded version of the configuration. */
 export type RoutingConfig = Readonly<{
 	version: number;
-	/** Routes by host, longest prefix first. */
-	routes: Map<string, readonly Route[]>;
+	routes: RouteTable;
 	services: Map<string, Service>;
 	/** Organisations by API key. */
 	organisations: Map<string, Organisation>;
@@ -105,7 +106,7 @@
 */
 export const findRoute = (config: RoutingConfig, host: string, url: string): Route | undefined => {
 	const [path = ''] = url.split('?', 1);
-	return config.routes.get(host)?.find(route => path.startsWith(route.prefix));
+	return findLongestMatch(config.routes, host, path);
 };
 
 /**
--- a/src/routing-config/index.ts
+++ b/src/routing-config/index.ts
@@ -1,6 +1,7 @@
 export {
 	selectNewerConfig, findOrganisation, findRoute, pickService,
 } from './config.js';
+export {createRouteTable, listRoutes} from './route-table.js';
 export type {
 	RoutingConfig, ConnectionLimits, Organisation, Route, RouteKind, Service,
 } from './config.js';
