Handle what the store says before a backlog of requests

What callers saw: requests handled by an older configuration while a newer one had been received and decoded. Cause: the decoded configuration was posted at the end of the event loop's queue, behind all requests that waited there. Change: events that tell what the store says are handled before the others, in their own order.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -37,6 +37,7 @@
 import {followTable} from './table-feed.js';
 import type {FeedEvent} from './table-feed.js';
 import {handleEdge} from './handle.js';
+import {storeEvents} from './messages.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
 import {openMemoryGuard} from './memory-guard.js';
 import type {RequestHolding} from './memory-guard.js';
@@ -327,6 +328,7 @@
 		},
 		onFailure: handleFailure,
 		clock,
+		isUrgent: ({kind}) => storeEvents.has(kind),
 		slice: workSliceMs,
 	});
 
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -27,6 +27,29 @@
 /** What marks the end of a response's body: its stated length, its last chunk, or the close of its connection. */
 export type Framing = 'length' | 'chunked' | 'close';
 
+/**
+Events that tell what the store says. They are handled in their own order, before what clients, endpoints and peers send: none of
+them may wait behind a backlog of requests, and a restored store is told of before anything that was read from it afterwards.
+*/
+export const storeEvents: ReadonlySet<EdgeEvent['kind']> = new Set([
+	'catalog-read',
+	'evacuations-read',
+	'evacuations-changed',
+	'endpoints-listed',
+	'endpoint-changed',
+	'registry-lost',
+	'registry-regained',
+	'registry-restored',
+	'store-replied',
+	'origin-read',
+	'origins-saved',
+	'versions-read',
+	'versions-in-use-read',
+	'versions-saved',
+	'verdicts-read',
+	'verdicts-saved',
+]);
+
 /** How a version of the configuration came to this router; for the log. */
 export type ConfigRetrieval = Readonly<{
 	transfer: ReplyTransfer | undefined;
--- a/src/edge/table-feed.ts
+++ b/src/edge/table-feed.ts
@@ -44,8 +44,8 @@
 /** Failed requests after which all rows are read: pages may get through where all changes at once do not. */
 const maxFailures = 3;
 
-/** Size of changes, in bytes, up to which they are always received. */
-const minChangesLimitBytes = 131_072;
+/** Size of changes, in bytes, up to which they are always received: a few rows of the largest size that the store keeps, or many small ones. */
+const minChangesLimitBytes = 524_288;
 
 /** Size of changes, relative to that of all rows, above which all rows are read instead. */
 const changesLimitFactor = 1.5;
--- a/src/loop/loop.ts
+++ b/src/loop/loop.ts
@@ -28,6 +28,8 @@
 	/** Handles an effect that threw; may throw to end the process, as happens without it. */
 	onFailure?: (effect: Effect, error: unknown) => void;
 	clock: () => number;
+	/** Tells which events are handled before all others that are queued, in the order in which they were posted; none by default. */
+	isUrgent?: (event: Event) => boolean;
 	/** Time slice in ms, after which the loop yields to Node's sockets and timers; unlimited by default. */
 	slice?: number;
 }>;
@@ -49,6 +51,9 @@
 per iteration of its event loop, so n new client connections take n iterations to accept.
 With a time slice, iterations stay short however many events are queued.
 
+Load pattern: a backlog of requests is queued when the configuration changes. Urgent events do not wait for it,
+so that the requests are handled by what is known when their turn comes.
+
 An effect that throws belongs to one request or to the process, which `onFailure` decides; the effects after it are
 performed all the same. A handler that throws ends the process: its state can no longer be relied on.
 
@@ -57,12 +62,13 @@
 */
 export const startLoop = <State, Event, Effect>(options: LoopOptions<State, Event, Effect>): Loop<State, Event> => {
 	const {
-		initial, handle, perform, onFailure = failLoop, clock, slice = Number.POSITIVE_INFINITY,
+		initial, handle, perform, onFailure = failLoop, clock, isUrgent = () => false, slice = Number.POSITIVE_INFINITY,
 	} = options;
 	let state = initial;
 	let emit: (event: Event) => void = () => undefined;
 	let end: () => void = () => undefined;
 	let queue: Array<QueuedEvent<Event>> = [];
+	let urgentQueue: Event[] = [];
 	let isDraining = false;
 
 	const events = new Stream<Event>({
@@ -79,18 +85,28 @@
 		},
 	});
 
-	/** Handles the events that are queued at its start, until the time slice is used up. */
+	const drainUrgent = () => {
+		const batch = urgentQueue;
+		urgentQueue = [];
+		batch.forEach(event => {
+			emit(event);
+		});
+	};
+
+	/** Handles the events that are queued at its start, until the time slice is used up, and urgent ones before each of them. */
 	const drainQueue = () => {
 		const start = clock();
 		const batch = queue;
 		queue = [];
+		drainUrgent();
 		const lastIndex = batch.findIndex(({event}) => {
 			emit(event);
+			drainUrgent();
 			return clock() - start >= slice;
 		});
 		const isSliceUsedUp = lastIndex !== -1;
 		queue = isSliceUsedUp ? [...batch.slice(lastIndex + 1), ...queue] : queue;
-		isDraining = queue.length > 0;
+		isDraining = queue.length > 0 || urgentQueue.length > 0;
 		if (isDraining && isSliceUsedUp) {
 			setImmediate(drainQueue);
 		} else if (isDraining) {
@@ -99,7 +115,12 @@
 	};
 
 	const post = (event: Event) => {
-		queue.push({event, postedAt: clock()});
+		if (isUrgent(event)) {
+			urgentQueue.push(event);
+		} else {
+			queue.push({event, postedAt: clock()});
+		}
+
 		if (!isDraining) {
 			isDraining = true;
 			queueMicrotask(drainQueue);
