--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -95,3 +95,28 @@
 	await stopClients();
 	expect(statuses).not.toContain(404);
 }, 60_000);
+
+/** Time after which a host that was disturbed is held to its bounds again, in ms. */
+const contactMs = 4000;
+
+// Guards against a host that takes up an older configuration as its first one, or loses its place in the feed.
+test.each<[string, (edge: EdgeProcess) => void | Promise<void>]>([
+	['starts again', async edge => edge.restart()],
+	['loses its store for a second', async ({store}) => {
+		store.setUnavailable(true);
+		await sleep(1000);
+		store.setUnavailable(false);
+	}],
+	['has its store restored from a copy', ({store}) => {
+		store.restore(2000);
+	}],
+])('a host that %s in a storm has the latest configuration in time', async (_, disturb) => {
+	const edge = await startEdgeProcess({...smallest, routeCount: routeCount + 1, store: {feedsAllVersions: true}});
+	const count = 24;
+	const written = writeVersions(edge, {count, gapMs: slowStorm.gapMs});
+	await sleep(1500);
+	await disturb(edge);
+	const heldFrom = Math.ceil((1500 + 1000 + contactMs) / slowStorm.gapMs);
+	const statuses = await written;
+	expect(statuses.slice(heldFrom)).toEqual(Array.from({length: count - heldFrom}, () => 200));
+}, 60_000);
