--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -51,7 +51,7 @@
 		grace: duration,
 		/** Time for which an endpoint goes on serving after the store has accepted that it leaves, in ms. */
 		drain: duration.default(2000),
-		/** Time within which a confirmed version of the configuration is in force, in ms; requests are rejected while a newer one is being received for longer. Absent for no limit. */
+		/** Time within which a confirmed version of the configuration is in force, in ms; requests are rejected if the one in force was last known to be current longer ago. Absent for no limit. */
 		config: duration.optional(),
 		/** Retry budget: retries per client request, over all routers. */
 		'repeat-ratio': fraction,
