--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -321,7 +321,7 @@
 			regions: listRegions(settings),
 			readinessLimits,
 			remoteCostMs: settings.bounds['remote-cost'],
-			configMs: settings.bounds.config,
+			configMs: settings.bounds['config-ms'],
 		}),
 		handle: handleEdge,
 		perform(effect) {
@@ -746,7 +746,7 @@
 				coldBounds: getColdBounds(next),
 				regions: listRegions(next),
 				remoteCostMs: next.bounds['remote-cost'],
-				configMs: next.bounds.config,
+				configMs: next.bounds['config-ms'],
 			});
 			// Changed addresses take effect at the next start.
 			log.write('routine', 'settings-reloaded', {grace: graceMs, repeatSlack: next.bounds['repeat-slack'], needsRestart: isRestartNeeded});
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -9,6 +9,9 @@
 /** A text that has a default if it is left out or empty, as the platform leaves it for what a deployment does not set. */
 const createOptionalText = (otherwise: string) => z.string().default('').transform(text => text.trim() === '' ? otherwise : text);
 
+/** A number that is undefined if it is left out or empty. */
+const optionalNumber = createOptionalText('').transform(text => text === '' ? undefined : Number(text));
+
 const nonNegativeNumber = z.string().regex(/^\d+(?:\.\d+)?$/v, 'must be a number that is not negative').transform(Number);
 
 /** A table from name to name, as JSON. */
@@ -51,8 +54,8 @@
 		grace: duration,
 		/** Time for which an endpoint goes on serving after the store has accepted that it leaves, in ms. */
 		drain: duration.default(2000),
-		/** Time within which a confirmed version of the configuration is in force, in ms; requests are rejected if the one in force was last known to be current longer ago. Absent for no limit. */
-		config: duration.optional(),
+		/** Time within which a confirmed version of the configuration is in force, in ms; requests are rejected if the one in force was last known to be current longer ago. Empty for no limit. */
+		'config-ms': optionalNumber.pipe(z.number('must be a number').positive().optional()),
 		/** Retry budget: retries per client request, over all routers. */
 		'repeat-ratio': fraction,
 		/** Retry budget: additional retries per time window, over all routers. */
@@ -61,7 +64,7 @@
 		'cold-over': createOptionalText('1.5').pipe(nonNegativeNumber),
 		'cold-slack': createOptionalText('5').pipe(nonNegativeNumber),
 		/** Time of waiting that a megabyte between data centres is worth, in ms; empty for a constant cost of 30 ms for each request. */
-		'remote-cost': createOptionalText('').transform(text => text === '' ? undefined : Number(text)).pipe(z.number('must be a number').nonnegative().optional()),
+		'remote-cost': optionalNumber.pipe(z.number('must be a number').nonnegative().optional()),
 	}),
 	places: z.object({
 		/** Region of this host's data centre. */
@@ -72,7 +75,7 @@
 	/** Limits of the machine; an empty or absent CPU share is none. */
 	limits: limitsSchema.extend({
 		/** Cores that the process may use, such as 0.184. Below 0.4, an overloaded router says that it is not ready, and sheds load earlier. */
-		'cpu-share': createOptionalText('').transform(text => text === '' ? undefined : Number(text)).pipe(z.number('must be a number').positive().optional()),
+		'cpu-share': optionalNumber.pipe(z.number('must be a number').positive().optional()),
 	}).prefault({}),
 });
 
--- a/test/edge-process.ts
+++ b/test/edge-process.ts
@@ -276,7 +276,7 @@
 relays = ${relayAddress}
 [bounds]
 grace = 7s
-config = 3s
+config-ms = 3000
 repeat-ratio = 0.2
 repeat-slack = 50
 [limits]
