Let a starting router wait for those that have not restored their rows

Cause: a process that starts after the store came back from an older copy took the budgets' rows as they were, though live routers had drawn tokens since the copy that they had not added again. Only a process that had known the earlier era waited for them.

--- a/src/quota/handle.ts
+++ b/src/quota/handle.ts
@@ -334,6 +334,7 @@
 		inherited: Map(),
 		writtenOff: Map(),
 		isTakeover: false,
+		peerEras: Map(),
 		era: quota.era,
 	};
 };
@@ -371,7 +372,7 @@
 Plans the takeover of this router's row from an earlier process. That process ended before this one started, so it
 cannot have spent anything since then.
 */
-const planTakeover = (quota: LocalQuota, ownRow: StoredRow | undefined, now: number): PendingChange => {
+const planTakeover = (quota: LocalQuota, ownRow: StoredRow | undefined, peerEras: Map<string, number | undefined>, now: number): PendingChange => {
 	const id = `${quota.incarnation}.0`;
 	const row = decodeRowValue(holdsRowSchema, ownRow?.value);
 	const time = estimateStoreTime(quota, now);
@@ -396,6 +397,7 @@
 		inherited,
 		writtenOff,
 		isTakeover: true,
+		peerEras,
 		era: quota.era,
 	};
 };
@@ -489,8 +491,18 @@
 
 const sumTokens = (tokens: Map<string, number>): number => tokens.reduce((sum, each) => sum + each, 0);
 
-const applyTakeover = (quota: LocalQuota, change: PendingChange): QuotaStep => ({
-	state: {...quota, hasTakenOver: true},
+/** Awaits the live routers that have not written their rows in this era: what they have drawn since the copy may be missing in the budgets' rows. */
+const awaitOutdatedPeers = (quota: LocalQuota, peerEras: PendingChange['peerEras'], now: number): Restoration | undefined => {
+	const awaitedPeers = peerEras.filter(era => era !== quota.era).keySeq().toSet();
+	return awaitedPeers.isEmpty()
+		? undefined
+		: {
+			noticedAtMs: now, ownRow: 'written', lostDraws: Map(), awaitedPeers,
+		};
+};
+
+const applyTakeover = (quota: LocalQuota, change: PendingChange, now: number): QuotaStep => ({
+	state: {...quota, hasTakenOver: true, restoration: awaitOutdatedPeers(quota, change.peerEras, now)},
 	effects: [{
 		kind: 'log', event: 'holds-opened', isFailure: false, fields: {
 			version: quota.version, change: change.id, inherited: sumTokens(change.inherited), writtenOff: sumTokens(change.writtenOff),
@@ -543,7 +555,7 @@
 		restoration: quota.restoration?.ownRow === 'read' ? {...quota.restoration, ownRow: 'written', lostDraws: Map()} : quota.restoration,
 		sync: {step: 'idle'},
 	};
-	const takenOver = change.isTakeover ? applyTakeover(updated, change) : {state: updated, effects: logTransfers(change)};
+	const takenOver = change.isTakeover ? applyTakeover(updated, change, now) : {state: updated, effects: logTransfers(change)};
 	const next = startSync(takenOver.state, context, now);
 	return {state: next.state, effects: [...takenOver.effects, {kind: 'changed'}, ...next.effects]};
 };
@@ -648,15 +660,16 @@
 };
 
 const receiveHolds = (quota: LocalQuota, rows: readonly StoredRow[], now: number): QuotaStep => {
+	const time = estimateStoreTime(quota, now);
+	const peerRouters = Map(rows.filter(row => row.key !== quota.router).map(row => [row.key, decodePeerRouter(row, time)] as const));
 	if (!quota.hasTakenOver) {
 		const ownRow = findRow(rows, tables.holds, quota.router);
 		const succeeding = {...quota, predecessors: listPredecessors(ownRow)};
-		const takeover = writeChange(succeeding, planTakeover(succeeding, ownRow, now), 0);
+		const peerEras = peerRouters.filter(({isLive}) => isLive).map(({era}) => era);
+		const takeover = writeChange(succeeding, planTakeover(succeeding, ownRow, peerEras, now), 0);
 		return {state: takeover.state, effects: [...logUnreadableRows(ownRow === undefined ? [] : [ownRow], holdsRowSchema), ...takeover.effects]};
 	}
 
-	const time = estimateStoreTime(quota, now);
-	const peerRouters = Map(rows.filter(row => row.key !== quota.router).map(row => [row.key, decodePeerRouter(row, time)] as const));
 	const updated = {...quota, peers: peerRouters};
 	if (quota.restoration === undefined) {
 		return readRows(updated, 'budgets');
--- a/src/quota/quota.test.ts
+++ b/src/quota/quota.test.ts
@@ -274,6 +274,23 @@
 		expect(fleet.spent()).toBeLessThanOrEqual(fleet.store.taken());
 	});
 
+	// Guards against a process that draws tokens which live routers have spent, and not yet added to the budget's row again.
+	test.each(Array.from({length: 20}, (_, seed) => [seed]))('lets a process that starts meanwhile draw nothing that others have spent, seed %i', seed => {
+		const random = createRandom(seed);
+		const fleet = createRouterFleet(routers, random, replyAlways);
+		sendRequests(fleet, ['a', 'b', 'c'], 60, () => 1000);
+		fleet.store.copy(fleet.now());
+		const copiedAt = fleet.now();
+		sendRequests(fleet, ['a', 'b', 'c'], 450, () => 16_000 + random.pick(6000));
+		Array.from({length: 1 + random.pick(60)}).forEach(() => {
+			fleet.step();
+		});
+		fleet.restore(fleet.now() - copiedAt);
+		fleet.kill('d');
+		sendRequests(fleet, ['d'], 150, () => 9000);
+		expect(fleet.spent()).toBeLessThanOrEqual(limit);
+	});
+
 	test('leaves a process that starts afterwards nothing of a row that may be outdated', () => {
 		const random = createRandom(1);
 		const fleet = createRouterFleet(['a'], random, replyAlways);
@@ -304,7 +321,9 @@
 				fleet.step();
 			});
 		});
+		console.log('T', fleet.spent(), fleet.store.taken());
 		fleet.restore(fleet.now() - copiedAt);
+		console.log('R', fleet.store.taken());
 		Array.from({length: 700}).forEach(() => {
 			fleet.step();
 		});
--- a/src/quota/state.ts
+++ b/src/quota/state.ts
@@ -79,6 +79,8 @@
 	writtenOff: Map<string, number>;
 	/** True if the change takes over the row of an earlier process. */
 	isTakeover: boolean;
+	/** Eras in which the live routers had written their rows when a takeover was planned; empty for other changes. */
+	peerEras: Map<string, number | undefined>;
 	/** Era of the store in which it was planned. In another one, the versions that it requires may be those of other rows. */
 	era: number | undefined;
 }>;
@@ -177,7 +179,7 @@
 	predecessors: readonly string[];
 	/** The latest transfers, as long as the store may come back from a copy without them. */
 	transfers: readonly Transfer[];
-	/** Undefined unless the store has come back from an older copy. */
+	/** Undefined unless the store has come back from an older copy, during this process or shortly before it. */
 	restoration: Restoration | undefined;
 }>;
 
