Remove the abort listener of a request to the store once it has ended

Cause: a read in pages adds a listener to one signal for each page; with more than ten, Node.js warns of a leak on each read of a large registry. Change: the listener goes with its request. Result: the tests of the client and of the failover pass. Behaviour stays as it is.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -196,13 +196,16 @@
 			}, computeTransferWait(buffer.countBytes(), elapsedMs));
 		};
 
-		options?.signal?.addEventListener('abort', () => {
+		const resolveAborted = () => {
 			resolveLost('no longer needed');
-		}, {once: true});
+		};
+
+		options?.signal?.addEventListener('abort', resolveAborted);
 		outgoing.on('error', error => {
 			resolveIncomplete(error.message);
 		});
 		outgoing.on('close', () => {
+			options?.signal?.removeEventListener('abort', resolveAborted);
 			resolveIncomplete('connection closed before a reply');
 		});
 		limitResponses(outgoing, resolveLost);
