--- a/test/edge-process.ts
+++ b/test/edge-process.ts
@@ -85,7 +85,7 @@
 const capIntervalMs = 4;
 const capPeriodMs = 100;
 
-/** Limits a process to a share of a core, as a usage cap does: it runs until its share of a tenth of a second is used up. */
+/** Limits a process to a share of a core: it runs until its share of a tenth of a second is used up. */
 const capProcessor = (pid: number, share: number): (() => void) => {
 	let usedBefore = readProcessorTime(pid);
 	let cappedAt = performance.now();
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -54,8 +54,11 @@
 /** The statuses of so many requests that are served. */
 const formatServed = (count: number): string => Array.from({length: count}, () => 200).join(' ');
 
-/** Writes versions one after another, each of which adds a route. Resolves to the final statuses of requests to these routes, each sent `configMs` after the confirmation. */
-const writeVersions = async (edge: EdgeProcess, {count, gapMs}: Readonly<{count: number; gapMs: number}>): Promise<ReadonlyArray<number | undefined>> => {
+/** Versions that are written one after another, and the time between two of them, in ms. */
+type Storm = Readonly<{count: number; gapMs: number}>;
+
+/** Writes versions one after another, each of which adds a route. Resolves to the final statuses of requests to these routes, each sent `configMs` after its version was confirmed. */
+const writeVersions = async (edge: EdgeProcess, {count, gapMs}: Storm): Promise<ReadonlyArray<number | undefined>> => {
 	const first = 2;
 	return Promise.all(Array.from({length: count}, async (_, index) => {
 		await sleep(index * gapMs);
@@ -66,8 +69,6 @@
 	}));
 };
 
-type Storm = Readonly<{count: number; gapMs: number}>;
-
 /** Versions in quick succession, as operators write them. */
 const slowStorm: Storm = {count: 12, gapMs: 330};
 const fastStorm: Storm = {count: 25, gapMs: 80};
--- a/test/soak/proxy.ts
+++ b/test/soak/proxy.ts
@@ -18,8 +18,6 @@
 export type RateProxy = Readonly<{
 	/** Two addresses of the upstream, which share the link. */
 	addresses: readonly string[];
-	/** Returns the number of response bytes that were forwarded. */
-	countBytes: () => number;
 	/** Sets the rate of all connections together, in bytes per ms. */
 	setRate: (bytesPerMs: number) => void;
 	close: () => void;
@@ -110,13 +108,11 @@
 export const startRateProxy = async (port: number, bytesPerMs: number): Promise<RateProxy> => {
 	let rate = bytesPerMs;
 	let freeAt = 0;
-	let byteCount = 0;
 	const sockets = new Set<Socket>();
 
 	/** Resolves once a piece has crossed the link. */
 	const crossLink = async (bytes: number): Promise<void> => {
 		freeAt = Math.max(freeAt, performance.now()) + (bytes / rate);
-		byteCount += bytes;
 		return sleep(freeAt - performance.now());
 	};
 
@@ -154,7 +150,6 @@
 	})));
 	return {
 		addresses: servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`),
-		countBytes: () => byteCount,
 		setRate(next) {
 			rate = next;
 		},
