Say in failing tests of processes which error a client met, and what the program logged

The harness turned every socket error into undefined and kept the log of the edge to itself, so that a reset by the kernel, a refused connection and a connection that the edge closed look alike.

Change: test/http-status.ts resolves to the status or the error code; a program of the bundle prints its last 30 lines when its test fails.

--- a/test/copied-refusals.test.ts
+++ b/test/copied-refusals.test.ts
@@ -1,4 +1,4 @@
-import {request} from 'node:http';
+import {globalAgent} from 'node:http';
 import {createServer} from 'node:net';
 import {
 	afterAll, describe, expect, test,
@@ -6,6 +6,8 @@
 import type {Edge} from '../src/edge/edge.js';
 import {sleep} from '../src/loop/sleep.js';
 import {startRouter} from './edge-system.js';
+import {fetchOutcome} from './http-status.js';
+import type {Outcome} from './http-status.js';
 
 const edges: Edge[] = [];
 
@@ -64,21 +66,12 @@
 	});
 });
 
-/** Returns the status that a client gets. */
-const fetchStatus = async (port: number, id: string): Promise<number | undefined> => new Promise(resolve => {
-	request({
-		port, host: '127.0.0.1', method: 'POST', headers: {host: 'h', 'attempt-id': id, 'request-deadline-ms': '3000'},
-	}, incoming => {
-		incoming.resume();
-		incoming.on('close', () => {
-			resolve(incoming.statusCode);
-		});
-	}).on('error', () => {
-		resolve(undefined);
-	}).end();
+/** Returns what a client gets. */
+const sendRequest = async (port: number, id: string): Promise<Outcome> => fetchOutcome({
+	port, agent: globalAgent, method: 'POST', headers: {host: 'h', 'attempt-id': id, 'request-deadline-ms': '3000'},
 });
 
-const hasNotRunStatuses = new Set<number | undefined>([408, 421, 429, 503]);
+const hasNotRunStatuses = new Set<Outcome | undefined>([408, 421, 429, 503]);
 
 const copyCases: readonly CopyCase[] = (['its own', 'none'] as const)
 	.flatMap(id => (['idle', 'next request'] as const)
@@ -89,9 +82,9 @@
 		const runs: string[] = [];
 		const {edge, port} = await startRouter({endpoints: [{server: createFaultyEndpoint(copyCase, runs)}], route: {maxAttempts: 1}});
 		edges.push(edge);
-		const first = await fetchStatus(port, 'a');
+		const first = await sendRequest(port, 'a');
 		await sleep(60);
-		const statuses = [first, await fetchStatus(port, second)];
+		const statuses = [first, await sendRequest(port, second)];
 		await sleep(40);
 		// Runs of a request that the client was told has not run.
 		expect(runs.filter(id => hasNotRunStatuses.has(statuses[id === 'a' && second === 'b' ? 0 : 1]))).toEqual([]);
@@ -104,9 +97,9 @@
 			endpoints: [{server: createFaultyEndpoint(copyCase, runs)}, {server: createFaultyEndpoint(copyCase, runs)}], route: {maxAttempts: 2},
 		});
 		edges.push(edge);
-		expect(await fetchStatus(port, 'a')).toBe(503);
+		expect(await sendRequest(port, 'a')).toBe(503);
 		await sleep(60);
-		await fetchStatus(port, second);
+		await sendRequest(port, second);
 		await sleep(40);
 		expect(runs.length).toBeLessThanOrEqual(1);
 	});
--- a/test/edge-process.ts
+++ b/test/edge-process.ts
@@ -4,8 +4,8 @@
 import {
 	mkdtempSync, readdirSync, readFileSync, writeFileSync,
 } from 'node:fs';
-import {createServer, get, request} from 'node:http';
-import type {IncomingMessage, RequestOptions, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {connect, createServer as createSocketServer} from 'node:net';
 import type {AddressInfo, Server as SocketServer, Socket} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -13,7 +13,9 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {expect, onTestFinished} from 'vitest';
+import {expect, onTestFailed, onTestFinished} from 'vitest';
+import {fetchOutcome} from './http-status.js';
+import type {Outcome} from './http-status.js';
 import {startRateProxy} from './soak/proxy.js';
 import type {RateProxy} from './soak/proxy.js';
 import {createStore} from './soak/store.js';
@@ -35,10 +37,11 @@
 	readPeakMemory: () => number;
 	/** Returns the largest number of open descriptors seen so far. */
 	getPeakDescriptors: () => number;
-	/** Limits the process to a share of a core. */
+	/** Limits the process to a share of a core, until it is restarted. */
 	limitProcessor: (share: number) => void;
-	kill: () => void;
-	/** Lines that the program has logged. */
+	/** Kills the process and starts it again with the same settings and ports. */
+	restart: () => void;
+	/** Lines that the program has logged, in all its processes. */
 	lines: readonly string[];
 }>;
 
@@ -103,56 +106,58 @@
 	};
 };
 
+/** Number of its last lines of log that a program shows when its test fails. */
+const shownLines = 30;
+
 /** Starts a program with the memory limit of its run line in `deploy/system.toml`. */
 const startBundled = (name: string, oldSpaceMb: number, settings: string, port: number): BundledProgram => {
 	const file = path.join(mkdtempSync(path.join(tmpdir(), 'galena-')), `${name}.ini`);
 	writeFileSync(file, settings);
-	const child: ChildProcess = spawn(process.execPath, [`--max-old-space-size=${oldSpaceMb}`, `target/bin/${name}.js`, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
-	const pid = child.pid!;
 	const lines: string[] = [];
-	[child.stdout, child.stderr].forEach(output => {
-		output?.on('data', bytes => {
-			lines.push(...String(bytes).trimEnd().split('\n'));
+	const startChild = (): ChildProcess => {
+		const started = spawn(process.execPath, [`--max-old-space-size=${oldSpaceMb}`, `target/bin/${name}.js`, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
+		[started.stdout, started.stderr].forEach(output => {
+			output.on('data', bytes => {
+				lines.push(...String(bytes).trimEnd().split('\n'));
+			});
 		});
-	});
+		return started;
+	};
+
+	let child = startChild();
 	let peakDescriptors = 0;
 	const timer = setInterval(() => {
-		peakDescriptors = Math.max(peakDescriptors, countDescriptors(pid));
+		peakDescriptors = Math.max(peakDescriptors, countDescriptors(child.pid!));
 	}, 20);
 	let stopCap = () => undefined as void;
 	const kill = () => {
-		clearInterval(timer);
 		stopCap();
 		child.kill('SIGKILL');
 	};
 
-	onTestFinished(kill);
+	onTestFinished(() => {
+		clearInterval(timer);
+		kill();
+	});
+	onTestFailed(() => {
+		console.log(lines.slice(-shownLines).join('\n'));
+	});
 	return {
 		port,
 		lines,
 		isAlive: () => child.exitCode === null && child.signalCode === null,
-		readPeakMemory: () => Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.kilobytes) / 1024,
+		readPeakMemory: () => Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))?.groups?.kilobytes) / 1024,
 		getPeakDescriptors: () => peakDescriptors,
 		limitProcessor(share) {
-			stopCap = capProcessor(pid, share);
+			stopCap = capProcessor(child.pid!, share);
+		},
+		restart() {
+			kill();
+			child = startChild();
 		},
-		kill,
 	};
 };
 
-const readStatus = async (options: RequestOptions, body: Buffer | string): Promise<number | undefined> => new Promise(resolve => {
-	const outgoing = request({host: '127.0.0.1', agent: false, ...options}, incoming => {
-		incoming.resume();
-		incoming.on('close', () => {
-			resolve(incoming.statusCode);
-		});
-	});
-	outgoing.on('error', () => {
-		resolve(undefined);
-	});
-	outgoing.end(body);
-});
-
 /** How the endpoint answers the paths of uncontrolled clients; it answers any other path at once. */
 const endpointResponders: Readonly<Record<string, (incoming: IncomingMessage, response: ServerResponse, headers: Readonly<Record<string, string>>) => void>> = {
 	'/held'(incoming, response, headers) {
@@ -196,10 +201,10 @@
 }>;
 
 /** A running edge process, its store and its link to the store. */
-export type EdgeProcess = BundledProgram & Readonly<{
+export type EdgeProcess = Omit<BundledProgram, 'restart'> & Readonly<{
 	store: FakeStore;
 	link: RateProxy | undefined;
-	/** Kills the process and starts it again with the same settings; it gets the same ports. Resolves when it is ready. */
+	/** Kills the process and starts it again with the same settings and ports. Resolves when it is ready. */
 	restart: () => Promise<void>;
 }>;
 
@@ -262,7 +267,7 @@
 	const link = linkBytesPerMs === undefined ? undefined : await startRateProxy(storePort, linkBytesPerMs);
 	const [storeAddress = `127.0.0.1:${storePort}`, relayAddress = ''] = link?.addresses ?? [];
 	const [callers, ready, metrics, peers] = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
-	const start = () => startBundled('galena-edge', 120, `[host]
+	const program = startBundled('galena-edge', 120, `[host]
 name = r
 address = 127.0.0.1
 data-centre = z
@@ -284,7 +289,6 @@
 descriptors = ${descriptors}
 ${cpuShare === undefined ? '' : `cpu-share = ${cpuShare}`}
 `, callers);
-	let program = start();
 	onTestFinished(() => {
 		link?.close();
 		[endpoint, store.server].forEach(server => {
@@ -293,14 +297,7 @@
 		});
 	});
 	const awaitReady = async () => {
-		await expect.poll(async () => new Promise(resolve => {
-			get({host: '127.0.0.1', port: ready}, incoming => {
-				incoming.resume();
-				resolve(incoming.statusCode);
-			}).on('error', () => {
-				resolve(undefined);
-			});
-		}), {timeout: 20_000}).toBe(200);
+		await expect.poll(async () => fetchOutcome({port: ready}), {timeout: 20_000}).toBe(200);
 		if (cpuShare !== undefined) {
 			program.limitProcessor(cpuShare);
 		}
@@ -312,8 +309,7 @@
 		store,
 		link,
 		async restart() {
-			program.kill();
-			program = start();
+			program.restart();
 			return awaitReady();
 		},
 	};
@@ -365,9 +361,9 @@
 
 @param program - The program.
 @param body - The body, which is small by default.
-@returns The status of the response; undefined if the connection was closed without one.
+@returns The status of the response, or the error code if the connection was closed without one.
 */
-export const sendOrdinaryRequest = async ({port}: BundledProgram, body: Buffer | string = 'small'): Promise<number | undefined> => readStatus({
+export const sendOrdinaryRequest = async ({port}: Pick<BundledProgram, 'port'>, body: Buffer | string = 'small'): Promise<Outcome> => fetchOutcome({
 	port, method: 'POST', path: '/plain', headers: {
 		host: 'h', 'attempt-id': 'ordinary', 'request-deadline-ms': '5000', 'content-length': body.length,
 	},
@@ -409,7 +405,7 @@
 @param program - The program.
 @param clients - The clients.
 */
-export const sendFromClients = async ({port}: BundledProgram, {
+export const sendFromClients = async ({port}: Pick<BundledProgram, 'port'>, {
 	count, createScript, intervalMs = 0, isReading = true,
 }: Clients): Promise<void> => {
 	const sockets = new Set<Socket>();
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -1,10 +1,12 @@
-import {Agent, request} from 'node:http';
+import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {beforeAll, expect, test} from 'vitest';
 import {
 	buildConfig, bundlePrograms, formatPrefix, startEdgeProcess,
 } from './edge-process.js';
 import type {EdgeProcess} from './edge-process.js';
+import {fetchOutcome} from './http-status.js';
+import type {Outcome} from './http-status.js';
 
 /** Time within which a confirmed version is in force, in ms. */
 const configMs = 3000;
@@ -19,32 +21,23 @@
 
 beforeAll(bundlePrograms);
 
-/** Sends a request to a further route. Returns its status; undefined without a response. */
-const sendRequest = async (edge: EdgeProcess, {routeIndex, id, agent}: Readonly<{routeIndex: number; id: string; agent: Agent | false}>): Promise<number | undefined> => new Promise(resolve => {
-	request({
-		host: '127.0.0.1', port: edge.port, agent, path: `${formatPrefix(routeIndex)}p`, headers: {host: 'further', 'attempt-id': id, 'request-deadline-ms': '2000'},
-	}, incoming => {
-		incoming.resume();
-		incoming.on('close', () => {
-			resolve(incoming.statusCode);
-		});
-	}).on('error', () => {
-		resolve(undefined);
-	}).end();
+/** Sends a request to a further route. */
+const sendRequest = async ({port}: EdgeProcess, {routeIndex, id, agent}: Readonly<{routeIndex: number; id: string; agent: Agent | false}>): Promise<Outcome> => fetchOutcome({
+	port, agent, path: `${formatPrefix(routeIndex)}p`, headers: {host: 'further', 'attempt-id': id, 'request-deadline-ms': '2000'},
 });
 
-/** Statuses of a request that an operator's client sends again: none, or rejected as not run. */
-const repeatable: ReadonlySet<number | undefined> = new Set([undefined, 503]);
+/** True for a request that an operator's client sends again: without a response, or rejected as not run. */
+const isRepeatable = (outcome: Outcome): boolean => typeof outcome === 'string' || outcome === 503;
 
 /** Interval at which such a request is sent again, in ms, and how often. */
 const repeatIntervalMs = 200;
 const maxRepeats = 10;
 
 /** Sends a request to the latest route of a version, and again while the host rejects it. */
-const probe = async (edge: EdgeProcess, version: number, repeats = 0): Promise<number | undefined> => {
-	const status = await sendRequest(edge, {routeIndex: routeCount + version - 1, id: `probe-${version}-${repeats}`, agent: false});
-	if (!repeatable.has(status) || repeats === maxRepeats) {
-		return status;
+const probe = async (edge: EdgeProcess, version: number, repeats = 0): Promise<Outcome> => {
+	const outcome = await sendRequest(edge, {routeIndex: routeCount + version - 1, id: `probe-${version}-${repeats}`, agent: false});
+	if (!isRepeatable(outcome) || repeats === maxRepeats) {
+		return outcome;
 	}
 
 	await sleep(repeatIntervalMs);
@@ -57,8 +50,8 @@
 /** Versions that are written one after another, and the time between two of them, in ms. */
 type Storm = Readonly<{count: number; gapMs: number}>;
 
-/** Writes versions one after another, each of which adds a route. Resolves to the final statuses of requests to these routes, each sent `configMs` after its version was confirmed. */
-const writeVersions = async (edge: EdgeProcess, {count, gapMs}: Storm): Promise<ReadonlyArray<number | undefined>> => {
+/** Writes versions one after another, each of which adds a route. Resolves to the final outcomes of requests to these routes, each sent `configMs` after its version was confirmed. */
+const writeVersions = async (edge: EdgeProcess, {count, gapMs}: Storm): Promise<readonly Outcome[]> => {
 	const first = 2;
 	return Promise.all(Array.from({length: count}, async (_, index) => {
 		await sleep(index * gapMs);
--- a/test/uncontrolled-clients.test.ts
+++ b/test/uncontrolled-clients.test.ts
@@ -51,7 +51,7 @@
 	descriptors?: number;
 }>;
 
-const expectBounded = (program: BundledProgram, maxMemory: number, maxDescriptors: number): void => {
+const expectBounded = (program: Omit<BundledProgram, 'restart'>, maxMemory: number, maxDescriptors: number): void => {
 	expect(program.isAlive()).toBe(true);
 	expect(program.readPeakMemory()).toBeLessThan(maxMemory);
 	expect(program.getPeakDescriptors()).toBeLessThanOrEqual(maxDescriptors);
