Close routers at the end of their tests

Cause: a router could only be stopped gracefully, which takes over two seconds and leaves its timers, feeds, and servers for readiness and metrics to the end of the process.

Change: Edge.close ends all work at once; stop closes the router once it has drained, where it closed its sockets one by one before the process exits. followTable takes a signal. Tests that stopped their routers only to get rid of them leave it to the harness.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -5,7 +5,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
-import {periodic} from 'most';
+import {fromEvent, periodic} from 'most';
 import type {ColdBounds} from '../cold-start/index.js';
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
@@ -85,7 +85,13 @@
 const endingEffects: ReadonlySet<EdgeEffect['kind']> = new Set(['deliver', 'refuse', 'cut']);
 
 /** A running edge process. */
-export type Edge = Readonly<{stop: () => Promise<void>; reload: (settings: Result<EdgeSettings>) => void}>;
+export type Edge = Readonly<{
+	/** Shuts the process down gracefully, within its grace period. */
+	stop: () => Promise<void>;
+	/** Ends all work at once, as the end of the process does: connections are closed, and nothing is sent or handled any more. */
+	close: () => void;
+	reload: (settings: Result<EdgeSettings>) => void;
+}>;
 
 /** Returns the size that a head announces for its body; 0 if it announces none. */
 const getAnnouncedBytes = ({headers}: IncomingMessage): number => Number(headers['content-length'] ?? 0);
@@ -99,10 +105,11 @@
 
 @param settings - Settings of the process.
 @param log - Log of the process.
-@returns Functions that stop the process and reload its settings.
+@returns Functions that stop or close the process and reload its settings.
 */
 export const startEdge = async (settings: EdgeSettings, log: BoundedLog): Promise<Edge> => {
 	const incarnation = randomBytes(6).toString('hex');
+	const closing = new AbortController();
 	const clock = () => performance.now();
 	const random = () => Math.random();
 	const metrics = openMetrics();
@@ -669,13 +676,13 @@
 	runForever(async () => followTable(store, tables.configuration, event => {
 		logFeed(tables.configuration, event);
 		(configurationHandlers[event.kind] as (event: FeedEvent) => void)(event);
-	}));
+	}, closing.signal));
 	runForever(async () => followTable(store, tables.endpoints, event => {
 		logFeed(tables.endpoints, event);
 		(registryHandlers[event.kind] as (event: FeedEvent) => void)(event);
-	}));
+	}, closing.signal));
 	const retryRead = async (read: () => Promise<boolean>): Promise<void> => {
-		if (await read()) {
+		if (await read() || closing.signal.aborted) {
 			return;
 		}
 
@@ -685,7 +692,11 @@
 
 	runInBackground(async () => retryRead(readVerdicts));
 	runInBackground(async () => retryRead(readVersions));
-	runForever(async () => periodic(tickIntervalMs).observe(() => {
+	const repeat = (intervalMs: number, work: () => void): void => {
+		runForever(async () => periodic(intervalMs).until(fromEvent('abort', closing.signal)).observe(work));
+	};
+
+	repeat(tickIntervalMs, () => {
 		lagMs = clock() - lastTickAt - tickIntervalMs;
 		lastTickAt = clock();
 		acceptQueue.recordLag(lagMs);
@@ -693,21 +704,21 @@
 			kind: 'observe', metric: 'lag', labels: {}, milliseconds: Math.max(0, lagMs),
 		});
 		loop.post({kind: 'tick', random: random()});
-	}));
-	runForever(async () => periodic(1000).observe(() => {
+	});
+	repeat(1000, () => {
 		log.tick(clock());
 		metrics.setHeld(guard.count());
 		proxy.limitConnections(guard.maxOutgoingConnections);
-	}));
+	});
 	if (readinessLimits !== undefined) {
 		let used = process.cpuUsage();
-		runForever(async () => periodic(sampleIntervalMs).observe(() => {
+		repeat(sampleIntervalMs, () => {
 			const {user, system} = process.cpuUsage(used);
 			used = process.cpuUsage();
 			loop.post({kind: 'load-measured', lagMs: getDelay(), usedMs: (user + system) / 1000});
 			const {isOverloaded} = loop.state().readiness;
 			metrics.setOverloaded(isOverloaded);
-		}));
+		});
 	}
 
 	const awaitDrained = async (deadline: number): Promise<void> => {
@@ -729,7 +740,26 @@
 		return awaitBudgetRelease(deadline);
 	};
 
+	const close = (): void => {
+		if (closing.signal.aborted) {
+			return;
+		}
+
+		closing.abort();
+		loop.stop();
+		acceptQueue.close();
+		[server, readyServer, metricsServer].forEach(each => {
+			each.closeAllConnections();
+			each.close();
+		});
+		client.close();
+		guard.close();
+		peerSocket.close();
+		proxy.close();
+	};
+
 	return {
+		close,
 		reload(changed) {
 			if (changed.err) {
 				log.write('failure', 'settings-unreadable', {reason: changed.val.detail});
@@ -771,10 +801,7 @@
 			await awaitDrained(deadline);
 			clearTimeout(timer);
 			log.write('routine', 'stopped', {incarnation, calls: loop.state().requests.size, responses: responses.count()});
-			client.close();
-			guard.close();
-			peerSocket.close();
-			proxy.close();
+			close();
 		},
 	};
 };
--- a/src/edge/table-feed.ts
+++ b/src/edge/table-feed.ts
@@ -129,19 +129,24 @@
 const retryDelayMs = 150;
 
 /**
-Follows a table of the store until the process ends: reads all rows, then their
+Follows a table of the store until the signal is aborted: reads all rows, then their
 changes. When the store no longer has the change history, or has come back from an
 older copy, or the changes are larger than all rows, all rows are read again.
 
 @param store - The store.
 @param table - Name of the table.
-@param onEvent - Called with each event, in order.
-@returns A promise that never resolves.
+@param onEvent - Called with each event, in order, until the signal is aborted.
+@param signal - Ends the feed.
+@returns A promise that resolves once the signal is aborted and the store's last reply has come.
 */
-export const followTable = async (store: StoreOperations, table: string, onEvent: (event: FeedEvent) => void): Promise<never> => {
+export const followTable = async (store: StoreOperations, table: string, onEvent: (event: FeedEvent) => void, signal: AbortSignal): Promise<void> => {
 	let position = feedStart;
 	for (;;) {
 		const reply = position.version === undefined ? await store.read(table) : await store.follow(table, position.version, computeChangesLimit(position));
+		if (signal.aborted) {
+			return;
+		}
+
 		const next = advanceFeed(position, reply);
 		position = next.position;
 		next.events.forEach(event => {
--- a/test/copied-refusals.test.ts
+++ b/test/copied-refusals.test.ts
@@ -1,20 +1,11 @@
 import {globalAgent} from 'node:http';
 import {createServer} from 'node:net';
-import {
-	afterAll, describe, expect, test,
-} from 'vitest';
-import type {Edge} from '../src/edge/edge.js';
+import {describe, expect, test} from 'vitest';
 import {sleep} from '../src/loop/sleep.js';
 import {startRouter} from './edge-system.js';
 import {fetchOutcome} from './http-status.js';
 import type {Outcome} from './http-status.js';
 
-const edges: Edge[] = [];
-
-afterAll(async () => {
-	await Promise.all(edges.map(async edge => edge.stop()));
-});
-
 /** What the copy of a refusal looks like. */
 type CopyCase = Readonly<{
 	id: 'its own' | 'none';
@@ -80,8 +71,7 @@
 describe.each([['the same request', 'a'], ['another request', 'b']])('a refusal that is written once more on a kept connection when %s is sent', (_, second) => {
 	test.each(copyCases)('does not count for it: id $id, written while $at, framed by $framing', async copyCase => {
 		const runs: string[] = [];
-		const {edge, port} = await startRouter({endpoints: [{server: createFaultyEndpoint(copyCase, runs)}], route: {maxAttempts: 1}});
-		edges.push(edge);
+		const {port} = await startRouter({endpoints: [{server: createFaultyEndpoint(copyCase, runs)}], route: {maxAttempts: 1}});
 		const first = await sendRequest(port, 'a');
 		await sleep(60);
 		const statuses = [first, await sendRequest(port, second)];
@@ -93,10 +83,9 @@
 
 	test.each(copyCases)('does not send it to a second endpoint: id $id, written while $at, framed by $framing', async copyCase => {
 		const runs: string[] = [];
-		const {edge, port} = await startRouter({
+		const {port} = await startRouter({
 			endpoints: [{server: createFaultyEndpoint(copyCase, runs)}, {server: createFaultyEndpoint(copyCase, runs)}], route: {maxAttempts: 2},
 		});
-		edges.push(edge);
 		expect(await sendRequest(port, 'a')).toBe(503);
 		await sleep(60);
 		await sendRequest(port, second);
--- a/test/edge-bodies.test.ts
+++ b/test/edge-bodies.test.ts
@@ -32,9 +32,8 @@
 		writeWithoutEnd(socket, Buffer.from('1\r\na\r\n'.repeat(1000)));
 	}],
 ])('a request whose body %s is answered %i, and its connection is closed', async (_, status, headers, writeBody) => {
-	const {edge, port} = await startSystem(Buffer.alloc(1));
+	const {port} = await startSystem(Buffer.alloc(1));
 	const received = await sendUnfinished(port, headers, writeBody);
 	expect(received).toMatch(new RegExp(`^HTTP/1.1 ${status} `, 'v'));
 	expect(received.toLowerCase()).toContain('connection: close');
-	await edge.stop();
 }, 10_000);
--- a/test/edge-shutdown.test.ts
+++ b/test/edge-shutdown.test.ts
@@ -3,6 +3,7 @@
 import {request} from 'node:http';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import process from 'node:process';
 import {expect, test} from 'vitest';
 import {startSystem} from './edge-system.js';
 
@@ -85,3 +86,19 @@
 	end();
 	expect(outcomes).toEqual(['slow-writer 200 whole', 'slow-reader 200 whole']);
 });
+
+/** Lists what keeps the process busy, but for its pipes, the timer of the test and that of a poll. */
+const listResources = (): readonly string[] => {
+	const resources = process.getActiveResourcesInfo();
+	const timers = resources.filter(name => name === 'Timeout');
+	return [...resources.filter(name => /^(?:TCP|UDP)/v.test(name)), ...timers.slice(2)];
+};
+
+// Guards against routers of earlier tests that take up processor time beside those of later ones.
+test('a closed router leaves no timer, socket or server behind', async () => {
+	expect(listResources()).toEqual([]);
+	const {edge} = await startSystem(Buffer.alloc(1));
+	edge.close();
+	// Those of the store and of the endpoint.
+	await expect.poll(listResources).toEqual(['TCPServerWrap', 'TCPServerWrap']);
+});
--- a/test/edge-system.ts
+++ b/test/edge-system.ts
@@ -1,15 +1,22 @@
 import type {Buffer} from 'node:buffer';
-import {createServer, get, Server} from 'node:http';
+import {createServer, Server} from 'node:http';
 import {createServer as createSocketServer} from 'node:net';
 import type {AddressInfo, Server as SocketServer} from 'node:net';
 import {afterEach, expect} from 'vitest';
 import {startEdge} from '../src/edge/edge.js';
+import type {Edge} from '../src/edge/edge.js';
 import {edgeSettings} from '../src/edge/settings.js';
+import {fetchOutcome} from './http-status.js';
 import {createStore} from './soak/store.js';
 
 const servers: Array<Server | SocketServer> = [];
+const edges: Edge[] = [];
 
 afterEach(() => {
+	// An idle router takes up processor time, which the routers of later tests would lack.
+	edges.splice(0).forEach(edge => {
+		edge.close();
+	});
 	servers.splice(0).forEach(server => {
 		if (server instanceof Server) {
 			server.closeAllConnections();
@@ -44,7 +51,7 @@
 }>;
 
 /**
-Starts a router with a store and endpoints.
+Starts a router with a store and endpoints, until the end of the test.
 
 @param options - The endpoints and the route.
 @returns The router, the port at which it takes requests, and its store.
@@ -77,13 +84,8 @@
 		store: {address: `127.0.0.1:${storePort}`},
 		bounds: {grace: '7s', 'repeat-ratio': '0.2', 'repeat-slack': '50'},
 	}), {write: () => undefined, tick: () => undefined});
-	const isReady = async (): Promise<boolean> => new Promise(resolve => {
-		get({host: '127.0.0.1', port: ready}, incoming => {
-			incoming.resume();
-			resolve(incoming.statusCode === 200);
-		});
-	});
-	await expect.poll(isReady).toBe(true);
+	edges.push(edge);
+	await expect.poll(async () => fetchOutcome({port: ready})).toBe(200);
 	return {edge, port: callers, store};
 };
 
--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -22,7 +22,7 @@
 
 // Guards against an evacuation that is written to the store and does not reach the choice of endpoints, or does not end.
 test('a router sends nothing to a data centre while the store has the row of its evacuation', async () => {
-	const {edge, port, store} = await startSystem(Buffer.alloc(1));
+	const {port, store} = await startSystem(Buffer.alloc(1));
 	expect(await send(port, 'a1')).toMatchObject({status: 200});
 	const writtenAt = performance.now();
 	store.put('op', 'evacuate/z', {});
@@ -36,5 +36,4 @@
 	store.setUnavailable(false);
 	store.put('op', 'evacuate/z', undefined);
 	await expect.poll(async () => getStatus(port, 'a5'), {interval: 20, timeout: 5000}).toBe(200);
-	await edge.stop();
 }, 25_000);
--- a/test/slow-clients.test.ts
+++ b/test/slow-clients.test.ts
@@ -19,14 +19,13 @@
 			closed += 1;
 		});
 	});
-	const {edge, port} = await startRouter({endpoints: [{server: endpoint}], route: {timeoutMs: 20_000}});
+	const {port} = await startRouter({endpoints: [{server: endpoint}], route: {timeoutMs: 20_000}});
 	const client = connect(port, '127.0.0.1').on('error', () => undefined);
 	onTestFinished(() => {
 		client.destroy();
 	});
 	client.write(formatHead('Content-Length: 0'));
 	await expect.poll(() => closed, {timeout: 8000}).toBe(1);
-	await edge.stop();
 }, 30_000);
 
 // Guards against a body that is asked for and read although its announced size is refused.
@@ -34,11 +33,10 @@
 	['100001', /^HTTP\/1\.1 413 /v],
 	['100000', /^HTTP\/1\.1 100 /v],
 ])('a client that announces %s bytes and waits to be asked for them gets its answer before it sends them', async (length, expected) => {
-	const {edge, port} = await startSystem(Buffer.alloc(1));
+	const {port} = await startSystem(Buffer.alloc(1));
 	const client = connect(port, '127.0.0.1').on('error', () => undefined);
 	client.write(formatHead(`Content-Length: ${length}`, 'Expect: 100-continue'));
 	const [received] = await once(client, 'data') as [Buffer];
 	client.destroy();
 	expect(String(received)).toMatch(expected);
-	await edge.stop();
 }, 30_000);
--- a/test/stream-ends.test.ts
+++ b/test/stream-ends.test.ts
@@ -1,15 +1,8 @@
 import {connect, createServer} from 'node:net';
 import type {Socket} from 'node:net';
-import {afterAll, expect, test} from 'vitest';
-import type {Edge} from '../src/edge/edge.js';
+import {expect, test} from 'vitest';
 import {startRouter} from './edge-system.js';
 
-const edges: Edge[] = [];
-
-afterAll(async () => {
-	await Promise.all(edges.map(async edge => edge.stop()));
-});
-
 const readAttemptId = (head: string): string => /attempt-id: (?<id>\S+)/iv.exec(head)?.groups?.id ?? '';
 
 /** Encodes one chunk of a chunked body. */
@@ -90,11 +83,10 @@
 
 /** Starts a router with two endpoints. Returns its port. */
 const startPair = async (responders: Array<(socket: Socket, id: string) => void>): Promise<number> => {
-	const {edge, port} = await startRouter({
+	const {port} = await startRouter({
 		endpoints: [{server: createEndpoint(responders)}, {server: createEndpoint(responders)}],
 		route: {kind: 'streaming', resumable: true, maxAttempts: 2},
 	});
-	edges.push(edge);
 	return port;
 };
 
