--- a/src/bin/galenactl.ts
+++ b/src/bin/galenactl.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {checkConfigFile} from '../operator-client/check-config.js';
 import {createOperatorClient} from '../operator-client/client.js';
 import type {OperatorClient} from '../operator-client/client.js';
 import {
@@ -13,18 +14,22 @@
 
 type CommonOptions = Readonly<{router: string; key: string; json: boolean}>;
 
-const runCommand = async (commonOptions: CommonOptions, command: (client: OperatorClient) => Promise<CommandResult>): Promise<void> => {
+const reportResult = async (commonOptions: CommonOptions, command: () => Promise<CommandResult>): Promise<void> => {
 	try {
-		const result = await command(createOperatorClient(commonOptions.router, commonOptions.key));
+		const result = await command();
 		const output = commonOptions.json ? JSON.stringify(result.json) : result.lines.join('\n');
 		(result.isDone ? process.stdout : process.stderr).write(`${output}\n`);
 		process.exitCode = result.isDone ? exitCodes.success : exitCodes.failure;
 	} catch (error) {
-		process.stderr.write(`${commonOptions.router}: ${error instanceof Error ? error.message || error.name : String(error)}\n`);
-		process.exitCode = exitCodes.failure;
+		const isFileError = error instanceof Error && 'path' in error;
+		process.stderr.write(`${isFileError ? '' : `${commonOptions.router}: `}${error instanceof Error ? error.message || error.name : String(error)}\n`);
+		process.exitCode = isFileError ? exitCodes.usage : exitCodes.failure;
 	}
 };
 
+const runCommand = async (commonOptions: CommonOptions, command: (client: OperatorClient) => Promise<CommandResult>): Promise<void> =>
+	reportResult(commonOptions, async () => command(createOperatorClient(commonOptions.router, commonOptions.key)));
+
 const parseDuration = (optionName: string) => (text: string): number => {
 	const parsed = duration.safeParse(text);
 	if (!parsed.success) {
@@ -44,7 +49,7 @@
 	.usage('$0 <command>\n\nShows and changes the configuration, budgets and state of a galenagauge deployment.')
 	.env('GALENA')
 	.option('router', {type: 'string', default: 'http://127.0.0.1:8080', describe: 'address of a router (GALENA_ROUTER)'})
-	.option('key', {type: 'string', demandOption: true, describe: 'the operator\'s API key (GALENA_KEY)'})
+	.option('key', {type: 'string', describe: 'the operator\'s API key (GALENA_KEY); not needed for a check without --current'})
 	.option('json', {type: 'boolean', default: false, describe: 'print JSON'})
 	.command('status', 'show the status of a router', {}, async options => runCommand(options as unknown as CommonOptions, showStatus))
 	.command('audit', 'show the audit trail of operator changes', builder => builder.option('since', {type: 'string', describe: 'ISO 8601 time of the earliest change to show'}), async options =>
@@ -61,6 +66,19 @@
 			: applyConfig(client, {
 				file: options.file ?? '', why: options.why, base: options.base, wait: options.wait,
 			})))
+	.command('check <file>', 'check a configuration file, and list what it changes', builder => builder
+		.positional('file', {type: 'string', demandOption: true, describe: 'configuration of organisations and classes in INI format, or of the platform\'s operator in JSON'})
+		.option('base', {type: 'string', describe: 'file of the version to compare with', conflicts: 'current'})
+		.option('current', {type: 'boolean', describe: 'compare with the version in force at the router'})
+		.option('settings', {type: 'string', describe: 'settings file of the routers, for what they permit'}), async options => {
+		const commonOptions = options as unknown as CommonOptions;
+		return reportResult(commonOptions, async () => checkConfigFile({
+			file: options.file,
+			base: options.base,
+			settings: options.settings,
+			client: options.current ? createOperatorClient(commonOptions.router, commonOptions.key) : undefined,
+		}));
+	})
 	.command('target <class>', 'change the latency targets of a request class', builder => builder
 		.positional('class', {type: 'string', demandOption: true})
 		.option('first-token', {type: 'string', coerce: parseDuration('first-token')})
@@ -95,6 +113,7 @@
 			? resolveClaim(client, {organisation: options.organisation ?? '', key: options.idempotencyKey ?? ''}, options.outcome ?? 'ran', options.why)
 			: resolveAgent(client, options.agent, options.why)))
 	.demandCommand(1, 'a command is required')
+	.check(options => options.key !== undefined || (options._[0] === 'check' && options.current !== true) || 'Missing required argument: key')
 	.strict()
 	.version(version)
 	.fail(exitWithUsageError)
--- a/src/platform/catalog.ts
+++ b/src/platform/catalog.ts
@@ -33,7 +33,8 @@
 	gapAimMs: z.number().optional(),
 });
 
-const configurationSchema = z.object({
+/** Schema of the operator's configuration. */
+export const configurationSchema = z.object({
 	version: z.number(),
 	routes: z.array(routeSchema),
 	services: z.array(z.object({
@@ -67,15 +68,27 @@
 
 type WireRoute = z.output<typeof routeSchema>;
 
-/** Decodes the home regions of a route or organisation; undefined if it has none. */
-const decodeHomeRegions = (list: string, {name, allowedRegions}: Readonly<{name: string; allowedRegions?: unknown}>): StatedRegions | undefined => {
+/**
+Decodes the home regions of a route or organisation.
+
+@param list - Name of the list that has the entry.
+@param entry - The entry.
+@returns The regions, and what is wrong with them; undefined if it states none.
+*/
+export const decodeHomeRegions = (list: string, {name, allowedRegions}: Readonly<{name: string; allowedRegions?: unknown}>): StatedRegions | undefined => {
 	const stated = parseHomeRegions(`${list}.${name}.allowedRegions`, allowedRegions);
 	return stated.regions === undefined ? undefined : stated;
 };
 
 const toField = (stated: StatedRegions | undefined): Readonly<{homeRegions?: HomeRegions}> => stated === undefined ? {} : {homeRegions: stated.regions};
 
-const decodeRoute = (route: WireRoute): Route => ({
+/**
+Decodes a route.
+
+@param route - The route in the platform's terms.
+@returns The route.
+*/
+export const decodeRoute = (route: WireRoute): Route => ({
 	name: route.name,
 	host: route.host.toLowerCase(),
 	prefix: route.prefix,
