Count a rest in the soak from when the response that asks for it was sent

Cause: the soak's endpoints took a router for told as they wrote a 503 with Retry-After.

Change: the rest begins at the response's 'finish'. All bounds of the rest stay.

Measured: a response written 5 ms after the client's half-close arrives nowhere and has no 'finish'; written at once it arrives and has one.

--- a/test/soak/endpoint.ts
+++ b/test/soak/endpoint.ts
@@ -303,10 +303,12 @@
 				onCrashCause(cause, String(incoming.headers['attempt-id']), false);
 			}
 
-			const restMs = rests.receive(String(incoming.headers['attempt-id']));
-			if (restMs !== undefined) {
-				response.writeHead(503, {...createHeaders(incoming), 'not-executed': '1', 'retry-after': String(restMs / 1000)}).end();
-				refusals.set(incoming.socket, formatRefusal(incoming, restMs));
+			const rest = rests.receive(String(incoming.headers['attempt-id']));
+			if (rest !== undefined) {
+				// A response is not sent if the router has closed its connection before.
+				response.once('finish', rest.begin);
+				response.writeHead(503, {...createHeaders(incoming), 'not-executed': '1', 'retry-after': String(rest.durationMs / 1000)}).end();
+				refusals.set(incoming.socket, formatRefusal(incoming, rest.durationMs));
 				return;
 			}
 
--- a/test/soak/rest.ts
+++ b/test/soak/rest.ts
@@ -3,10 +3,17 @@
 /** A rest that an endpoint asked a router for. Times in ms since the epoch. */
 type Rest = Readonly<{askedAt: number; until: number; requests: number}>;
 
+/** A rest that an endpoint is about to ask a router for. */
+type RestRequest = Readonly<{
+	durationMs: number;
+	/** Begins the rest; called once the response that asks for it has been sent. */
+	begin: () => void;
+}>;
+
 /** Asks routers for rest, and reports those that go on sending requests. */
 export type RestWatch = Readonly<{
-	/** Records a request; returns the duration of the rest to ask its router for, in ms, or undefined to serve it. */
-	receive: (requestId: string) => number | undefined;
+	/** Records a request; returns the rest to ask its router for, or undefined to serve it. */
+	receive: (requestId: string) => RestRequest | undefined;
 	/** Forgets all rests: a new incarnation has asked for none. */
 	clear: () => void;
 }>;
@@ -67,8 +74,13 @@
 			}
 
 			const durationMs = duration.min + random.pick(duration.spread);
-			record(router, {askedAt: now, until: now + durationMs, requests: 0});
-			return durationMs;
+			return {
+				durationMs,
+				begin() {
+					const askedAt = Date.now();
+					record(router, {askedAt, until: askedAt + durationMs, requests: 0});
+				},
+			};
 		},
 		clear() {
 			rests = new Map();
