Warn of service names that are used twice in a configuration

Cause: services of one name were one value in a configuration as it is written, so that the check of a second entry compared it with itself.

Change: each entry is a value of its own.

--- a/src/operator-client/check-config.test.ts
+++ b/src/operator-client/check-config.test.ts
@@ -88,11 +88,13 @@
 	['routes.r1.allowedRegions', buildConfig({route: {allowedRegions: ['west']}})],
 	['routes.r1.allowedRegions', buildConfig({route: {allowedRegions: ['north']}, tenant: {allowedRegions: ['south']}})],
 	['services.s3.name', buildConfig({services: [{name: 's3', maxConnections: 1}]})],
+	['services.s2.name', buildConfig({services: [{name: 's2', maxConnections: 20}]})],
 	['services.s1.maxConnections', buildConfig({service: {maxConnections: 0}})],
 	['services.s1.engine.kvCapacity', buildConfig({service: {engine: {...service.engine, kvCapacity: 0}}})],
 	['services.s1.coldStartS', buildConfig({service: {coldPerS: 10}})],
 	['tenants.o1.apiKeys', buildConfig({tenant: {apiKeys: []}})],
 	['tenants.o1.apiKeys', buildConfig({tenants: [{...tenant, name: 'o2'}]})],
+	['tenants.o1.name', buildConfig({tenants: [{...tenant, apiKeys: ['key-2']}]})],
 	['tenants.o1.prepaid', buildConfig({tenant: {prepaid: 1}})],
 	['tenants.o1.allowedRegions', buildConfig({tenant: {allowedRegions: ['west']}})],
 	['limits.maxBodyBytes', buildConfig({limits: {maxBodyBytes: 0}})],
@@ -115,6 +117,7 @@
 	[['class.advice.paths'], formatIni(customers).replace('kind = chat', 'kind = chat\npaths = /chat')],
 	[['class.gift.paths'], formatIni(['[class.gift]', 'pool = shop', 'kind = call', 'paths = /orders', ...customers.slice(0, 3), 'classes = advice, shop, gift'])],
 	[['organisation.ring.default-class'], formatIni([...customers, 'default-class = shop'])],
+	[['class.gift.name', 'organisation.ring.default-class'], formatIni(['[class.gift]', 'pool = studio', 'kind = chat', ...customers, 'default-class = gift'])],
 ])('%s is named for a configuration of classes', (fields, text) => {
 	const checked = checkConfigText('file.ini', text, bounds);
 	expect(checked.err ? checked.val.map(({detail}) => detail.split(': ', 1)[0]) : checked.val.warnings.map(warning => warning.path)).toEqual(fields);
--- a/src/platform/stated-config.ts
+++ b/src/platform/stated-config.ts
@@ -53,7 +53,8 @@
 		config: {
 			version: data.version,
 			routes: data.routes.map(route => decodeRoute(route)),
-			services: data.services.flatMap(({name}) => services.get(name) ?? []),
+			// Each entry is a value of its own, also those of one name.
+			services: data.services.map(({name}) => ({...services.get(name)!})),
 			organisations: tenants.map(({name, apiKeys, priority, prepaid, allowedRegions}) => ({
 				name, keys: apiKeys, priority, budget: prepaid, homeRegions: decodeHomeRegions('tenants', {name, allowedRegions})?.regions,
 			})),
