Bound what galena-router holds of its clients' requests

Change: it uses the memory account and the body reader of galena-edge. [limits] has memory and descriptors of the machine; held-given-up says what was given up; a body must arrive within 30 s; one that announces too much is refused before it is read.

Open: responses that clients do not read, and requests forwarded by other routers, are not in the account; descriptors of galena-router were not measured.

--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -137,7 +137,8 @@
 	engineAgent: Program;
 	serviceAgent: Program;
 	routers: readonly Program[];
-	startRouter: () => Promise<Program>;
+	/** Starts a further router, with keys of its `[limits]` section. */
+	startRouter: (limits?: string) => Promise<Program>;
 	/** Sends a client request as organisation `studio-1`. */
 	call: (router: Program, path: string, body: unknown, headers?: Readonly<Record<string, string>>) => Promise<Response>;
 	/** Calls the operator API as operator `tester`. */
@@ -183,7 +184,7 @@
 		return agent;
 	};
 
-	const startRouter = async () => {
+	const startRouter = async (limits = '') => {
 		const router = await startProgram('galena-router', `[router]
 listen = 127.0.0.1:0
 control = 127.0.0.1:0
@@ -196,6 +197,9 @@
 
 [operators]
 tester = ${hashSha256(operatorKey)}
+
+[limits]
+${limits}
 `);
 		await registerService(hostList, 'galena-router', router.started.control ?? '');
 		return router;
--- a/src/bin/galena-router.ts
+++ b/src/bin/galena-router.ts
@@ -25,6 +25,7 @@
 			operators: settings.operators,
 			maxBodyBytes: limits.body,
 			maxHeaderBytes: limits.headers,
+			machine: {memoryMb: limits.memory, descriptors: limits.descriptors},
 			seed: router.seed,
 			log,
 		});
--- a/src/local/fleet.ts
+++ b/src/local/fleet.ts
@@ -5,6 +5,7 @@
 import type {GrantPolicy} from '../budget/index.js';
 import type {Log} from '../log/index.js';
 import {sleep} from '../loop/index.js';
+import {defaultMachineLimits} from '../memory-account/index.js';
 import {hashSha256} from '../router/validate-request.js';
 import {openServiceRegistry} from '../router/service-registry.js';
 import {startRouter} from '../router/router.js';
@@ -98,6 +99,7 @@
 			operators: {demo: hashSha256(operatorKey)},
 			maxBodyBytes,
 			maxHeaderBytes,
+			machine: defaultMachineLimits,
 			seed: 1,
 			log,
 			...(options.record !== undefined && {record: options.record}),
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -10,12 +10,15 @@
 	createFault, createErrorResponse, errorResponses, fail, succeed,
 } from '../errors/index.js';
 import type {ErrorKind, Fault, Result} from '../errors/index.js';
+import {openMemoryGuard} from '../edge/memory-guard.js';
+import {readRequestBody} from '../edge/request-body.js';
 import type {Log} from '../log/index.js';
 import {runInBackground, startLoop, waitUntil} from '../loop/index.js';
 import type {Loop} from '../loop/index.js';
+import type {MachineLimits} from '../memory-account/index.js';
 import type {OperatorChange} from '../operation/index.js';
 import {
-	listen, readBody, sendJson, startRpcServer, trackResponses,
+	listen, sendJson, startRpcServer, trackResponses,
 } from '../server/index.js';
 import type {SocketAddress} from '../server/index.js';
 import type {JsonValue, TableClient} from '../table/index.js';
@@ -40,6 +43,9 @@
 /** Time that a draining router waits for slow clients, after all requests have ended, in ms. */
 const responseTimeoutMs = 5000;
 
+/** Time within which a client must have sent a body, in ms. */
+const bodyTimeoutMs = 30_000;
+
 /** Options of a router. */
 export type RouterOptions = Readonly<{
 	/** Listen address for clients and operators. */
@@ -57,6 +63,8 @@
 	maxBodyBytes: number;
 	/** Maximum size of a client request's headers. */
 	maxHeaderBytes: number;
+	/** Limits of the machine, which bound what is held for all clients. */
+	machine: MachineLimits;
 	seed: number;
 	log: Log;
 	/** Records each event with its effects, for a trace. */
@@ -413,26 +421,66 @@
 		isResumed: false,
 	});
 
-	const serveClient = async (request: IncomingMessage, response: ServerResponse, url: URL) => {
+	const guard = openMemoryGuard({
+		machine: options.machine,
+		clock: () => performance.now(),
+		onGivenUp(kind, bytes, ageMs) {
+			log.event('held-given-up', {
+				kind, bytes, age: Math.round(ageMs), held: guard.count().bytes, connections: guard.count().connections,
+			});
+		},
+	});
+
+	const serveClient = (request: IncomingMessage, response: ServerResponse, url: URL): void => {
 		const id = `q-${randomUUID()}`;
 		const sink = createHttpSink(response);
-		const body = await readBody(request, options.maxBodyBytes);
-		if (body.err) {
+		const refuseUnread = (fault: Fault) => {
 			response.setHeader('connection', 'close');
-			sendFault(sink, body.val, false);
+			sendFault(sink, fault, false);
+		};
+
+		const expectedBytes = Number(request.headers['content-length'] ?? 0);
+		if (expectedBytes > options.maxBodyBytes) {
+			refuseUnread(createFault('too-large', `body: exceeds ${options.maxBodyBytes} bytes`));
 			return;
 		}
 
-		response.on('close', () => {
-			handleDisconnect(id);
+		const memoryFault = createFault('overloaded', 'the router has no memory left for the request');
+		const holding = guard.admit(expectedBytes, kind => {
+			if (kind === 'reading') {
+				rejectBody(memoryFault);
+			} else {
+				response.destroy();
+			}
 		});
+		if (holding === undefined) {
+			refuseUnread(memoryFault);
+			return;
+		}
+
+		response.on('close', holding.release);
 		const method = request.method ?? '';
 		const path = `${url.pathname}${url.search}`;
 		const headers = copyForwardedHeaders(request);
-		admitRequest(createPendingRequest(sink, body.val, {
-			method, path, contentType: headers['content-type'] ?? '', headers,
-		}), {
-			id, method, path: url.pathname.startsWith('/v1/services/') ? path : url.pathname, headers: request.headers, body: body.val, isForwarded: false,
+		const rejectBody = readRequestBody(request, {maxBytes: options.maxBodyBytes, timeoutMs: bodyTimeoutMs, expectedBytes}, body => {
+			holding.set('running', body.length);
+			response.on('close', () => {
+				handleDisconnect(id);
+			});
+			admitRequest(createPendingRequest(sink, body, {
+				method, path, contentType: headers['content-type'] ?? '', headers,
+			}), {
+				id, method, path: url.pathname.startsWith('/v1/services/') ? path : url.pathname, headers: request.headers, body, isForwarded: false,
+			});
+		}, fault => {
+			holding.release();
+			refuseUnread(fault);
+		}, {
+			addRead: guard.addRead,
+			onFlood: guard.spreadReads,
+			hold(bytes) {
+				holding.set('reading', Math.max(bytes, expectedBytes));
+			},
 		});
 	};
 
@@ -498,7 +546,11 @@
 			return;
 		}
 
-		await (url.pathname.startsWith('/operator/') ? serveOperator(request, response, url, operatorPorts) : serveClient(request, response, url));
+		if (url.pathname.startsWith('/operator/')) {
+			await serveOperator(request, response, url, operatorPorts);
+		} else {
+			serveClient(request, response, url);
+		}
 	};
 
 	const server = createServer({maxHeaderSize: options.maxHeaderBytes}, (request, response) => {
@@ -555,6 +607,7 @@
 	}));
 	const control = peerServer.address;
 	loop = startEventLoop();
+	guard.watch(server);
 	const responses = trackResponses(server);
 	const http = await listen(server, options.listen);
 	let peerAddresses: readonly string[] = [];
@@ -631,6 +684,7 @@
 		sessions.close();
 		peerServer.close();
 		loop.stop();
+		guard.close();
 		await http.close();
 	};
 
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -2,6 +2,7 @@
 import {
 	address, wholeNumber, duration, httpAddress, label, logSection, fraction, byteSize,
 } from '../settings/index.js';
+import {limitsSchema} from '../settings/limits.js';
 
 /** The settings of `galena-router`, by section. */
 export const routerSettings = z.strictObject({
@@ -33,12 +34,13 @@
 		/** Cost of a refused token relative to that of a stranded one (held but not used). */
 		'refusal-cost': wholeNumber.default(10),
 	}).prefault({}),
-	limits: z.strictObject({
+	/** Limits of requests, and of the machine. */
+	limits: limitsSchema.extend({
 		/** Maximum size of a client request's body. */
 		body: byteSize.default(4 * 1024 * 1024),
 		/** Maximum size of a client request's headers. */
 		headers: byteSize.default(16 * 1024),
-	}).prefault({}),
+	}).strict().prefault({}),
 	log: logSection,
 });
 
