--- a/src/operator-client/check-config.ts
+++ b/src/operator-client/check-config.ts
@@ -6,14 +6,14 @@
 	Change, ConfigEntry, Finding, RouterBounds,
 } from '../config-check/index.js';
 import {checkConfig} from '../config/index.js';
-import type {ConfigDocument} from '../config/index.js';
 import {edgeSettings, listRegions} from '../edge/settings.js';
 import {fail, succeed} from '../errors/index.js';
 import type {Fault, Result} from '../errors/index.js';
 import {decodeWrittenConfig, describeWarning} from '../platform/stated-config.js';
 import {readSettings} from '../settings/index.js';
 import type {OperatorClient} from './client.js';
-import type {CommandResult} from './commands.js';
+import {isSuccess} from './commands.js';
+import type {CommandResult, CurrentConfig} from './commands.js';
 import {parseConfigFile} from './config-file.js';
 
 /** A configuration that routers accept. */
@@ -22,13 +22,11 @@
 /** Checks a text; fails with what routers refuse. */
 type Check = (file: string, text: string, bounds: RouterBounds) => Result<AcceptedConfig, readonly Fault[]>;
 
-const acceptClasses = (config: ConfigDocument): AcceptedConfig => ({warnings: checkClasses(config), entries: listClassEntries(config)});
-
 /** Checks by the format of the text. */
 const checks: Readonly<Record<'ini' | 'json', Check>> = {
 	ini(file, text) {
 		const config = parseConfigFile(file, text).andThen(document => checkConfig(document));
-		return config.err ? fail([config.val]) : succeed(acceptClasses(config.val));
+		return config.err ? fail([config.val]) : succeed({warnings: checkClasses(config.val), entries: listClassEntries(config.val)});
 	},
 	json: (_file, text, bounds) => decodeWrittenConfig(text).map(({config, entries}) => ({
 		entries,
@@ -55,8 +53,11 @@
 	return {severity: 'error', path, problem: problem.join(': ')};
 };
 
+/** Bounds of routers whose settings are not known. */
+const unknownBounds: RouterBounds = {retries: undefined, regions: undefined};
+
 const readBounds = (file: string | undefined): Result<RouterBounds> => file === undefined
-	? succeed({retries: undefined, regions: undefined})
+	? succeed(unknownBounds)
 	: readSettings(file, edgeSettings).map(settings => ({
 		retries: {ratio: settings.bounds['repeat-ratio'], slack: settings.bounds['repeat-slack']}, regions: listRegions(settings),
 	}));
@@ -87,13 +88,13 @@
 
 const readBaseEntries = async ({base, client}: CheckOptions): Promise<Result<readonly ConfigEntry[] | undefined, readonly Fault[]>> => {
 	if (client !== undefined) {
-		const {status, body} = await client.call('GET', '/operator/v1/config');
-		return status < 300 ? succeed(listClassEntries((body as unknown as Readonly<{config: ConfigDocument}>).config)) : fail([body as unknown as Fault]);
+		const reply = await client.call('GET', '/operator/v1/config');
+		return isSuccess(reply) ? succeed(listClassEntries((reply.body as unknown as CurrentConfig).config)) : fail([reply.body as unknown as Fault]);
 	}
 
 	return base === undefined
 		? succeed(undefined)
-		: checkConfigText(base, readFileSync(base, 'utf8'), {retries: undefined, regions: undefined}).map(({entries}) => entries);
+		: checkConfigText(base, readFileSync(base, 'utf8'), unknownBounds).map(({entries}) => entries);
 };
 
 /**
--- a/src/operator-client/commands.ts
+++ b/src/operator-client/commands.ts
@@ -18,7 +18,13 @@
 	return {isDone: false, lines: [`${kind}: ${detail}`], json: reply.body};
 };
 
-const isSuccess = (reply: OperatorReply): boolean => reply.status < 300;
+/**
+Tells whether a router did what it was asked to do.
+
+@param reply - Its reply.
+@returns False if the body is a fault.
+*/
+export const isSuccess = (reply: OperatorReply): boolean => reply.status < 300;
 
 const formatFields = (fields: Fields): string => formatLine(Object.fromEntries(Object.entries(fields).map(([key, value]): [string, Field] =>
 	[key, typeof value === 'object' && value !== null ? JSON.stringify(value) : value ?? undefined])));
@@ -38,7 +44,8 @@
 	return isSuccess(reply) ? {isDone: true, lines: [JSON.stringify(reply.body, undefined, 2)], json: reply.body} : buildFailure(reply);
 };
 
-type CurrentConfig = Readonly<{revision: number; config: ConfigDocument}>;
+/** Body of the reply with the configuration in force. */
+export type CurrentConfig = Readonly<{revision: number; config: ConfigDocument}>;
 
 const putConfig = async (client: OperatorClient, base: number, config: ConfigDocument, why: string): Promise<OperatorReply> =>
 	client.call('PUT', `/operator/v1/config?why=${encodeURIComponent(why)}`, config, {'if-match': String(base)});
--- a/test/edge-process.ts
+++ b/test/edge-process.ts
@@ -109,6 +109,14 @@
 /** Number of its last lines of log that a program shows when its test fails. */
 const shownLines = 30;
 
+/**
+Reads the largest resident memory of a process so far.
+
+@param pid - Its process id.
+@returns The memory, in MB.
+*/
+export const readPeakMemory = (pid: number): number => Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.kilobytes) / 1024;
+
 /** Starts a program with the memory limit of its run line in `deploy/system.toml`. */
 const startBundled = (name: string, oldSpaceMb: number, settings: string, port: number): BundledProgram => {
 	const file = path.join(mkdtempSync(path.join(tmpdir(), 'galena-')), `${name}.ini`);
@@ -146,7 +154,7 @@
 		port,
 		lines,
 		isAlive: () => child.exitCode === null && child.signalCode === null,
-		readPeakMemory: () => Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))?.groups?.kilobytes) / 1024,
+		readPeakMemory: () => readPeakMemory(child.pid!),
 		getPeakDescriptors: () => peakDescriptors,
 		limitProcessor(share) {
 			stopCap = capProcessor(child.pid!, share);
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -21,6 +21,9 @@
 
 beforeAll(bundlePrograms);
 
+/** Starts the edge on the smallest host, with a large configuration and a feed of all its versions. */
+const startSmallest = async (): Promise<EdgeProcess> => startEdgeProcess({...smallest, routeCount: routeCount + 1, store: {feedsAllVersions: true}});
+
 /** Sends a request to a further route. */
 const sendRequest = async ({port}: EdgeProcess, {routeIndex, id, agent}: Readonly<{routeIndex: number; id: string; agent: Agent | false}>): Promise<Outcome> => fetchOutcome({
 	port, agent, path: `${formatPrefix(routeIndex)}p`, headers: {host: 'further', 'attempt-id': id, 'request-deadline-ms': '2000'},
@@ -72,7 +75,7 @@
 	['in a faster storm', fastStorm, 1],
 	['beside other bytes on half of the link', slowStorm, 0.5],
 ])('a large configuration is in force in time on the smallest host, %s', async (_, storm, freeFraction) => {
-	const edge = await startEdgeProcess({...smallest, routeCount: routeCount + 1, store: {feedsAllVersions: true}});
+	const edge = await startSmallest();
 	edge.link?.setRate(smallest.linkBytesPerMs * freeFraction);
 	const statuses = await writeVersions(edge, storm);
 	expect(statuses.join(' ')).toBe(formatServed(storm.count));
@@ -104,7 +107,7 @@
 
 // Guards against a configuration that waits behind a backlog of requests.
 test('an overloaded host rejects requests, but handles none by an older version', async () => {
-	const edge = await startEdgeProcess({...smallest, routeCount: routeCount + 1, store: {feedsAllVersions: true}});
+	const edge = await startSmallest();
 	const stopClients = startClients(edge);
 	const statuses = await writeVersions(edge, slowStorm);
 	await stopClients();
@@ -126,7 +129,7 @@
 		store.restore(2000);
 	}],
 ])('a host that %s in a storm has the latest configuration in time', async (_, disturb) => {
-	const edge = await startEdgeProcess({...smallest, routeCount: routeCount + 1, store: {feedsAllVersions: true}});
+	const edge = await startSmallest();
 	const count = 24;
 	const written = writeVersions(edge, {count, gapMs: slowStorm.gapMs});
 	await sleep(1500);
--- a/test/uncontrolled-router.test.ts
+++ b/test/uncontrolled-router.test.ts
@@ -1,11 +1,10 @@
 import {Buffer} from 'node:buffer';
-import {readFileSync} from 'node:fs';
 import {
 	afterAll, beforeAll, expect, onTestFinished, test,
 } from 'vitest';
 import {startProcesses, stopPrograms, waitForAgents} from '../src/bench/processes.js';
 import type {ProcessFleet} from '../src/bench/processes.js';
-import {sendFromClients} from './edge-process.js';
+import {readPeakMemory, sendFromClients} from './edge-process.js';
 import type {Clients} from './edge-process.js';
 
 /** Memory of the smallest machine, in MB. */
@@ -50,7 +49,6 @@
 	await waitForAgents(router, fleet.callOperatorApi, 2);
 	await sendFromClients({port: Number(router.started.address?.split(':')[1])}, clients);
 	const response = await fleet.call(router, '/v1/chat/completions', {model: 'stone-advice', messages: [{role: 'user', content: 'which stone?'}]});
-	const peak = Number(/VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${router.child.pid}/status`, 'utf8'))?.groups?.kilobytes) / 1024;
 	expect(response.status).toBe(200);
-	expect(peak).toBeLessThan(memory);
+	expect(readPeakMemory(router.child.pid!)).toBeLessThan(memory);
 }, 60_000);
