Say how long the close of a client waited before it was handled

Cause: nothing told a close that is read late from one that is handled late: call-ended outcome=caller-left gave the time since the request was read only. Change: the field closeQueued of call-ended, and galena_close_queued_milliseconds: time from when the close was read to when it was handled. It is small if the close lay in the kernel, and large if it lay behind other events.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -15,7 +15,7 @@
 import {
 	abortResponse, canHaveRun, closeAttempt, computeRetryAfter, endRequest, identifyUnanswered, isRetryable, updateKnownEndpoint, putRequest, rejectRequest, applyToRequest,
 } from './common.js';
-import type {EdgeEvent, FailureStage} from './messages.js';
+import type {EdgeEffect, EdgeEvent, FailureStage} from './messages.js';
 import {placeRequest, placeNext} from './place.js';
 import {
 	recordEndpointResponse, recordRequestAbandonment, recordRequestAnswer, recordRequestError, recordRequestOutput,
@@ -329,12 +329,17 @@
 	}
 
 	const recorded = recordRequestAbandonment(state, request, now);
+	const closeQueuedMs = now - (event.readAt ?? now);
+	const left: InFlightRequest = {...request, closeQueuedMs};
+	const observed: EdgeEffect = {
+		kind: 'observe', metric: 'closeQueued', labels: {}, milliseconds: closeQueuedMs,
+	};
 	if (request.phase === 'sent' && request.reserved > 0 && !request.hasPossiblyRun) {
-		return {state: putRequest(recorded, {...request, phase: 'leaving', phaseAt: now}), effects: [{kind: 'withdraw', call: request.id}]};
+		return {state: putRequest(recorded, {...left, phase: 'leaving', phaseAt: now}), effects: [{kind: 'withdraw', call: request.id}, observed]};
 	}
 
-	const ended = endDisconnectedRequest(recorded, request, event.events, now);
-	return {state: ended.state, effects: [{kind: 'abort', call: request.id}, ...ended.effects]};
+	const ended = endDisconnectedRequest(recorded, left, event.events, now);
+	return {state: ended.state, effects: [{kind: 'abort', call: request.id}, observed, ...ended.effects]};
 });
 
 /**
--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -168,6 +168,7 @@
 				elapsed: Math.round(now - request.arrivedAt),
 				unread: Math.round(request.unreadMs),
 				first: request.firstEventAt === undefined ? undefined : Math.round(request.firstEventAt - request.arrivedAt),
+				closeQueued: request.closeQueuedMs === undefined ? undefined : Math.round(request.closeQueuedMs),
 				predicted: Math.round(request.predicted),
 				sends: request.attempt,
 				endpoint: request.triedEndpoints.at(-1),
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -669,7 +669,9 @@
 				const activeRequest = activeRequests.get(requestId);
 				if (!response.writableFinished && activeRequest !== undefined) {
 					activeRequest.hasLeft = true;
-					post({kind: 'caller-left', call: requestId, events: activeRequest.upstream?.eventCount ?? 0});
+					post({
+						kind: 'caller-left', call: requestId, events: activeRequest.upstream?.eventCount ?? 0, readAt: clock(),
+					});
 				}
 			});
 		},
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -67,8 +67,8 @@
 export type EdgeEvent =
 	/** A client's request was read completely; `bodyDigest` is undefined if its body is empty. Its head was read at `receivedAt`, in ms of the loop's clock, and may have waited for `unreadMs` before. */
 	| Readonly<{kind: 'call-arrived'; call: number; head: RequestHead; bodyDigest: string | undefined; receivedAt: number; unreadMs: number; random: number; bodyBytes?: number}>
-	/** The client disconnected; `events` counts the events of the current attempt that it received. */
-	| Readonly<{kind: 'caller-left'; call: number; events: number}>
+	/** The client disconnected, which was read at `readAt`, in ms of the loop's clock; `events` counts the events of the current attempt that it received. */
+	| Readonly<{kind: 'caller-left'; call: number; events: number; readAt?: number}>
 	/** The endpoint ended a cancelled request; `hasNotRun` is true if there was no output before. */
 	| Readonly<{kind: 'call-withdrawn'; call: number; attempt: number; hasNotRun: boolean}>
 	/** The head of a response was read. What it states of its endpoint holds although its request may have ended. It is doubted if it may be that of another request. */
@@ -180,4 +180,4 @@
 export type GaugeName = 'evacuatedDataCentres' | 'coldEndpoints' | 'coldShare' | 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust' | 'overflowFraction' | 'configVersion';
 
 /** Names of histograms. */
-export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag' | 'feedReceive' | 'configDecode';
+export type HistogramName = 'call' | 'firstOutput' | 'unread' | 'lag' | 'closeQueued' | 'feedReceive' | 'configDecode';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -99,6 +99,9 @@
 		unread: new Histogram({
 			name: 'galena_unread_milliseconds', help: 'Longest time for which a request may have waited until it was read, by connection.', labelNames: ['connection'], buckets: bucketsMs, registers,
 		}),
+		closeQueued: new Histogram({
+			name: 'galena_close_queued_milliseconds', help: 'Time from when the close of a client was read to when its request was ended.', buckets: bucketsMs, registers,
+		}),
 		feedReceive: new Histogram({
 			name: 'galena_feed_receive_milliseconds', help: 'Time from the head to the last byte of replies for a followed table, by table.', labelNames: ['table'], buckets: bucketsMs, registers,
 		}),
--- a/src/in-flight/request.ts
+++ b/src/in-flight/request.ts
@@ -153,6 +153,8 @@
 	events: number;
 	/** Id of the last of them. */
 	lastEventId: string | undefined;
+	/** Once its client has disconnected: time from when the close was read to when it was handled, in ms. */
+	closeQueuedMs?: number | undefined;
 }>;
 
 /** A request whose client has received nothing. Only such a request can be given a whole response. */
