galena-router: let a client whose upload is rejected read the response

What callers saw: a request that is too large ended with EPIPE or a reset in place of 413 or 503. Cause: the router closed the connection right after the response, with bytes of the body unread, which resets it. Change: the rest of the body is discarded for a while first, as galena-edge does.

--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -11,7 +11,7 @@
 } from '../errors/index.js';
 import type {ErrorKind, Fault, Result} from '../errors/index.js';
 import {openMemoryGuard} from '../edge/memory-guard.js';
-import {readRequestBody} from '../edge/request-body.js';
+import {readRequestBody, rejectUnread} from '../edge/request-body.js';
 import type {Log} from '../log/index.js';
 import {runInBackground, startLoop, waitUntil} from '../loop/index.js';
 import type {Loop} from '../loop/index.js';
@@ -438,8 +438,7 @@
 		const id = `q-${randomUUID()}`;
 		const sink = createHttpSink(response);
 		const refuseUnread = (fault: Fault) => {
-			response.setHeader('connection', 'close');
-			sendFault(sink, fault, false);
+			rejectUnread(request, response, fault);
 		};
 
 		const expectedBytes = Number(request.headers['content-length'] ?? 0);
