List the software versions in use when the registry changes, not at each tick

Change: the list is kept by the registry's members, which say the software version now and stay the same while no endpoint comes, goes or changes.

--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -65,8 +65,8 @@
 	slownessUpdatedAt: number;
 }>;
 
-/** What a placement needs to know of an endpoint before it reads its statistics. Changes only with the registry. */
-export type Member = Pick<Endpoint, 'id' | 'idHash' | 'service' | 'dataCentre'>;
+/** What is known of an endpoint without its statistics. Changes only with the registry. */
+export type Member = Pick<Endpoint, 'id' | 'idHash' | 'service' | 'dataCentre' | 'softwareVersion'>;
 
 /** An endpoint whose entry went away. */
 type RemovedEndpoint = Endpoint & Readonly<{
@@ -186,12 +186,14 @@
 const hasStatedLeaving = (registry: Registry, entry: RegistryEntry): boolean => registry.leaving.has(formatIncarnation(entry));
 
 /** Adds a member; returns the same map if nothing has changed. */
-const addMember = (members: Registry['members'], {id, idHash, service, dataCentre}: Member): Registry['members'] => {
+const addMember = (members: Registry['members'], {
+	id, idHash, service, dataCentre, softwareVersion,
+}: Member): Registry['members'] => {
 	const known = members.get(id);
-	return known?.service === service && known.dataCentre === dataCentre
+	return known?.service === service && known.dataCentre === dataCentre && known.softwareVersion === softwareVersion
 		? members
 		: members.set(id, {
-			id, idHash, service, dataCentre,
+			id, idHash, service, dataCentre, softwareVersion,
 		});
 };
 
--- a/src/stream-origin/saved-versions.ts
+++ b/src/stream-origin/saved-versions.ts
@@ -49,14 +49,26 @@
 	table: versionTable, key: hash('sha256', formatVersion(origin), 'base64url'),
 });
 
+type PresentVersions = ReadonlyArray<StreamOrigin & RowKey>;
+
+/** Lists by the registry's members, which change seldom. Lists of earlier members are freed with them. */
+const listsByMembers = new WeakMap<Registry['members'], PresentVersions>();
+
 /** Lists each version once: many endpoints have the same, and a hash takes long. */
-const listPresent = (registry: Registry): ReadonlyArray<StreamOrigin & RowKey> => {
+const listPresent = ({members}: Registry): PresentVersions => {
+	const known = listsByMembers.get(members);
+	if (known !== undefined) {
+		return known;
+	}
+
 	const origins = new globalThis.Map<string, StreamOrigin>();
-	registry.endpoints.forEach(({service, softwareVersion}) => {
-		// The length keeps names apart, which are free text. This is faster than JSON.
+	members.forEach(({service, softwareVersion}) => {
+		// The length keeps names apart, which are free text.
 		origins.set(`${service.length}:${service}${softwareVersion}`, {service, softwareVersion});
 	});
-	return [...origins.values()].map(origin => ({...origin, ...locateVersion(origin)}));
+	const listed = [...origins.values()].map(origin => ({...origin, ...locateVersion(origin)}));
+	listsByMembers.set(members, listed);
+	return listed;
 };
 
 /** Saved and retired versions after the rows were read, and the keys of rows that cannot be read. */
