Handle what comes at once while an iteration is short, and after the poll only once it is long

Cause: with every event left until after the poll, a request took two iterations of the event loop more. Change: events and heads are handled at once while an iteration has taken less than 10 ms; a late tick waits for the poll. The loop of galena-router has a slice of 3 ms.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -735,7 +735,16 @@
 		metrics.apply({
 			kind: 'observe', metric: 'lag', labels: {}, milliseconds: Math.max(0, lagMs),
 		});
-		loop.post({kind: 'tick', random: random()});
+		const postTick = () => {
+			loop.post({kind: 'tick', random: random()});
+		};
+
+		if (lagMs > tickIntervalMs) {
+			// The process stood still: what has come meanwhile is read first.
+			setImmediate(postTick);
+		} else {
+			postTick();
+		}
 	});
 	repeat(1000, () => {
 		log.tick(clock());
--- a/src/loop/loop.ts
+++ b/src/loop/loop.ts
@@ -1,5 +1,6 @@
 import {Stream} from 'most';
 import type {Scheduler, Sink} from 'most';
+import {createIterationClock, maxIterationMs} from './turns.js';
 
 /** The result of a handler: the next state, and the effects to perform. */
 export type Step<State, Effect> = Readonly<{
@@ -57,8 +58,8 @@
 With a time slice, iterations stay short however many events are queued.
 
 Load pattern: a backlog of requests is queued when the configuration changes, or when their clients leave. Urgent events do not
-wait for it, so that the requests are handled by what is known when their turn comes. Queued events are handled after all sockets
-that are ready have been read: what a process reads late, after it stood still, counts before it acts.
+wait for it, so that the requests are handled by what is known when their turn comes. Once an iteration is long, events
+are handled after all sockets that are ready have been read: what a process reads late counts before it acts.
 
 An effect that throws belongs to one request or to the process, which `onFailure` decides; the effects after it are
 performed all the same. A handler that throws ends the process: its state can no longer be relied on.
@@ -75,6 +76,7 @@
 	let end: () => void = () => undefined;
 	let queue: Array<QueuedEvent<Event>> = [];
 	let urgentQueue: Event[] = [];
+	const measureIteration = createIterationClock(clock);
 	let isScheduled = false;
 	/** When the sockets may have been polled first since events were last handled. */
 	let readingSince = 0;
@@ -117,7 +119,7 @@
 		return lastIndex !== -1;
 	};
 
-	/** Runs after the sockets have been polled, once in an iteration of the event loop. */
+	/** Runs at once while the iteration is short, and otherwise after the sockets have been polled. */
 	const drainQueue = () => {
 		const start = clock();
 		if (!hasPolledAgain && start - readingSince >= longPollMs) {
@@ -149,7 +151,11 @@
 		if (!isScheduled) {
 			isScheduled = true;
 			readingSince = clock();
-			setImmediate(drainQueue);
+			if (measureIteration() < maxIterationMs) {
+				queueMicrotask(drainQueue);
+			} else {
+				setImmediate(drainQueue);
+			}
 		}
 	};
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -44,6 +44,9 @@
 /** Time that a draining router waits for slow clients, after all requests have ended, in ms. */
 const responseTimeoutMs = 5000;
 
+/** Time spent on events per iteration of the event loop before its sockets are polled again, in ms. */
+const workSliceMs = 3;
+
 /** Time within which a client must have sent a body, in ms. */
 const bodyTimeoutMs = 30_000;
 
@@ -366,6 +369,7 @@
 		},
 		clock: () => performance.now(),
 		isUrgent: ({kind}) => kind === 'caller-left',
+		slice: workSliceMs,
 		isObsolete: event => event.kind === 'request-arrived' && !pendingRequests.has(event.order.id),
 	});
 
