Relay: pass a reset on as a reset

What callers would see: MIXED's class. A response without a length that the store's side resets looks complete to a router behind a relay. Cause: the relay closed the router's connection in the ordinary way whatever had ended the store's, and libuv reports a reset right after data as an ordinary end. Change: an error of one side resets the other; an end of the store's side is checked by a write of nothing first. Measured: two of the three cases of the new test failed before ('end' for ECONNRESET). The store's replies are JSON, of which a part is not readable, so that no wrong reply was taken so far.

--- a/src/relay/relay.test.ts
+++ b/src/relay/relay.test.ts
@@ -1,8 +1,10 @@
 import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, createServer as createSocketServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {openBoundedLog} from '../log/bounded.js';
 import {openStoreClient} from '../platform/index.js';
+import {parseAddress} from '../server/address.js';
 import {parseSettings} from '../settings/index.js';
 import {relaySettings, startRelay} from './index.js';
 
@@ -78,6 +80,55 @@
 
 const settingsText = '[host]\nname = side-1\n[listen]\nrouters = 10.0.0.1:8429\nmetrics = 10.0.0.1:7340\n[store]\naddress = 10.0.0.9:1\n';
 
+/** Starts a relay of a store that writes a part of a response, and returns how the router's connection ends. */
+const listenToEnd = async (endResponse: (socket: Socket) => void): Promise<string> => {
+	const server = createSocketServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+			endResponse(socket);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	cleanups = [...cleanups, () => {
+		server.close();
+	}];
+	const {relay} = await start((server.address() as AddressInfo).port);
+	const {host, port} = parseAddress(relay.address);
+	return new Promise(resolve => {
+		const router = connect(port, host);
+		router.on('error', error => {
+			resolve((error as NodeJS.ErrnoException).code ?? '');
+		});
+		router.on('end', () => {
+			router.write('', error => {
+				resolve((error as NodeJS.ErrnoException | undefined)?.code ?? 'end');
+			});
+		});
+		router.resume();
+		router.write('GET / HTTP/1.1\r\n\r\n');
+	});
+};
+
+// Guards against MIXED by way of a relay: a response without a length that was reset looks complete after an ordinary close.
+test.each<[string, (socket: Socket) => void, string]>([
+	['at once', socket => {
+		socket.resetAndDestroy();
+	}, 'ECONNRESET'],
+	['after a while', socket => {
+		setTimeout(() => {
+			socket.resetAndDestroy();
+		}, 50);
+	}, 'ECONNRESET'],
+	['never', socket => {
+		socket.end();
+	}, 'end'],
+])('a connection that the store resets %s is not closed as complete', async (_, endResponse, outcome) => {
+	expect(await listenToEnd(endResponse)).toBe(outcome);
+});
+
 test('the settings are validated', () => {
 	expect(parseSettings('relay.ini', settingsText, relaySettings).unwrap().store.address).toEqual({host: '10.0.0.9', port: 1});
 });
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -115,14 +115,26 @@
 
 		const store = connect({...settings.store.address, noDelay: true});
 		let isConnected = false;
-		const close = () => {
+		const release = () => {
 			clearTimeout(timer);
 			openConnections.delete(id);
 			account = removeHolding(account, id);
+		};
+
+		const close = () => {
+			release();
 			router.destroy();
 			store.destroy();
 		};
 
+		/** Resets what is left of both connections: after an ordinary close, a response without a length would look complete. */
+		const reset = () => {
+			release();
+			[router, store].filter(socket => !socket.destroyed).forEach(socket => {
+				socket.resetAndDestroy();
+			});
+		};
+
 		const timer = setTimeout(() => {
 			if (!isConnected) {
 				recordStoreState(`no connection within ${connectTimeoutMs} ms`);
@@ -142,17 +154,27 @@
 				recordStoreState(error.message);
 			}
 
-			close();
+			reset();
 		});
 		store.once('close', close);
-		router.once('error', close);
+		router.once('error', reset);
 		router.once('close', () => {
 			metrics.open.dec();
 			close();
 		});
 		router.setTimeout(idleTimeoutMs, close);
 		router.pipe(store);
-		store.pipe(router);
+		store.pipe(router, {end: false});
+		// A reset that arrives right after data is reported as an ordinary end by libuv; a write of nothing fails then.
+		store.prependOnceListener('end', () => {
+			store.write('', error => {
+				if (error === undefined || error === null) {
+					router.end();
+				} else {
+					reset();
+				}
+			});
+		});
 		router.on('data', recordActivity);
 		store.on('data', recordActivity);
 		openConnections.set(id, {getLastActivity: () => lastActivity, close});
