--- a/src/agent/endpoint.test.ts
+++ b/src/agent/endpoint.test.ts
@@ -117,3 +117,31 @@
 	}, request);
 	expect(result).toMatchObject({outcome: 'failed'});
 }, 3000);
+
+const upload: EndpointRequest = {...plainRequest, body: Buffer.alloc(4_194_304, 'x'), remainingMs: 2000};
+
+// Guards against MIXED: a part of a response that passes for a whole one, because an early response ended with a reset.
+const earlyResets = [0, 2, 30, 60, 300].flatMap(delayMs => [[delayMs, false, 'failed'], [delayMs, true, 'unknown']] as const);
+
+test.each(earlyResets)('a response without a length that is reset %i ms later while the upload goes on has not ended (act: %s)', async (delayMs, isAct, outcome) => {
+	const result = await runAgainst(socket => {
+		socket.pause();
+		socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart');
+		setTimeout(() => {
+			socket.resetAndDestroy();
+		}, delayMs);
+	}, {...upload, isAct});
+	expect(result.outcome).toBe(outcome);
+});
+
+test.each([
+	['with a length', plainRequest, 'Content-Length: 5\r\n\r\nwhole'],
+	['without a length', plainRequest, '\r\nwhole'],
+	['in an upload', upload, 'Content-Length: 5\r\n\r\nwhole'],
+	['as a stream', {...plainRequest, isStream: true}, 'Content-Type: text/event-stream\r\n\r\ndata: [DONE]\n\n'],
+] as const)('a status of 000 %s is no response', async (_, request, rest) => {
+	const result = await runAgainst(socket => {
+		socket.end(`HTTP/1.1 000 OK\r\n${rest}`);
+	}, request);
+	expect(result.outcome).not.toBe('done');
+});
