Handle time slices of the event loop by one piece of code

The loop and the queue of heads each had the loop over a batch until its slice is used up, edge.ts and router.ts each the length of a slice. handleSlice and workSliceMs in loop/turns.ts serve all. The queue of heads could be scheduled twice in an iteration, if a function that it ran had added another one; none does.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -17,7 +17,7 @@
 import {runForever, runInBackground} from '../loop/background.js';
 import {startLoop} from '../loop/loop.js';
 import {sleep} from '../loop/sleep.js';
-import {createSliceQueue} from '../loop/turns.js';
+import {createSliceQueue, workSliceMs} from '../loop/turns.js';
 import {
 	decodeRequest, decodeRoutingConfig, decodeEntry, hasContention, openStoreClient, splitOperatorRows, tables,
 } from '../platform/index.js';
@@ -53,9 +53,6 @@
 /** Interval at which timeouts and other due work are checked, in ms. */
 const tickIntervalMs = 20;
 
-/** Time spent on events per turn of the event loop, in ms. Node.js accepts one connection per turn, so this keeps more than a hundred connections a second under full load. */
-const workSliceMs = 3;
-
 /** Maximum size of request headers that the parser reads. The configured limit may be lower. */
 const maxHeaderBytes = 65_536;
 
@@ -499,7 +496,7 @@
 	const unreadBodies = new Set<(fault: Fault) => void>();
 
 	/** Requests whose heads have been read. Many that come at once keep the sockets from being polled for as short a time as possible. */
-	const intake = createSliceQueue(workSliceMs);
+	const intake = createSliceQueue();
 
 	const receiveHead = (incoming: IncomingMessage, response: ServerResponse) => {
 		const isFirstRequest = !connections.has(incoming.socket);
--- a/src/loop/loop.ts
+++ b/src/loop/loop.ts
@@ -1,6 +1,6 @@
 import {Stream} from 'most';
 import type {Scheduler, Sink} from 'most';
-import {createIterationClock, maxIterationMs} from './turns.js';
+import {createIterationClock, handleSlice, maxIterationMs} from './turns.js';
 
 /** The result of a handler: the next state, and the effects to perform. */
 export type Step<State, Effect> = Readonly<{
@@ -104,19 +104,10 @@
 		});
 	};
 
-	/** Handles the events that are queued at its start, until the time slice that began at the given time is used up; returns whether it is. */
-	const drainBatch = (start: number): boolean => {
-		const batch = queue;
-		queue = [];
-		const lastIndex = batch.findIndex(({event}) => {
-			if (!isObsolete(event)) {
-				emit(event);
-			}
-
-			return clock() - start >= slice;
-		});
-		queue = lastIndex === -1 ? queue : [...batch.slice(lastIndex + 1), ...queue];
-		return lastIndex !== -1;
+	const handleQueued = ({event}: QueuedEvent<Event>) => {
+		if (!isObsolete(event)) {
+			emit(event);
+		}
 	};
 
 	/** Runs at once while the iteration is short, and otherwise after the sockets have been polled. */
@@ -128,9 +119,14 @@
 			return;
 		}
 
-		while (queue.length > 0 && !drainBatch(start)) {
+		const isUsedUp = () => clock() - start >= slice;
+		do {
+			const batch = queue;
+			queue = [];
+			const left = handleSlice(batch, handleQueued, isUsedUp);
 			// Events that were posted meanwhile are handled in the same slice.
-		}
+			queue = [...left, ...queue];
+		} while (queue.length > 0 && !isUsedUp());
 
 		hasPolledAgain = false;
 		isScheduled = queue.length > 0;
--- a/src/loop/turns.ts
+++ b/src/loop/turns.ts
@@ -1,3 +1,6 @@
+/** Time spent on queued work in an iteration of the event loop, in ms. Node.js accepts one connection in each, so this keeps more than a hundred connections a second under full load. */
+export const workSliceMs = 3;
+
 /** Time from which an iteration of the event loop is long, in ms: what else comes is left until the sockets have been polled. */
 export const maxIterationMs = 10;
 
@@ -22,39 +25,58 @@
 	};
 };
 
+/**
+Handles items in order until a time slice is used up.
+
+@param items - The items.
+@param handle - Handles an item.
+@param isUsedUp - Tells after each item whether the slice is used up.
+@returns The items that are left.
+*/
+export const handleSlice = <Item>(items: readonly Item[], handle: (item: Item) => void, isUsedUp: () => boolean): readonly Item[] => {
+	const lastIndex = items.findIndex(item => {
+		handle(item);
+		return isUsedUp();
+	});
+	return lastIndex === -1 ? [] : items.slice(lastIndex + 1);
+};
+
 /**
 Creates a queue of functions that run in order: at once while an iteration of the event loop is short, and the others for a time
 slice in each iteration after its sockets have been polled.
 
-@param sliceMs - The time slice, in ms.
 @returns A function that runs a function, or adds it to the queue.
 */
-export const createSliceQueue = (sliceMs: number): ((run: () => void) => void) => {
+export const createSliceQueue = (): ((run: () => void) => void) => {
 	const measureIteration = createIterationClock(() => performance.now());
 	let waiting: Array<() => void> = [];
-	const runSlice = () => {
-		const start = performance.now();
-		const batch = waiting;
-		waiting = [];
-		const lastIndex = batch.findIndex(run => {
-			run();
-			return performance.now() - start >= sliceMs;
+	let isScheduled = false;
+	const schedule = () => {
+		isScheduled = true;
+		setImmediate(() => {
+			const start = performance.now();
+			const batch = waiting;
+			waiting = [];
+			const left = handleSlice(batch, each => {
+				each();
+			}, () => performance.now() - start >= workSliceMs);
+			waiting = [...left, ...waiting];
+			isScheduled = false;
+			if (waiting.length > 0) {
+				schedule();
+			}
 		});
-		waiting = lastIndex === -1 ? waiting : [...batch.slice(lastIndex + 1), ...waiting];
-		if (waiting.length > 0) {
-			setImmediate(runSlice);
-		}
 	};
 
 	return run => {
-		if (waiting.length === 0 && measureIteration() < maxIterationMs) {
+		if (!isScheduled && measureIteration() < maxIterationMs) {
 			run();
 			return;
 		}
 
 		waiting.push(run);
-		if (waiting.length === 1) {
-			setImmediate(runSlice);
+		if (!isScheduled) {
+			schedule();
 		}
 	};
 };
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -15,6 +15,7 @@
 import type {Log} from '../log/index.js';
 import {runInBackground, startLoop, waitUntil} from '../loop/index.js';
 import type {Loop} from '../loop/index.js';
+import {workSliceMs} from '../loop/turns.js';
 import type {MachineLimits} from '../memory-account/index.js';
 import type {OperatorChange} from '../operation/index.js';
 import {
@@ -44,9 +45,6 @@
 /** Time that a draining router waits for slow clients, after all requests have ended, in ms. */
 const responseTimeoutMs = 5000;
 
-/** Time spent on events per iteration of the event loop before its sockets are polled again, in ms. */
-const workSliceMs = 3;
-
 /** Time within which a client must have sent a body, in ms. */
 const bodyTimeoutMs = 30_000;
 
