Tell a reset from an ordinary end by one piece of code

The relay wrote again what http-proxy.ts had: the empty write that shows a reset which libuv reports as an end. awaitPeerEnd in server/resets.ts serves both.

--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -26,6 +26,7 @@
 import {
 	createAgent, limitResponses, pauseReading, resumeReading, takeTurns,
 } from '../server/http-client.js';
+import {awaitPeerEnd} from '../server/resets.js';
 import {findBufferExcess, smallBytes} from './buffer-limits.js';
 import {openClientResponse, writeHead} from './client-response.js';
 import type {ClientResponse, StreamResponse} from './client-response.js';
@@ -306,27 +307,11 @@
 		});
 	};
 
-	/**
-	A response without a length ends when its connection closes, and libuv reports a
-	reset that arrives right after data as a normal close. An empty write fails on a
-	connection that was reset, and sends nothing on any other connection.
-	*/
+	/** A response without a length ends when its connection closes, and is complete unless that was a reset. */
 	const detectReset = (upstream: Upstream, method: string, incoming: IncomingMessage): void => {
-		const {socket} = incoming;
-		if (getFraming(method, incoming) !== 'close') {
-			return;
+		if (getFraming(method, incoming) === 'close') {
+			upstream.completion = awaitPeerEnd(incoming.socket);
 		}
-
-		upstream.completion = new Promise(resolve => {
-			socket.prependOnceListener('end', () => {
-				socket.write('', error => {
-					resolve(error === undefined || error === null);
-				});
-			});
-			socket.once('error', () => {
-				resolve(false);
-			});
-		});
 	};
 
 	/** Continues once it is known whether a response that has ended is complete. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -12,6 +12,7 @@
 	canKeepAll, computeAccountLimits, createAccount, listExcess, removeHolding, setHolding,
 } from '../memory-account/index.js';
 import {listen} from '../server/http.js';
+import {awaitPeerEnd} from '../server/resets.js';
 import type {RelaySettings} from './settings.js';
 
 /** Time limit for connecting to the store. Routers switch to another path after about the same time. */
@@ -165,15 +166,12 @@
 		router.setTimeout(idleTimeoutMs, close);
 		router.pipe(store);
 		store.pipe(router, {end: false});
-		// A reset that arrives right after data is reported as an ordinary end by libuv; a write of nothing fails then.
-		store.prependOnceListener('end', () => {
-			store.write('', error => {
-				if (error === undefined || error === null) {
-					router.end();
-				} else {
-					reset();
-				}
-			});
+		runInBackground(async () => {
+			if (await awaitPeerEnd(store)) {
+				router.end();
+			} else {
+				reset();
+			}
 		});
 		router.on('data', recordActivity);
 		store.on('data', recordActivity);
