--- a/review/harness-2/deployment.js
+++ b/review/harness-2/deployment.js
@@ -92,12 +92,13 @@
 	const children = new Set();
 	let isClosed = false;
 
-	const startEdge = async name => {
+	const startEdge = async (name, limits = {}) => {
 		const [front, ready, metrics, peers] = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
 		const {command, parameters, template} = readRole('edge');
 		const file = path.join(folder, `${name}.ini`);
 		writeFileSync(file, fillTemplate(template, {
 			...baseSettings,
+			limits: {...baseSettings.limits, ...limits},
 			nodeName: name,
 			ip: '127.0.0.1',
 			listen: {front: `127.0.0.1:${front}`, readyAddress: `127.0.0.1:${ready}`},
@@ -138,6 +139,7 @@
 			name,
 			port: front,
 			getStarts: () => state.starts,
+			getPid: () => state.child.pid,
 			isReady: async () => isReady(ready),
 			/** Sends a signal to the process. */
 			signal(signal) {
