--- /dev/null
+++ b/review/10/play.js
@@ -0,0 +1,113 @@
+import {send} from '../harness-2/client.js';
+import {openPlatform, sleep} from '../harness-2/deployment.js';
+import {runCase} from '../harness-2/record.js';
+import {startReplica} from '../harness-2/replica.js';
+import {startStore} from '../harness-2/store.js';
+
+/** `contactMs` of the settings. */
+const contactMs = 3000;
+
+/** Parts of prompts: one that all requests of the route share, and one on which replicas crash. */
+const sharedPart = 'a1';
+const crashPart = 'bad0';
+
+/** Interval between sound requests, in ms. */
+const soundIntervalMs = 100;
+
+/** When requests with the crashing part are sent, and when all routers are killed, in ms. */
+const crashingAt = [0, 3600, 5600, 9400, 13_000, 16_600, 20_200];
+const killAt = 4200;
+
+/** Requests with the part that may still reach replicas. */
+const maxLate = 3;
+
+const manifest = {
+	version: 1,
+	routes: [{
+		name: 'r-draft', host: 'h.example', prefix: '/draft/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 500, priority: 1, service: 'llm',
+		maxAttempts: 2, anonymous: true, sticky: true, resumable: true, gapAimMs: 250,
+	}],
+	services: [{
+		name: 'llm', healthPath: '/health', maxConnections: 600, protocol: 'h1', tls: false, engine: {slots: 64, kvCapacity: 500_000, stride: 4},
+	}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+};
+
+await runCase(new URL('.', import.meta.url), async ({record, hasTrouble, closeLater}) => {
+	const store = await startStore();
+	closeLater(store.close);
+	store.put('op', 'config', manifest);
+	const crashes = [];
+	const replicas = await Promise.all(Array.from({length: 6}, async () => startReplica({
+		store, service: 'llm', version: 'v1', stride: 4, firstMs: 95, eventMs: 20, crashPart, onCrash({replica, attempt}) {
+			crashes.push(performance.now());
+			record.write(`crash ${crashes.length}: ${replica}, on request ${attempt}`);
+		},
+	})));
+	replicas.forEach(({close}) => {
+		closeLater(close);
+	});
+	const platform = openPlatform(store.address, line => {
+		if (/event=(?:started|part|request-|crash)/v.test(line)) {
+			record.write(line);
+		}
+	});
+	closeLater(platform.close);
+	const edges = [await platform.startEdge('front-a-1'), await platform.startEdge('front-a-2')];
+	await platform.awaitReady(edges);
+
+	let count = 0;
+	const sendOne = async parts => {
+		count += 1;
+		return send({
+			port: edges[count % edges.length].port, path: `/draft/${count}`, body: `prompt ${count}`, headers: {
+				Model: 'm', 'Token-Counts': '500,40', 'Prompt-Prefix': [...parts, count.toString(16)].map(id => `${id}:100`).join(','), 'Request-Deadline-Ms': '6000',
+			},
+		});
+	};
+
+	const sound = [];
+	const timer = setInterval(() => {
+		sound.push(sendOne([sharedPart]));
+	}, soundIntervalMs);
+	closeLater(() => {
+		clearInterval(timer);
+	});
+	await sleep(2000);
+
+	const startedAt = performance.now();
+	let killedAt = Number.NEGATIVE_INFINITY;
+	const sendCrashing = async at => {
+		await sleep(at);
+		const {attempt, status} = await sendOne([sharedPart, crashPart]);
+		record.write(`request ${attempt} with the part, sent at ${(at / 1000).toFixed(1)} s, got ${status}`);
+	};
+
+	const kill = async () => {
+		await sleep(killAt);
+		if (hasTrouble) {
+			killedAt = performance.now();
+			edges.forEach(edge => {
+				edge.signal('SIGKILL');
+			});
+			record.write('all routers are killed');
+		}
+	};
+
+	await Promise.all([kill(), ...crashingAt.map(async at => sendCrashing(at))]);
+	await sleep(1000);
+	clearInterval(timer);
+	const ended = await Promise.all(sound);
+	// The routers are in touch from `contactMs` after they were started again.
+	const restartedAt = killedAt + 1000;
+	const from = Math.max((crashes[4] ?? Number.POSITIVE_INFINITY) + contactMs, restartedAt + contactMs);
+	const late = replicas.flatMap(({runs}) => runs).filter(({at, parts}) => at > from && parts.includes(crashPart));
+	late.forEach(({at, replica, attempt}) => {
+		record.write(`counted: ${replica} got request ${attempt} at ${((at - startedAt) / 1000).toFixed(1)} s`);
+	});
+	const whole = ended.filter(({status, isWhole}) => status === 200 && isWhole).length;
+	record.write(`${crashes.length} crashes; ${late.length} requests with the part reached replicas later than ${contactMs} ms after the fifth, of ${maxLate} allowed; ${whole} of ${ended.length} sound requests were served`);
+	return late.length > maxLate;
+});
