review 8: a stream that is taken after the stop signal is broken off at the end of the grace period

Takes the place of the case of a store restore with a kill, which review/3 already shows. One SIGTERM; requests sent 3.6 s after it are passed on and cut 7.3 s after it.

--- a/review/8/play.js
+++ b/review/8/play.js
@@ -1,137 +1,117 @@
-import process from 'node:process';
+import {Agent} from 'node:http';
 import {send} from '../harness-2/client.js';
 import {openPlatform, sleep} from '../harness-2/deployment.js';
 import {runCase} from '../harness-2/record.js';
 import {startReplica} from '../harness-2/replica.js';
 import {startStore} from '../harness-2/store.js';
 
-const tenant = 'studio';
-const key = 'key-of-studio';
-const prepaidTokens = {first: 20_000, raised: 200_000};
+/** `graceS` of the settings, and the time after the stop signal up to which requests are excused that are cut at its end, in ms. */
+const graceMs = 8000;
+const excusedMs = 3000;
 
-/** Tokens of one request: its prompt, and its most output. */
-const promptTokens = 1000;
-const outputTokens = 40;
+/** An event holds 4 tokens, and comes each 25 ms. */
 const stride = 4;
+const eventMs = 25;
 
-/** Interval between requests, and how long they come before the trouble, in ms. */
-const requestIntervalMs = 20;
-const trafficMs = 2600;
+/** Events of the streams: on one route always many, on the other one mostly few. */
+const indexEvents = 200;
+const draftEvents = {min: 8, max: 28, most: 200};
 
-/** Time for which the store is away, in ms. */
-const awayMs = 700;
+/** Clients that ask for short drafts until the stop signal, and those that ask for an index and then for a long draft, on one connection. */
+const draftClients = 12;
+const indexClients = 4;
 
-/** Time from the kill until the store goes away, in ms. */
-const earlierMs = Number(process.env.EARLIER_MS ?? 0);
+/** Time for which drafts are sent before the index streams begin, and from then to the stop signal, in ms. */
+const usualMs = 5000;
+const untilStopMs = 1500;
 
-/** Time after the trouble until requests come again, in ms. */
-const calmMs = 4000;
+const createRoute = (name, priority) => ({
+	name, host: 'h.example', prefix: `/${name}/`, kind: 'streaming', timeoutMs: 15_000, targetLatencyMs: 500, priority, service: 'llm',
+	maxAttempts: 2, anonymous: true, sticky: true, resumable: true, gapAimMs: 250,
+});
 
-const createManifest = (version, prepaid) => ({
-	version,
-	routes: [{
-		name: 'r-consult', host: 'h.example', prefix: '/consult/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 500, priority: 1, service: 'llm',
-		maxAttempts: 2, anonymous: false, sticky: true, resumable: true, gapAimMs: 250,
-	}],
+const manifest = {
+	version: 1,
+	routes: [createRoute('index', 1), createRoute('draft', 2)],
 	services: [{
 		name: 'llm', healthPath: '/health', maxConnections: 600, protocol: 'h1', tls: false, engine: {slots: 64, kvCapacity: 500_000, stride},
 	}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
-	tenants: [{
-		name: tenant, apiKeys: [key], priority: 1, prepaid,
-	}],
-});
+};
 
 await runCase(new URL('.', import.meta.url), async ({record, hasTrouble, closeLater}) => {
 	const store = await startStore();
 	closeLater(store.close);
-	let manifest = createManifest(1, prepaidTokens.first);
 	store.put('op', 'config', manifest);
 	const replicas = await Promise.all(['v1', 'v1'].map(async version => startReplica({
-		store, service: 'llm', version, stride,
+		store, service: 'llm', version, stride, firstMs: 95, eventMs,
 	})));
 	replicas.forEach(({close}) => {
 		closeLater(close);
 	});
 	const platform = openPlatform(store.address, line => {
-		if (/event=(?:holds|started|feed)/v.test(line)) {
+		if (/event=(?:started|stopp)/v.test(line) || (/event=call-ended/v.test(line) && /outcome=(?:deadline|cut|not-ready)/v.test(line))) {
 			record.write(line);
 		}
 	});
 	closeLater(platform.close);
-	const [a, b] = [await platform.startEdge('front-a-1'), await platform.startEdge('front-a-2')];
-	await platform.awaitReady([a, b]);
-	// Both routers have drawn their shares of the first budget.
-	await sleep(3500);
-
-	/** Outcomes of all requests; those that ran are counted with their prompt and the output that was delivered. */
-	const outcomes = [];
-	const sendOne = async edge => {
-		const outcome = await send({
-			port: edge.port, path: '/consult/1', headers: {
-				Authorization: `Token ${key}`, Model: 'm', 'Token-Counts': `${promptTokens},${outputTokens}`, 'Prompt-Prefix': `${outcomes.length.toString(16)}:${promptTokens}`,
-				'Request-Deadline-Ms': '3000',
+	const edge = await platform.startEdge('front-a-1');
+	await platform.awaitReady([edge]);
+	await sleep(1000);
+
+	let count = 0;
+	let stoppedAt = Number.POSITIVE_INFINITY;
+	const createAgent = () => new Agent({keepAlive: true, maxSockets: 1});
+	const sendOne = async (route, events, agent) => {
+		count += 1;
+		return send({
+			port: edge.port, path: `/${route}/1`, agent, headers: {
+				Model: 'm', 'Token-Counts': `200,${events * stride}`, 'Prompt-Prefix': `${count.toString(16)}:200`, 'Request-Deadline-Ms': '15000',
 			},
 		});
-		outcomes.push(outcome);
-		return outcome;
 	};
 
-	const countTokens = () => {
-		const ran = new Set(replicas.flatMap(({runs}) => runs.filter(({events}) => events.length > 0).map(({attempt}) => attempt)));
-		const delivered = outcomes.reduce((sum, {events}) => sum + (events.length * stride), 0);
-		return (ran.size * promptTokens) + delivered;
+	const sendDrafts = async index => {
+		const agent = createAgent();
+		for (let turn = 0; performance.now() < stoppedAt; turn += 1) {
+			await sendOne('draft', draftEvents.min + (((index * 7) + (turn * 5)) % (draftEvents.max - draftEvents.min)), agent);
+		}
 	};
 
-	const describe = () => {
-		const statuses = [...new Set(outcomes.map(({status}) => status))].toSorted((first, second) => first - second);
-		const counts = statuses.map(status => `${status}: ${outcomes.filter(outcome => outcome.status === status).length}`).join(', ');
-		return `${outcomes.length} requests ended (${counts}), ${countTokens()} tokens used of ${manifest.tenants[0].prepaid}`;
+	const drafts = Array.from({length: draftClients}, async (_, index) => sendDrafts(index));
+	await sleep(usualMs);
+	const sendIndexAndDraft = async () => {
+		const agent = createAgent();
+		const index = await sendOne('index', indexEvents, agent);
+		return [index, await sendOne('draft', draftEvents.most, agent)];
 	};
 
-	const copyAt = performance.now();
-	record.write('the store makes its copy');
-	await sleep(200);
-	manifest = createManifest(2, prepaidTokens.raised);
-	store.put('op', 'config', manifest);
-	record.write(`the operator raises prepaid from ${prepaidTokens.first} to ${prepaidTokens.raised}`);
-	await sleep(500);
-	const pending = [];
-	for (const end = performance.now() + trafficMs; performance.now() < end;) {
-		pending.push(sendOne(a));
-		await sleep(requestIntervalMs);
-	}
-
-	await Promise.all(pending);
-	record.write(`before the trouble: ${describe()}`);
+	const sessions = Array.from({length: indexClients}, async () => sendIndexAndDraft());
+	await sleep(untilStopMs);
+	stoppedAt = performance.now();
 	if (hasTrouble) {
-		if (process.env.KILL !== '0') {
-			a.signal('SIGKILL');
-			record.write('a machine loses its process');
-		}
-
-		await sleep(earlierMs);
-		store.leave();
-		record.write('the store goes away');
-		await sleep(awayMs);
-		store.comeBackAsOf(copyAt);
-		store.put('op', 'config', manifest);
-		record.write(`the store comes back from its copy, ${Math.round(performance.now() - copyAt)} ms old; the operator has written its manifest again`);
-	}
-
-	await sleep(calmMs);
-	await platform.awaitReady([a, b]);
-	for (let count = 0; count < 300; count += 1) {
-		pending.push(sendOne(count % 2 === 0 ? a : b));
-		await sleep(requestIntervalMs);
+		edge.signal('SIGTERM');
+		record.write('the platform sends SIGTERM');
+		setTimeout(() => {
+			if (edge.getStarts() === 1) {
+				edge.signal('SIGKILL');
+				record.write('the platform sends SIGKILL');
+			}
+		}, graceMs);
 	}
 
-	await Promise.all(pending);
-	record.write(`at the end: ${describe()}`);
-	replicas.forEach(({id, runs}) => {
-		record.write(`replica ${id} ran ${runs.length} requests`);
+	await Promise.all(drafts);
+	const ended = await Promise.all(sessions);
+	const outcomes = ended.flat();
+	outcomes.forEach(({attempt, sentAt, endedAt, status, isWhole, events, reason}) => {
+		record.write(`request ${attempt}, sent ${((sentAt - stoppedAt) / 1000).toFixed(2)} s after the signal, ended at ${((endedAt - stoppedAt) / 1000).toFixed(2)} s: ${status || reason}, `
+			+ `${isWhole ? 'whole' : 'broken off'}, ${events.length} events`);
 	});
-	return countTokens() > prepaidTokens.raised;
+	const ran = new Set(replicas.flatMap(({runs}) => runs.map(({attempt}) => attempt)));
+	// Requests that were passed on to a replica, and whose connection ended without a complete answer.
+	const lost = outcomes.filter(({attempt, sentAt, isWhole}) => ran.has(attempt) && !isWhole && sentAt - stoppedAt > excusedMs);
+	record.write(`${lost.length} requests that were sent later than ${excusedMs} ms after the signal, and passed on, ended without a complete answer`);
+	return lost.length > 0;
 });
