--- a/review/10/play.js
+++ b/review/10/play.js
@@ -1,8 +1,8 @@
-import {send} from '../harness-2/client.js';
-import {openPlatform, sleep} from '../harness-2/deployment.js';
-import {runCase} from '../harness-2/record.js';
-import {startReplica} from '../harness-2/replica.js';
-import {startStore} from '../harness-2/store.js';
+import {send} from '../client-2.js';
+import {openPlatform, sleep} from '../deployment-2.js';
+import {runCase} from '../record-2.js';
+import {startReplica} from '../replica-2.js';
+import {startStore} from '../store-2.js';
 
 /** `contactMs` of the settings. */
 const contactMs = 3000;
--- a/review/harness-2/deployment.js
+++ b/review/deployment-2.js
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 
-const root = fileURLToPath(new URL('../..', import.meta.url));
+const root = fileURLToPath(new URL('..', import.meta.url));
 
 /** Delay before the platform starts a process again that has ended, in ms. */
 const restartDelayMs = 300;
