--- a/review/10/play.js
+++ b/review/10/play.js
@@ -1,100 +1,175 @@
-import {send} from '../client-2.js';
+import {connect, createServer} from 'node:net';
+import {createAttemptId, send} from '../client-2.js';
 import {openPlatform, sleep} from '../deployment-2.js';
 import {runCase} from '../record-2.js';
 import {startReplica} from '../replica-2.js';
 import {startStore} from '../store-2.js';
 
-/** `contactMs` of the settings. */
-const contactMs = 3000;
+/** A stream has 180 events of 4 tokens, one every 60 ms. */
+const stride = 4;
+const outputTokens = 720;
+const eventMs = 60;
+const firstMs = 95;
 
-/** Parts of prompts: one that all requests of the route share, and one on which replicas crash. */
-const sharedPart = 'a1';
-const crashPart = 'bad0';
+/** Number of streams, and the interval between their starts, in ms. */
+const streamCount = 40;
+const startIntervalMs = 30;
 
-/** Interval between sound requests, in ms: a quiet service. */
-const soundIntervalMs = 2000;
+/** Number and output of the new streams with which the ones that are taken up are compared. */
+const newCount = 20;
+const newOutputTokens = 40;
 
-/** Requests with the crashing part, and the interval between them, in ms. */
-const crashingCount = 10;
-const crashingIntervalMs = 3600;
+/** Time for which the store is away, in ms. */
+const awayMs = 700;
+
+/** `contactMs` of the settings. */
+const contactMs = 3000;
 
-/** Requests with the part that may still reach replicas. */
-const maxLate = 3;
+/** A client tries to take its stream up a few times. */
+const maxTries = 4;
+const retryDelayMs = 250;
 
 const manifest = {
 	version: 1,
 	routes: [{
-		name: 'r-draft', host: 'h.example', prefix: '/draft/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 500, priority: 1, service: 'llm',
+		name: 'r-draft', host: 'h.example', prefix: '/draft/', kind: 'streaming', timeoutMs: 15_000, targetLatencyMs: 500, priority: 1, service: 'llm',
 		maxAttempts: 2, anonymous: true, sticky: true, resumable: true, gapAimMs: 250,
 	}],
 	services: [{
-		name: 'llm', healthPath: '/health', maxConnections: 600, protocol: 'h1', tls: false, engine: {slots: 64, kvCapacity: 500_000, stride: 4},
+		name: 'llm', healthPath: '/health', maxConnections: 600, protocol: 'h1', tls: false, engine: {slots: 64, kvCapacity: 500_000, stride},
 	}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
 };
 
+/** Starts a proxy that can reset half of the connections that it has open, on both sides. */
+const startProxy = async port => {
+	const open = new Set();
+	const server = createServer(client => {
+		const router = connect(port, '127.0.0.1');
+		const pair = [client, router];
+		open.add(pair);
+		pair.forEach(socket => {
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				open.delete(pair);
+			});
+		});
+		client.pipe(router);
+		router.pipe(client);
+	});
+	await new Promise(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const reset = pairs => {
+		pairs.flat().forEach(socket => {
+			socket.resetAndDestroy();
+		});
+		return pairs.length;
+	};
+
+	return {
+		port: server.address().port,
+		resetHalf: () => reset([...open].filter((_, index) => index % 2 === 0)),
+		close() {
+			server.close();
+			reset([...open]);
+		},
+	};
+};
+
 await runCase(new URL('.', import.meta.url), async ({record, hasTrouble, closeLater}) => {
 	const store = await startStore();
 	closeLater(store.close);
 	store.put('op', 'config', manifest);
-	const crashes = [];
-	const replicas = await Promise.all(Array.from({length: 6}, async () => startReplica({
-		store, service: 'llm', version: 'v1', stride: 4, firstMs: 95, eventMs: 20, crashPart: hasTrouble ? crashPart : undefined, onCrash({replica, attempt}) {
-			crashes.push(performance.now());
-			record.write(`crash ${crashes.length}: ${replica}, on request ${attempt}`);
-		},
-	})));
-	replicas.forEach(({close}) => {
-		closeLater(close);
-	});
+	await Promise.all(['v1', 'v1', 'v2', 'v2'].map(async version => {
+		const replica = await startReplica({
+			store, service: 'llm', version, stride, firstMs, eventMs,
+		});
+		closeLater(replica.close);
+		record.write(`replica ${replica.id} of version ${version} registers`);
+	}));
 	const platform = openPlatform(store.address, line => {
-		if (/event=(?:started|part|request-|crash)/v.test(line)) {
+		if (/event=(?:started|feed|call-ended)/v.test(line)) {
 			record.write(line);
 		}
 	});
 	closeLater(platform.close);
-	const edges = [await platform.startEdge('front-a-1'), await platform.startEdge('front-a-2')];
-	await platform.awaitReady(edges);
-
-	let count = 0;
-	const sendOne = async parts => {
-		count += 1;
-		return send({
-			port: edges[count % edges.length].port, path: `/draft/${count}`, body: `prompt ${count}`, headers: {
-				Model: 'm', 'Token-Counts': '500,40', 'Prompt-Prefix': [...parts, count.toString(16)].map(id => `${id}:100`).join(','), 'Request-Deadline-Ms': '6000',
-			},
-		});
-	};
+	const [beginning, resuming] = [await platform.startEdge('front-a-1'), await platform.startEdge('front-a-2')];
+	await platform.awaitReady([beginning, resuming]);
+	const proxy = await startProxy(beginning.port);
+	closeLater(proxy.close);
+	await sleep(1000);
 
-	const sound = [];
-	const timer = setInterval(() => {
-		sound.push(sendOne([sharedPart]));
-	}, soundIntervalMs);
-	closeLater(() => {
-		clearInterval(timer);
+	const copyAt = performance.now();
+	record.write('the store makes its copy');
+	await sleep(500);
+
+	const createHeaders = (index, attempt, output) => ({
+		'Attempt-Id': attempt, Model: 'm', 'Token-Counts': `400,${output}`, 'Prompt-Prefix': `${index.toString(16)}:400`, 'Request-Deadline-Ms': '15000',
 	});
-	await sleep(2000);
 
-	const startedAt = performance.now();
-	const sendCrashing = async at => {
-		await sleep(at);
-		const {attempt, status} = await sendOne([sharedPart, crashPart]);
-		record.write(`request ${attempt} with the part, sent at ${(at / 1000).toFixed(1)} s, got ${status}`);
+	/** Asks the second router for the rest of a stream until it goes on. */
+	const takeUp = async (index, origin, lastId) => {
+		const tries = [];
+		for (let count = 0; count < maxTries; count += 1) {
+			const attempt = createAttemptId();
+			const outcome = await send({
+				port: resuming.port, path: '/draft/1', headers: {...createHeaders(index, attempt, outputTokens), 'Last-Event-Id': String(lastId), Resumes: origin},
+			});
+			tries.push(`${attempt} ${outcome.status || outcome.reason}, ${outcome.events.length} events`);
+			if (outcome.events.length > 0) {
+				return {tries, goesOn: true};
+			}
+
+			await sleep(outcome.headers['retry-after'] === undefined ? retryDelayMs : Number(outcome.headers['retry-after']) * 1000);
+		}
+
+		return {tries, goesOn: false};
 	};
 
-	await Promise.all(Array.from({length: crashingCount}, async (_, index) => sendCrashing(index * crashingIntervalMs)));
-	await sleep(1000);
-	clearInterval(timer);
-	const ended = await Promise.all(sound);
-	const from = (crashes[4] ?? Number.POSITIVE_INFINITY) + contactMs;
-	const late = replicas.flatMap(({runs}) => runs).filter(({at, parts}) => at > from && parts.includes(crashPart));
-	late.forEach(({at, replica, attempt}) => {
-		record.write(`counted: ${replica} got request ${attempt} at ${((at - startedAt) / 1000).toFixed(1)} s`);
+	/** Sends a request through the proxy, and takes its stream up at the second router if the connection breaks. */
+	const readStream = async index => {
+		const origin = createAttemptId();
+		const first = await send({port: proxy.port, path: '/draft/1', headers: createHeaders(index, origin, outputTokens)});
+		const lastId = first.events.at(-1)?.id;
+		const isTakenUp = !first.isWhole && lastId !== undefined;
+		const {tries, goesOn} = isTakenUp ? await takeUp(index, origin, lastId) : {tries: [], goesOn: false};
+		return {
+			index, isTakenUp, goesOn, text: [`${origin} ${first.status || first.reason}, ${first.events.length} events${first.isWhole ? '' : ', broken off'}`, ...tries].join('; '),
+		};
+	};
+
+	const streams = [];
+	for (let index = 0; index < streamCount; index += 1) {
+		streams.push(readStream(index));
+		await sleep(startIntervalMs);
+	}
+
+	await sleep(300);
+	if (hasTrouble) {
+		store.leave();
+		record.write('the store goes away');
+		await sleep(awayMs);
+		store.comeBackAsOf(copyAt);
+		record.write(`the store comes back from its copy, ${Math.round(performance.now() - copyAt)} ms old`);
+	} else {
+		await sleep(awayMs);
+	}
+
+	await sleep(contactMs + 1000);
+	record.write(`${proxy.resetHalf()} of ${streamCount} connections to front-a-1 are reset`);
+	const fresh = await Promise.all(Array.from({length: newCount}, async (_, index) => send({
+		port: resuming.port, path: '/draft/1', headers: createHeaders(1000 + index, createAttemptId(), newOutputTokens),
+	})));
+	const begun = fresh.filter(({events}) => events.length > 0).length;
+	const ended = await Promise.all(streams);
+	ended.forEach(({index, text}) => {
+		record.write(`stream ${index}: ${text}`);
 	});
-	const whole = ended.filter(({status, isWhole}) => status === 200 && isWhole).length;
-	record.write(`${crashes.length} crashes; ${late.length} requests with the part reached replicas later than ${contactMs} ms after the fifth, of ${maxLate} allowed`);
-	record.write(`${whole} of ${ended.length} sound requests were served`);
-	return late.length > maxLate;
+	const taken = ended.filter(({isTakenUp}) => isTakenUp);
+	const goingOn = taken.filter(({goesOn}) => goesOn).length;
+	record.write(`${begun} of ${newCount} new streams begin at front-a-2; ${goingOn} of ${taken.length} streams that are taken up there go on`);
+	return taken.length >= 12 && goingOn / taken.length < begun / newCount / 2;
 });
