edge: processor time of requests is measured by stage and by outcome

Three prices look alike in the lag of the event loop: code that is not optimized yet, what a warm request costs, and work for requests that nobody waits for any more. Nothing in the log or the metrics told them apart.

A meter charges the time of the event loop to a stage (head, decision, send, stream, log), to the first 160 requests or later ones, and to the outcome of the request. Counters: galena_stage_milliseconds_total, galena_outcome_milliseconds_total, galena_outcomes_total, galena_processor_milliseconds_total; a line work-measured each 5 s.

--- a/src/edge/common.ts
+++ b/src/edge/common.ts
@@ -168,7 +168,9 @@
 	const charged = computeChargeTokens(request, requestOutcome.events);
 	const isFailure = requestOutcome.status === 0 || requestOutcome.status >= 400;
 	const effects: readonly EdgeEffect[] = [
-		{kind: 'count', metric: 'calls', labels: {route: request.route.name, outcome: requestOutcome.outcome}},
+		{
+			kind: 'count', metric: 'calls', labels: {route: request.route.name, outcome: requestOutcome.outcome}, call: request.id,
+		},
 		{
 			kind: 'observe', metric: 'call', labels: {route: request.route.name}, milliseconds: now - request.arrivedAt,
 		},
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -21,7 +21,7 @@
 import {
 	decodeRequest, decodeRoutingConfig, decodeEntry, hasContention, openStoreClient, splitOperatorRows, tables,
 } from '../platform/index.js';
-import type {OperatorRows} from '../platform/index.js';
+import type {OperatorRows, StoreOperations} from '../platform/index.js';
 import {parseAddress} from '../server/address.js';
 import {listen} from '../server/http.js';
 import {trackResponses} from '../server/open-responses.js';
@@ -37,6 +37,8 @@
 } from '../stream-origin/index.js';
 import type {SavedVersionReading} from '../stream-origin/index.js';
 import {isTransfer, parseTransfer} from '../token-transfer/index.js';
+import {createWorkMeter} from '../work-time/index.js';
+import {measureProcessWork} from './work.js';
 import {watchAcceptQueue} from './accept-queue.js';
 import {listGauges} from './gauges.js';
 import {openHttpProxy, sendErrorResponse} from './http-proxy.js';
@@ -51,7 +53,7 @@
 import {readRequestBody, rejectUnread} from './request-body.js';
 import {listRegions} from './settings.js';
 import type {EdgeSettings} from './settings.js';
-import {createEdge, hasReleasedTokens, isReady} from './state.js';
+import {createEdge, hasReleasedTokens, isReady as isStateReady} from './state.js';
 import {openFailoverStore} from './store-failover.js';
 
 /** Interval at which timeouts and other due work are checked, in ms. */
@@ -81,6 +83,9 @@
 /** Delay before rows that a process needs once are read again after a failure, in ms. */
 const readRetryMs = 300;
 
+/** Interval at which the work on requests is counted and logged, in ms. */
+const workIntervalMs = 5000;
+
 /** Interval at which a stopping process checks for remaining requests and reservations, in ms. */
 const drainPollIntervalMs = 50;
 
@@ -89,6 +94,10 @@
 
 /** A running edge process. */
 export type Edge = Readonly<{
+	/** Address at which clients connect. */
+	address: string;
+	/** Tells whether the process says that it is ready. */
+	isReady: () => boolean;
 	/** Shuts the process down gracefully, within its grace period. */
 	stop: () => Promise<void>;
 	/** Ends all work at once, as the end of the process does: connections are closed, and nothing is sent or handled any more. */
@@ -115,25 +124,41 @@
 
 const getColdBounds = ({bounds}: EdgeSettings): ColdBounds => ({over: bounds['cold-over'], slack: bounds['cold-slack']});
 
+/** What an edge process works with. */
+type EdgeOptions = Readonly<{
+	/** Operations of the store; by default, those of the store in the settings. */
+	store?: StoreOperations;
+}>;
+
 /**
 Starts the edge process.
 
 @param settings - Settings of the process.
-@param log - Log of the process.
+@param unmeasuredLog - Log of the process.
+@param options - What the process works with.
 @returns Functions that stop or close the process and reload its settings.
 */
-export const startEdge = async (settings: EdgeSettings, log: BoundedLog): Promise<Edge> => {
+export const startEdge = async (settings: EdgeSettings, unmeasuredLog: BoundedLog, options: EdgeOptions = {}): Promise<Edge> => {
 	const incarnation = randomBytes(6).toString('hex');
 	const closing = new AbortController();
 	const clock = () => performance.now();
 	const random = () => Math.random();
 	const metrics = openMetrics();
+	const meter = createWorkMeter(clock);
+	const log: BoundedLog = {
+		...unmeasuredLog,
+		write(level, event, fields) {
+			meter.measure('log', undefined, () => {
+				unmeasuredLog.write(level, event, fields);
+			});
+		},
+	};
 	const client = openStoreClient(bytes => {
 		metrics.apply({
 			kind: 'count', metric: 'abandonedBytes', labels: {}, amount: bytes,
 		});
 	});
-	const store = openFailoverStore({
+	const store = options.store ?? openFailoverStore({
 		client,
 		directAddress: settings.store.address,
 		relayAddresses: settings.store.relays,
@@ -199,6 +224,9 @@
 			metrics.apply({kind: 'count', metric: 'givenUp', labels: {kind: 'stalled'}});
 			log.write('failure', 'client-stalled', {call: key});
 		},
+		measure(requestId, run) {
+			meter.measure('stream', requestId, run);
+		},
 	});
 
 	const requestStore = async (effect: EdgeEffect & {kind: 'store'}) => {
@@ -256,7 +284,11 @@
 	};
 
 	const effectHandlers: Readonly<{[Kind in EdgeEffect['kind']]: (effect: EdgeEffect & {kind: Kind}) => void}> = {
-		send: proxy.send,
+		send(effect) {
+			meter.measure('send', effect.call, () => {
+				proxy.send(effect);
+			});
+		},
 		abort(effect) {
 			proxy.abort(effect.call);
 		},
@@ -267,7 +299,9 @@
 			proxy.closeIdleConnections(effect.address);
 		},
 		deliver(effect) {
-			proxy.deliver(effect.call);
+			meter.measure('stream', effect.call, () => {
+				proxy.deliver(effect.call);
+			});
 		},
 		relay(effect) {
 			proxy.streamResponse(effect.call);
@@ -331,7 +365,12 @@
 		log(effect) {
 			log.write(effect.level, effect.event, effect.fields);
 		},
-		count: metrics.apply,
+		count(effect) {
+			metrics.apply(effect);
+			if (effect.call !== undefined) {
+				meter.end(effect.call, effect.labels.outcome ?? '');
+			}
+		},
 		observe: metrics.apply,
 	};
 
@@ -360,14 +399,21 @@
 			remoteCostMs: settings.bounds['remote-cost'],
 			configMs: settings.bounds['config-ms'],
 		}),
-		handle: handleEdge,
+		handle: (state, event, now) => meter.measure('decision', 'call' in event ? event.call : undefined, () => handleEdge(state, event, now)),
 		perform(effect) {
 			(effectHandlers[effect.kind] as (effect: EdgeEffect) => void)(effect);
 		},
 		onFailure: handleFailure,
 		clock,
 		isUrgent: ({kind}) => urgentEvents.has(kind),
-		isObsolete: event => event.kind === 'call-arrived' && proxy.forgetLeft(event.call),
+		isObsolete(event) {
+			const isObsolete = event.kind === 'call-arrived' && proxy.forgetLeft(event.call);
+			if (isObsolete) {
+				meter.end(event.call, 'caller-left');
+			}
+
+			return isObsolete;
+		},
 		slice: workSliceMs,
 	});
 
@@ -530,7 +576,9 @@
 		const unreadMs = acceptQueue.boundWait(incoming);
 		intake(() => {
 			if (incoming.socket.writable) {
-				receiveRequest(incoming, response, {isFirstRequest, receivedAt, unreadMs});
+				meter.measure('head', undefined, () => {
+					receiveRequest(incoming, response, {isFirstRequest, receivedAt, unreadMs});
+				});
 			} else {
 				log.write('failure', 'call-left-unread', {call: decodeHead(incoming).map(({key}) => key).unwrapOr(undefined), lag: Math.round(lagMs), unread: Math.round(unreadMs)});
 			}
@@ -596,6 +644,7 @@
 		const acceptRequest = (body: Buffer) => {
 			requestCount += 1;
 			const requestId = requestCount;
+			meter.begin(requestId);
 			holdings.set(requestId, holding);
 			response.on('close', () => {
 				holdings.delete(requestId);
@@ -636,6 +685,7 @@
 					retryAfter,
 				});
 				sendErrorResponse(response, createFault('overloaded', 'the router is overloaded', retryAfter), isLast);
+				meter.endUnnumbered('shed');
 			},
 		};
 		const rejectBody = readRequestBody(incoming, limits, body => {
@@ -645,7 +695,9 @@
 				lagMs: Math.max(getDelay(), intakeMs), unreadMs, timeLimitMs, isFirstOnConnection: isFirstRequest, shedLagMs,
 			});
 			admissions = {requests: admissions.requests + 1, shed: admissions.shed + (decision === 'refuse' ? 1 : 0)};
-			intakeHandlers[decision](body);
+			meter.measure('head', undefined, () => {
+				intakeHandlers[decision](body);
+			});
 		}, fault => {
 			unreadBodies.delete(rejectBody);
 			holding.release();
@@ -684,9 +736,10 @@
 			log.write('failure', 'listen-failed', {reason: error.message});
 		},
 	});
+	const isReady = () => isStateReady(loop.state());
 	const readyServer = createServer((incoming, response) => {
 		incoming.resume();
-		response.writeHead(isReady(loop.state()) ? 200 : 503, {'content-length': 0}).end();
+		response.writeHead(isReady() ? 200 : 503, {'content-length': 0}).end();
 	});
 	const metricsServer = createServer((incoming, response) => {
 		incoming.resume();
@@ -721,7 +774,7 @@
 	});
 	peerSocket.bind(settings.listen.peers.port, settings.listen.peers.host);
 
-	await Promise.all([listen(server, settings.listen.callers), listen(readyServer, settings.listen.ready), listen(metricsServer, settings.listen.metrics)]);
+	const [{address}] = await Promise.all([listen(server, settings.listen.callers), listen(readyServer, settings.listen.ready), listen(metricsServer, settings.listen.metrics)]);
 	acceptQueue.start();
 	const {user, system} = process.cpuUsage();
 	log.write('routine', 'started', {
@@ -779,6 +832,16 @@
 		metrics.setHeld(guard.count());
 		proxy.limitConnections(guard.maxOutgoingConnections);
 	});
+	const measureWork = measureProcessWork(meter);
+	repeat(workIntervalMs, () => {
+		const work = measureWork();
+		work.effects.forEach(effect => {
+			metrics.apply(effect);
+		});
+		if (work.requests > 0) {
+			log.write('routine', 'work-measured', work.fields);
+		}
+	});
 	if (readinessLimits !== undefined) {
 		let used = process.cpuUsage();
 		repeat(sampleIntervalMs, () => {
@@ -833,6 +896,8 @@
 	};
 
 	return {
+		address,
+		isReady,
 		close,
 		reload(changed) {
 			if (changed.err) {
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -127,6 +127,8 @@
 	addRead?: (bytes: number) => void;
 	/** Called when a client is given up that has stopped reading. */
 	onStall?: (key: string) => void;
+	/** Runs what handles a part of a response, and measures its time. */
+	measure?: (requestId: number, run: () => void) => void;
 }>;
 
 const formatErrorResponse = (fault: Fault): Readonly<{head: FinalHead; body: Buffer}> => {
@@ -213,7 +215,9 @@
 */
 export const openHttpProxy = (options: HttpProxyOptions): HttpProxy => {
 	const {
-		post, random, clock, hold = () => true, addRead = () => undefined, onStall = () => undefined,
+		post, random, clock, hold = () => true, addRead = () => undefined, onStall = () => undefined, measure = (_requestId, run) => {
+			run();
+		},
 	} = options;
 	const activeRequests = new Map<number, ActiveRequest>();
 	const agents = new Map<string, Agent>();
@@ -485,7 +489,9 @@
 			failAttempt(effect.call, upstream, 'sent', reason);
 		});
 		outgoing.on('response', incoming => {
-			receiveResponseHead(effect.call, upstream, incoming);
+			measure(effect.call, () => {
+				receiveResponseHead(effect.call, upstream, incoming);
+			});
 		});
 		outgoing.on('error', error => {
 			// Surplus bytes after a complete response are a parse error that concerns no request.
@@ -624,7 +630,9 @@
 		const {incoming} = response;
 		incoming.on('data', (chunk: Buffer) => {
 			if (!upstream.isFinished) {
-				receiveChunk(requestId, activeRequest, upstream, response, chunk);
+				measure(requestId, () => {
+					receiveChunk(requestId, activeRequest, upstream, response, chunk);
+				});
 			}
 		});
 		incoming.on('end', () => {
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -171,12 +171,13 @@
 	/** Sends a message to peers. */
 	| Readonly<{kind: 'tell-peers'; addresses: readonly string[]; message: string}>
 	| Readonly<{kind: 'log'; level: Level; event: string; fields: Fields}>
-	| Readonly<{kind: 'count'; metric: CounterName; labels: Readonly<Record<string, string>>; amount?: number}>
+	/** `call` is the request that the counter `calls` counts. */
+	| Readonly<{kind: 'count'; metric: CounterName; labels: Readonly<Record<string, string>>; amount?: number; call?: number}>
 	| Readonly<{kind: 'observe'; metric: HistogramName; labels: Readonly<Record<string, string>>; milliseconds: number}>;
 
 /** Names of counters. */
 export type CounterName = 'calls' | 'attemptsFailed' | 'streamsEnded' | 'streamsResumed' | 'heldBack' | 'remoteRequests' | 'remoteBytes'
-	| 'tokensGranted' | 'tokensReceived' | 'tokenShortages' | 'givenUp' | 'feedBytes' | 'abandonedBytes';
+	| 'tokensGranted' | 'tokensReceived' | 'tokenShortages' | 'givenUp' | 'feedBytes' | 'abandonedBytes' | 'stageTime' | 'outcomeTime' | 'outcomes' | 'processorTime';
 
 /** Names of gauges. */
 export type GaugeName = 'evacuatedDataCentres' | 'coldEndpoints' | 'coldShare' | 'serviceRate' | 'endpointWorkFactor' | 'endpointReportTrust' | 'overflowFraction' | 'configVersion';
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -67,6 +67,18 @@
 		abandonedBytes: new Counter({
 			name: 'galena_store_abandoned_bytes_total', help: 'Bytes received of replies of the store that were given up before they were complete.', registers,
 		}),
+		stageTime: new Counter({
+			name: 'galena_stage_milliseconds_total', help: 'Time of the event loop on requests, by stage. The first 160 requests of a process meet code that is not optimized yet.', labelNames: ['stage', 'requests'], registers,
+		}),
+		outcomeTime: new Counter({
+			name: 'galena_outcome_milliseconds_total', help: 'The same for requests that have ended, by outcome.', labelNames: ['outcome'], registers,
+		}),
+		outcomes: new Counter({
+			name: 'galena_outcomes_total', help: 'These requests, and those that were shed as they were read, by outcome.', labelNames: ['outcome'], registers,
+		}),
+		processorTime: new Counter({
+			name: 'galena_processor_milliseconds_total', help: 'Processor time of the process, with Node\'s own work on sockets and other threads.', registers,
+		}),
 		tokenShortages: new Counter({
 			name: 'galena_token_shortages_total', help: 'Requests rejected because tokens were short, by reason.', labelNames: ['reason'], registers,
 		}),
--- a/src/edge/receive.ts
+++ b/src/edge/receive.ts
@@ -70,7 +70,9 @@
 	state,
 	effects: [
 		{kind: 'refuse', call: identifyUnanswered({id: event.call, phase: 'granting', events: 0}), fault},
-		{kind: 'count', metric: 'calls', labels: {route: '', outcome: fault.kind}},
+		{
+			kind: 'count', metric: 'calls', labels: {route: '', outcome: fault.kind}, call: event.call,
+		},
 		{
 			kind: 'log', level: 'failure', event: 'call-ended', fields: {
 				call: event.head.key, outcome: fault.kind, status: errorResponses[fault.kind].status, reason: fault.detail, configuration: state.config?.version,
