endpoint-performance: an overloaded router does not take its own lag for that of its endpoints

Cause: the time of a response ran until its event was handled. A router that reads its sockets 300 ms late learned that its endpoints are slow (predicted 321 ms for 1,360 new tokens, its neighbour 155 ms for 2,317), held requests back for "lightly loaded" ones, and decided on them again and again, which took more of its processor time.

A response now comes with bounds of its time: from when it was written until it was read, less the time for which it may have waited. An endpoint is slow only if its time was longer at the least; rates are learned from exact times.

Test: "may have waited until it was read"; it fails if the time runs until the handling.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -1,7 +1,8 @@
 import {recordPushbackClose, recordPushbackSuccess} from '../pushback/index.js';
 import {
-	canJudgeEndpoint, judgeStatement, recordObservation, unknownPerformance,
+	canJudgeEndpoint, isExact, judgeStatement, recordObservation, selectTime, unknownPerformance,
 } from '../endpoint-performance/index.js';
+import type {ResponseTime} from '../endpoint-performance/index.js';
 import {spendRetry} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {Fault} from '../errors/index.js';
@@ -117,8 +118,9 @@
 	});
 };
 
-const deliverResponse = (state: EdgeState, request: UnansweredRequest, head: ResponseHead, now: number): EdgeStep => {
-	const observed = head.status < 300 && request.workload?.newTokens === undefined ? recordPlainResponse(state, request, now) : state;
+const deliverResponse = (state: EdgeState, request: UnansweredRequest, event: ResponseEvent, now: number): EdgeStep => {
+	const {head} = event;
+	const observed = head.status < 300 && request.workload?.newTokens === undefined ? recordPlainResponse(state, request, getResponseTime(event, request, now), now) : state;
 	const result = recordResult(observed, request, head.status >= 500 ? 'failed' : 'good', now);
 	const recorded = (head.status < 300 ? recordRequestOutput : recordRequestError)(result, request, now);
 	const ended = endRequest(recordRequestAnswer(recorded, request, now), request, {outcome: head.status < 400 ? 'answered' : 'endpoint-error', status: head.status, events: 0}, now);
@@ -138,7 +140,7 @@
 	const {status} = event.head;
 	const shouldRetry = status >= 500 && isRetryable(request.route) && request.triedEndpoints.length < request.route.maxAttempts;
 	// A whole response cannot follow the events that a client has received.
-	return shouldRetry || !isUnanswered(request) ? discardResponse(state, request, event, now) : deliverResponse(state, request, event.head, now);
+	return shouldRetry || !isUnanswered(request) ? discardResponse(state, request, event, now) : deliverResponse(state, request, event, now);
 };
 
 const beginStream = (state: EdgeState, request: InFlightRequest, now: number): EdgeStep => ({
@@ -230,10 +232,14 @@
 	return chain(logged, current => placeNext(current, request.service, event.random, now));
 });
 
+/** Returns the time that an attempt took; the whole time until now if it was not measured more exactly. */
+const getResponseTime = ({time}: Readonly<{time?: ResponseTime}>, {sentAt}: InFlightRequest, now: number): ResponseTime => time ?? {minMs: now - sentAt, maxMs: now - sentAt};
+
 /** Records how fast an endpoint was, compared with what the rates of its service predict. */
-const recordSlowness = (endpoint: Endpoint, request: InFlightRequest, now: number): Endpoint => {
+const recordSlowness = (endpoint: Endpoint, request: InFlightRequest, time: ResponseTime, now: number): Endpoint => {
 	const before = decaySlowness(endpoint, now);
-	const ratio = (now - request.sentAt) / Math.max(1, request.predicted / request.slowness);
+	const usualMs = Math.max(1, request.predicted / request.slowness);
+	const ratio = selectTime(time, usualMs) / usualMs;
 	const bounded = Math.min(slownessBounds.max, Math.max(slownessBounds.min, ratio));
 	return {
 		...endpoint,
@@ -244,19 +250,19 @@
 	};
 };
 
-const recordFirstOutput = (endpoint: Endpoint, request: InFlightRequest, now: number): Endpoint =>
-	recordSlowness({...endpoint, pending: Math.max(0, endpoint.pending - request.pending)}, request, now);
+const recordFirstOutput = (endpoint: Endpoint, request: InFlightRequest, time: ResponseTime, now: number): Endpoint =>
+	recordSlowness({...endpoint, pending: Math.max(0, endpoint.pending - request.pending)}, request, time, now);
 
 /** Learns the rates of a service from the time to the first output of an attempt, or to the whole response of a plain request. */
-const recordPerformance = (state: EdgeState, {service, workload, sentAt, slowness}: InFlightRequest, now: number): EdgeState => workload === undefined
+const recordPerformance = (state: EdgeState, {service, workload, slowness}: InFlightRequest, time: ResponseTime): EdgeState => workload === undefined || !isExact(time)
 	? state
-	: {...state, performance: state.performance.set(service, recordObservation(state.performance.get(service) ?? unknownPerformance, workload, (now - sentAt) / slowness))};
+	: {...state, performance: state.performance.set(service, recordObservation(state.performance.get(service) ?? unknownPerformance, workload, time.maxMs / slowness))};
 
 /** Learns from the whole response of a plain request. */
-const recordPlainResponse = (state: EdgeState, request: InFlightRequest, now: number): EdgeState => {
-	const learned = recordPerformance(state, request, now);
+const recordPlainResponse = (state: EdgeState, request: InFlightRequest, time: ResponseTime, now: number): EdgeState => {
+	const learned = recordPerformance(state, request, time);
 	return request.workload !== undefined && canJudgeEndpoint(state.performance.get(request.service), request.workload)
-		? updateKnownEndpoint(learned, request.sentTo, endpoint => recordSlowness(endpoint, request, now))
+		? updateKnownEndpoint(learned, request.sentTo, endpoint => recordSlowness(endpoint, request, time, now))
 		: learned;
 };
 
@@ -277,9 +283,12 @@
 export const receiveFirstOutput = (state: EdgeState, event: EdgeEvent & {kind: 'stream-began'}, now: number): EdgeStep => applyToRequest(state, event.call, request => request.attempt === event.attempt
 	? {
 		state: updateKnownEndpoint(
-			putRequest(recordPerformance(recordStream(recordRequestOutput(state, request, now), request, now), request, now), {...request, pending: 0, firstEventAt: request.firstEventAt ?? now}),
+			putRequest(
+				recordPerformance(recordStream(recordRequestOutput(state, request, now), request, now), request, getResponseTime(event, request, now)),
+				{...request, pending: 0, firstEventAt: request.firstEventAt ?? now},
+			),
 			request.sentTo,
-			endpoint => recordFirstOutput(endpoint, request, now),
+			endpoint => recordFirstOutput(endpoint, request, getResponseTime(event, request, now), now),
 		),
 		effects: [{
 			kind: 'observe', metric: 'firstOutput', labels: {route: request.route.name}, milliseconds: now - request.arrivedAt,
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -224,6 +224,7 @@
 			metrics.apply({kind: 'count', metric: 'givenUp', labels: {kind: 'stalled'}});
 			log.write('failure', 'client-stalled', {call: key});
 		},
+		getReadDelay: () => Math.max(0, lagMs) + loop.delay(),
 		measure(requestId, run) {
 			meter.measure('stream', requestId, run);
 		},
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -166,6 +166,24 @@
 	expect(edge.post({kind: 'caller-left', call: 12, events: 0}).advance(20).getSentTo()).toBe('e2');
 });
 
+// Guards against a router that takes the time for which it reads responses late for that of its endpoints, and refuses what these could serve at once.
+test.each([
+	['may have waited until it was read does not make', {minMs: 60, maxMs: 1500}, false],
+	['took as long at least makes', {minMs: 1500, maxMs: 1500}, true],
+])('a response that %s its endpoint slow', (_, time, isSlow) => {
+	const edge = new EdgeHarness().start([createEntry('e1')]);
+	Array.from({length: 10}, (__, index) => index + 1).forEach(id => {
+		edge.sendRequest(id, 'stream');
+		edge.now += 1500;
+		edge.respond(id, 1, streamHead).post({
+			kind: 'stream-began', call: id, attempt: 1, time,
+		}).post({
+			kind: 'stream-ended', call: id, attempt: 1, events: 1, framing: 'chunked',
+		});
+	});
+	expect(edge.state.registry.endpoints.get('e1')!.slowness > 2).toBe(isSlow);
+});
+
 describe('the first decision on a request', () => {
 	test.each<[string, (edge: EdgeHarness) => EdgeHarness, string]>([
 		['no configuration yet', edge => edge.sendRequest(1, 'safe'), 'refuse not-ready'],
--- a/src/edge/http-proxy.ts
+++ b/src/edge/http-proxy.ts
@@ -10,6 +10,7 @@
 	createAllowance, findPieceExcess, isAllowanceLow, takePiece,
 } from '../byte-buffer/pieces.js';
 import type {PieceAllowance} from '../byte-buffer/pieces.js';
+import type {ResponseTime} from '../endpoint-performance/index.js';
 import {
 	createErrorResponse, createFault, fail, succeed,
 } from '../errors/index.js';
@@ -73,8 +74,8 @@
 	readonly key: string;
 	readonly outgoing: ClientRequest;
 	isFinished: boolean;
-	/** True once it has been written to its connection. */
-	isWritten: boolean;
+	/** When it was written to its connection, in ms; undefined before. */
+	writtenAt: number | undefined;
 	/** Bytes received on the connection before the request was sent. */
 	initialBytesRead: number;
 	response: EndpointResponse | undefined;
@@ -127,6 +128,8 @@
 	addRead?: (bytes: number) => void;
 	/** Called when a client is given up that has stopped reading. */
 	onStall?: (key: string) => void;
+	/** Returns the longest time for which what is read now may have waited, in ms. */
+	getReadDelay?: () => number;
 	/** Runs what handles a part of a response, and measures its time. */
 	measure?: (requestId: number, run: () => void) => void;
 }>;
@@ -163,7 +166,7 @@
 
 /** Returns how far a request has progressed at an endpoint. */
 const getStage = (upstream: Upstream): FailureStage => {
-	if (!upstream.isWritten) {
+	if (upstream.writtenAt === undefined) {
 		return 'unsent';
 	}
 
@@ -215,7 +218,7 @@
 */
 export const openHttpProxy = (options: HttpProxyOptions): HttpProxy => {
 	const {
-		post, random, clock, hold = () => true, addRead = () => undefined, onStall = () => undefined, measure = (_requestId, run) => {
+		post, random, clock, hold = () => true, addRead = () => undefined, onStall = () => undefined, getReadDelay = () => 0, measure = (_requestId, run) => {
 			run();
 		},
 	} = options;
@@ -304,10 +307,16 @@
 		});
 	};
 
+	/** Measures the time until what is read now. */
+	const measureTime = ({writtenAt}: Upstream): ResponseTime => {
+		const maxMs = clock() - (writtenAt ?? clock());
+		return {minMs: Math.max(0, maxMs - getReadDelay()), maxMs};
+	};
+
 	const reportResponse = (requestId: number, upstream: Upstream, head: ResponseHead): void => {
 		upstream.isFinished = true;
 		post({
-			kind: 'endpoint-answered', call: requestId, attempt: upstream.attempt, head, random: random(),
+			kind: 'endpoint-answered', call: requestId, attempt: upstream.attempt, head, time: measureTime(upstream), random: random(),
 		});
 	};
 
@@ -409,7 +418,7 @@
 	const writeWhenConnected = (requestId: number, upstream: Upstream, body: Buffer): void => {
 		const write = () => {
 			if (!upstream.isFinished) {
-				upstream.isWritten = true;
+				upstream.writtenAt = clock();
 				upstream.outgoing.end(body);
 			}
 		};
@@ -472,7 +481,7 @@
 			key: activeRequest.head.key,
 			outgoing,
 			isFinished: false,
-			isWritten: false,
+			writtenAt: undefined,
 			initialBytesRead: 0,
 			response: undefined,
 			allowance: createAllowance(clock()),
@@ -536,7 +545,7 @@
 		const cancelTimeout = startTimeout(() => {
 			report(false);
 		}, cancelTimeoutMs);
-		if (!upstream.isWritten || socket === null) {
+		if (upstream.writtenAt === undefined || socket === null) {
 			report(true);
 			return;
 		}
@@ -587,7 +596,9 @@
 		}
 
 		if (isFirst) {
-			post({kind: 'stream-began', call: requestId, attempt: upstream.attempt});
+			post({
+				kind: 'stream-began', call: requestId, attempt: upstream.attempt, time: measureTime(upstream),
+			});
 		}
 	};
 
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -9,6 +9,7 @@
 import type {PeerMessage} from '../gossip/index.js';
 import type {Fields, Level} from '../log/index.js';
 import type {QuotaStoreCall} from '../quota/index.js';
+import type {ResponseTime} from '../endpoint-performance/index.js';
 import type {Incarnation, RegistryEntry} from '../registry/index.js';
 import type {
 	ReplyTransfer, StoredRow, StoreReply, StoreWrite,
@@ -75,12 +76,12 @@
 	| Readonly<{kind: 'call-withdrawn'; call: number; attempt: number; hasNotRun: boolean}>
 	/** The head of a response was read. What it states of its endpoint holds although its request may have ended. It is doubted if it may be that of another request. */
 	| Readonly<{kind: 'response-began'; endpoint: Incarnation; head: ResponseHead; isDoubted: boolean}>
-	/** A complete response was read, or the head of a stream. */
-	| Readonly<{kind: 'endpoint-answered'; call: number; attempt: number; head: ResponseHead; random: number}>
+	/** A complete response was read, or the head of a stream. Its time is that between the send and the handling if it is not given. */
+	| Readonly<{kind: 'endpoint-answered'; call: number; attempt: number; head: ResponseHead; time?: ResponseTime; random: number}>
 	/** An attempt failed; `events` counts the events that the client received of it. */
 	| Readonly<{kind: 'endpoint-failed'; call: number; attempt: number; stage: FailureStage; reason: string; events: number; lastEventId: string | undefined; random: number}>
 	/** The first event of a stream was sent to the client. */
-	| Readonly<{kind: 'stream-began'; call: number; attempt: number}>
+	| Readonly<{kind: 'stream-began'; call: number; attempt: number; time?: ResponseTime}>
 	/** The stream ended normally, after a complete event. */
 	| Readonly<{kind: 'stream-ended'; call: number; attempt: number; events: number; framing: Framing}>
 	| Readonly<{kind: 'catalog-read'; config: RoutingConfig; retrieval?: ConfigRetrieval}>
--- a/src/endpoint-performance/index.ts
+++ b/src/endpoint-performance/index.ts
@@ -6,3 +6,5 @@
 	canJudgeEndpoint, computeRates, priorRates, recordObservation, unknownPerformance,
 } from './rates.js';
 export type {ServicePerformance, ServiceRates, Workload} from './rates.js';
+export {isExact, selectTime} from './response-time.js';
+export type {ResponseTime} from './response-time.js';
