readiness: a data centre whose routers are overloaded leaves the rotation while others are idle

The load balancer uses another data centre only while no router of the own one is ready, and routers with 0.4 of a core or more were always ready.

Every router with a CPU share now tells peers how many cores it has to spare. One that has been under pressure for a second withdraws alone if its neighbours have room, and else leads its data centre out if others have: all of its routers say that they are not ready, go on serving open connections, and once the load balancer has noticed it close as many of these as it takes. They return together, when the leaders are relieved or nobody has cores to spare any more. Small routers withdraw and take turns as before.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -29,7 +29,9 @@
 import {decideAdmission, suggestRetryAfter} from '../queue/index.js';
 import type {AdmissionDecision} from '../queue/index.js';
 import {verdictTable} from '../poison/index.js';
-import {createReadinessLimits, getShedLag, sampleIntervalMs} from '../readiness/index.js';
+import {
+	createReadinessLimits, getShedLag, refusesConnections, sampleIntervalMs, shouldMoveClient,
+} from '../readiness/index.js';
 import {getEra} from '../store/index.js';
 import type {ReplyTransfer, StoreReply, StoredRow} from '../store/index.js';
 import {
@@ -187,9 +189,9 @@
 	let admissions = {requests: 0, shed: 0};
 
 	/** Decides as a response is written whether it is the last one of its connection: during a shutdown, and if its client is to move, unless a further request has been read. */
-	const isLastResponse = (response: ServerResponse, isMoved = false): boolean => {
+	const isLastResponse = (response: ServerResponse, isShed = false): boolean => {
 		const {socket} = response.req;
-		const isLast = (answerBy !== undefined || isMoved) && connections.get(socket)?.latest === response;
+		const isLast = (answerBy !== undefined || shouldMoveClient(loop.state().readiness, isShed, clock(), random())) && connections.get(socket)?.latest === response;
 		if (isLast) {
 			connections.set(socket, {latest: response, isClosing: true});
 		}
@@ -673,7 +675,7 @@
 			refuse() {
 				const retryAfter = suggestRetryAfter(timeLimitMs - unreadMs, random());
 				// The client's next request then goes to another router.
-				const isLast = isLastResponse(response, loop.state().readiness.isOverloaded);
+				const isLast = isLastResponse(response, true);
 				log.write('failure', 'call-ended', {
 					call: head.val.key,
 					route: route?.name,
@@ -852,9 +854,9 @@
 				kind: 'load-measured', lagMs: getDelay(), usedMs: (user + system) / 1000, ...admissions,
 			});
 			admissions = {requests: 0, shed: 0};
-			const {isOverloaded} = loop.state().readiness;
-			metrics.setOverloaded(isOverloaded);
-			(isOverloaded ? acceptQueue.pause : acceptQueue.resume)();
+			const {readiness} = loop.state();
+			metrics.setOverloaded(readiness.isOverloaded);
+			(refusesConnections(readiness, readinessLimits) ? acceptQueue.pause : acceptQueue.resume)();
 		});
 	}
 
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -8,6 +8,7 @@
 import type {Fields} from '../log/index.js';
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {hasNews, hasPoisonNews, listPoisonNews} from '../poison/index.js';
+import {describeRouter} from '../readiness/index.js';
 import {
 	updateEntry, removeMissing, markUnavailable, markAvailable, markRestored, recordPromptParts, replaceEntries,
 } from '../registry/index.js';
@@ -155,11 +156,9 @@
 	// News of parts wait for the next message, so that one with crashes stays under 8 KB.
 	const promptNews = isPoisonDue ? [] : state.promptNews;
 	const report: LoadReport = {
-		router: state.quota.router,
+		...describeRouter(state.quota.router, state.readiness, state.readinessLimits),
 		dataCentre: state.dataCentre,
 		registry: state.registry,
-		isOverloaded: state.readiness.isOverloaded,
-		isPressed: state.readiness.pressedSince !== undefined,
 		poison: isPoisonDue ? listPoisonNews(state.poison, now) : undefined,
 	};
 	const isSeldomDue = isPoisonDue || gossipCount % seldomPeriod === 0;
--- a/src/edge/overload.ts
+++ b/src/edge/overload.ts
@@ -1,16 +1,26 @@
 import {updateReadiness} from '../readiness/index.js';
-import type {Neighbour} from '../readiness/index.js';
+import type {Fleet} from '../readiness/index.js';
 import {createLogEffect} from './common.js';
 import type {EdgeEvent} from './messages.js';
 import type {EdgeState, EdgeStep} from './state.js';
 
-/** Lists the other routers of the own data centre. One that is not heard may be down, and is not relied on to take connections. */
-const listNeighbours = ({dataCentre, peers, quota}: EdgeState): readonly Neighbour[] => [
-	...peers.entrySeq().toArray().filter(([, peer]) => peer.dataCentre === dataCentre).map(([router, {isOverloaded, isPressed}]) => ({router, isOverloaded, isPressed})),
-	...quota.peers.entrySeq().toArray()
-		.filter(([router, peer]) => peer.isLive && peer.dataCentre === dataCentre && !peers.has(router))
-		.map(([router]) => ({router, isOverloaded: true, isPressed: true})),
-];
+/** Describes the other routers. A neighbour that is not heard may be down, and is not relied on to take connections. */
+const describeFleet = ({dataCentre, peers, quota}: EdgeState): Fleet => {
+	const heard = peers.entrySeq().toArray();
+	return {
+		neighbours: [
+			...heard.filter(([, peer]) => peer.dataCentre === dataCentre).map(([router, {isOverloaded, isPressed, isLeading, spareCores}]) => ({
+				router, isOverloaded, isPressed, isLeading, spareCores,
+			})),
+			...quota.peers.entrySeq().toArray()
+				.filter(([router, peer]) => peer.isLive && peer.dataCentre === dataCentre && !peers.has(router))
+				.map(([router]) => ({
+					router, isOverloaded: true, isPressed: true, isLeading: false, spareCores: 0,
+				})),
+		],
+		remoteSpareCores: heard.reduce((sum, [, peer]) => sum + (peer.dataCentre === dataCentre ? 0 : peer.spareCores), 0),
+	};
+};
 
 /**
 Records how much of its CPU share the process uses, and decides whether it says that it is not ready.
@@ -26,8 +36,9 @@
 		return {state, effects: []};
 	}
 
-	const neighbours = listNeighbours(state);
-	const readiness = updateReadiness(before, {...sample, now}, limits, state.quota.router, neighbours);
+	const fleet = describeFleet(state);
+	const {neighbours} = fleet;
+	const readiness = updateReadiness(before, {...sample, now}, limits, state.quota.router, fleet);
 	return {
 		// Neighbours learn of it with the next message.
 		state: {...state, readiness},
@@ -38,6 +49,9 @@
 				used: readiness.usedFraction.toFixed(2),
 				shed: readiness.shedFraction.toFixed(2),
 				share: limits.cpuShare,
+				scope: readiness.scope,
+				leading: readiness.isLeading || undefined,
+				remoteSpare: readiness.remoteSpareCores.toFixed(1),
 				neighbours: neighbours.length,
 				overloaded: neighbours.filter(({isOverloaded}) => isOverloaded).length,
 				calls: state.requests.size,
--- a/src/gossip/decode.ts
+++ b/src/gossip/decode.ts
@@ -33,6 +33,10 @@
 	overloaded: z.boolean().optional(),
 	/** True while the sender is under pressure. */
 	pressed: z.boolean().optional(),
+	/** True while the sender withdraws, and wants its whole data centre to. */
+	leading: z.boolean().optional(),
+	/** Cores that the sender has to spare. */
+	spare: z.number().nonnegative().optional(),
 });
 
 /** A peer's message as it is sent, with its defaults. */
@@ -69,16 +73,17 @@
 	}
 
 	const {
-		router, dataCentre, overloaded, pressed, loads, limits = [], leaving = [], parts = [],
+		router, dataCentre, overloaded, pressed, leading, spare, loads, limits = [], leaving = [], parts = [],
 	} = value;
 	const lists = {
 		loads, limits, leaving, parts,
 	};
-	const isValid = isText(router) && (dataCentre === undefined || isText(dataCentre)) && [overloaded, pressed].every(flag => flag === undefined || typeof flag === 'boolean')
+	const isValid = isText(router) && (dataCentre === undefined || isText(dataCentre)) && (spare === undefined || isAmount(spare))
+		&& [overloaded, pressed, leading].every(flag => flag === undefined || typeof flag === 'boolean')
 		&& checkedFields.every(field => Array.isArray(lists[field]) && lists[field].every(entry => entryChecks[field](entry)));
 	return isValid
 		? {
-			router, dataCentre, overloaded, pressed, ...lists, crashes: [], proven: [], verdicts: [], trials: [], cold: [],
+			router, dataCentre, overloaded, pressed, leading, spare, ...lists, crashes: [], proven: [], verdicts: [], trials: [], cold: [],
 		} as unknown as WireMessage
 		: undefined;
 };
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -26,7 +26,7 @@
 export type ReportedLoads = ReadonlyMap<string, EndpointLoad>;
 
 /** The last message of each peer by router id, and when it arrived, in ms. */
-export type PeerLoads = Map<string, Readonly<{at: number; loads: ReportedLoads; dataCentre: string | undefined; isOverloaded: boolean; isPressed: boolean}>>;
+export type PeerLoads = Map<string, Readonly<{at: number; loads: ReportedLoads; dataCentre: string | undefined; isOverloaded: boolean; isPressed: boolean; isLeading: boolean; spareCores: number}>>;
 
 /**
 Tells whether messages of peers are missing, as they are if the network between them is cut.
@@ -78,6 +78,10 @@
 	isOverloaded: boolean;
 	/** True while it is under pressure. */
 	isPressed: boolean;
+	/** True if it withdraws, and wants its whole data centre to. */
+	isLeading: boolean;
+	/** Cores that it has to spare for clients of other routers; 0 if it does not state them. */
+	spareCores: number;
 	loads: ReportedLoads;
 	/** Rate limits that endpoints stated to the peer. */
 	limits: ReadonlyArray<Readonly<{endpoint: string; startedAt: number | undefined; requestsPerSecond: number | undefined; ageMs: number}>>;
@@ -133,6 +137,10 @@
 	isOverloaded?: boolean;
 	/** True while it is under pressure, whether or not it may say that it is not ready. */
 	isPressed?: boolean;
+	/** True if it withdraws, and wants its whole data centre to. */
+	isLeading?: boolean;
+	/** Cores that it has to spare. */
+	spareCores?: number;
 }>;
 
 /** Empty lists are not sent; routers of all versions take a missing one for empty. */
@@ -146,7 +154,7 @@
 @returns The message.
 */
 export const encodeLoads = ({
-	router, dataCentre, registry, poison, promptNews = [], isOverloaded = false, isPressed = false,
+	router, dataCentre, registry, poison, promptNews = [], isOverloaded = false, isPressed = false, isLeading = false, spareCores = 0,
 }: LoadReport, now: number): string => {
 	const endpoints = [...registry.endpoints.values()];
 	return JSON.stringify({
@@ -154,6 +162,8 @@
 		dataCentre,
 		overloaded: isOverloaded || undefined,
 		pressed: isPressed || undefined,
+		leading: isLeading || undefined,
+		spare: spareCores > 0 ? spareCores : undefined,
 		loads: endpoints.filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
 		limits: omitEmpty(listStatements(endpoints.map(endpoint => [endpoint, endpoint.rateLimit]), now)
 			.map(([{id, startedAt}, {requestsPerSecond, statedAt}]) => [id, requestsPerSecond ?? null, Math.round(now - statedAt), startedAt])),
@@ -182,6 +192,8 @@
 			dataCentre: message.dataCentre,
 			isOverloaded: message.overloaded ?? false,
 			isPressed: message.pressed ?? false,
+			isLeading: message.leading ?? false,
+			spareCores: message.spare ?? 0,
 			loads: new globalThis.Map(message.loads.map(([id, pending, open]) => [id, {pending, open}])),
 			limits: message.limits.map(([endpoint, requestsPerSecond, ageMs, startedAt]) => ({
 				endpoint, startedAt, requestsPerSecond: requestsPerSecond ?? undefined, ageMs,
@@ -199,7 +211,7 @@
 };
 
 /** What a peer's message says of its own load. */
-type LoadMessage = Pick<PeerMessage, 'router' | 'loads' | 'dataCentre' | 'isOverloaded' | 'isPressed'>;
+type LoadMessage = Pick<PeerMessage, 'router' | 'loads' | 'dataCentre' | 'isOverloaded' | 'isPressed' | 'isLeading' | 'spareCores'>;
 
 /**
 Records a peer's load message.
@@ -209,10 +221,14 @@
 @param now - The current time in ms.
 @returns The last messages, including this one.
 */
-export const recordPeerLoads = (peers: PeerLoads, {router, loads, dataCentre, isOverloaded, isPressed}: LoadMessage, now: number): PeerLoads =>
-	peers.set(router, {
-		at: now, loads, dataCentre, isOverloaded, isPressed,
+export const recordPeerLoads = (peers: PeerLoads, {router, ...message}: LoadMessage, now: number): PeerLoads => {
+	const {
+		loads, dataCentre, isOverloaded, isPressed, isLeading, spareCores,
+	} = message;
+	return peers.set(router, {
+		at: now, loads, dataCentre, isOverloaded, isPressed, isLeading, spareCores,
 	});
+};
 
 /** The load of a router that does not report any. */
 const noLoad: EndpointLoad = {pending: 0, open: 0};
--- a/src/readiness/clients.test.ts
+++ b/src/readiness/clients.test.ts
@@ -1,14 +1,14 @@
 import {describe, expect, test} from 'vitest';
 import {createRandom} from '../random/index.js';
 import {
-	createReadiness, createReadinessLimits, getShedLag, sampleIntervalMs, updateReadiness,
+	createReadiness, createReadinessLimits, describeRouter, getShedLag, refusesConnections, sampleIntervalMs, shouldMoveClient, updateReadiness,
 } from './index.js';
 import type {Readiness} from './index.js';
 
-/** A client of an organisation: requests per second, over kept connections that it uses in turn, and the fraction of requests for which it opens a new one instead. */
-type Client = Readonly<{organisation: string; perSecond: number; connections: number; newFraction?: number}>;
+/** A client of an organisation in a data centre: requests per second, over kept connections that it uses in turn, and the fraction of requests for which it opens a new one instead. */
+type Client = Readonly<{organisation: string; perSecond: number; connections: number; newFraction?: number; dataCentre?: string}>;
 
-type Router = Readonly<{cpuShare: number; backlogMs: number; usedMs: number; requests: number; shed: number; readiness: Readiness; failedChecks: number; inRotation: boolean}>;
+type Router = Readonly<{dataCentre: string; cpuShare: number; backlogMs: number; usedMs: number; requests: number; shed: number; readiness: Readiness; failedChecks: number; inRotation: boolean}>;
 
 /** CPU time of a request, of one that is shed, and of a connection that is accepted, in ms. */
 const requestMs = 8;
@@ -18,21 +18,37 @@
 const stepMs = 10;
 const usualShedLagMs = 400;
 
-/** Lists the routers to which the load balancer sends the tries of a client: in an order of the client's own, those in its rotation, or all if fewer than half are. */
-const listTargets = (routers: readonly Router[], first: number): readonly number[] => {
-	const all = routers.map((_, index) => (first + index) % routers.length);
-	const inRotation = all.filter(index => routers[index]!.inRotation);
-	return inRotation.length * 2 < routers.length ? all : inRotation;
+/**
+Lists the routers to which the load balancer sends the tries of a client: in an order of the client's own, those of its data centre that
+are in the rotation, or all of them if fewer than half are; those of other data centres if none is.
+*/
+const listTargets = (routers: readonly Router[], first: number, dataCentre: string): readonly number[] => {
+	const ordered = routers.map((_, index) => (first + index) % routers.length);
+	const near = ordered.filter(index => routers[index]!.dataCentre === dataCentre);
+	const inRotation = near.filter(index => routers[index]!.inRotation);
+	const far = ordered.filter(index => routers[index]!.dataCentre !== dataCentre && routers[index]!.inRotation);
+	if (inRotation.length === 0 && far.length > 0) {
+		return far;
+	}
+
+	return inRotation.length * 2 < near.length ? near : inRotation;
 };
 
-type Play = Readonly<{cpuShares: readonly number[]; clients: readonly Client[]; first?: (client: number) => number; durationMs?: number}>;
+/** The routers' cores, by data centre. */
+type Machines = Readonly<Record<string, readonly number[]>>;
 
-/** Plays the routers of one data centre and their clients. Returns the fraction of each organisation's requests that is served, and the connections that were closed. */
-const play = ({cpuShares, clients, first = () => 0, durationMs = 30_000}: Play) => {
+type Play = Readonly<{machines: Machines; clients: readonly Client[]; first?: (client: number) => number; durationMs?: number; isAlwaysReady?: boolean}>;
+
+/** Data centre of machines and clients that name none. */
+const onlyDataCentre = 'z';
+
+/** Plays routers and their clients. Returns the fraction of each organisation's requests that is served, and the connections that were closed. */
+const play = ({machines, clients, first = () => 0, durationMs = 30_000, isAlwaysReady = false}: Play) => {
 	const random = createRandom(3);
-	const routers: Router[] = cpuShares.map(cpuShare => ({
-		cpuShare, backlogMs: 0, usedMs: 0, requests: 0, shed: 0, readiness: createReadiness(), failedChecks: 0, inRotation: true,
-	}));
+	const routers: Router[] = Object.entries(machines).flatMap(([dataCentre, cpuShares]) => cpuShares.map(cpuShare => ({
+		dataCentre, cpuShare, backlogMs: 0, usedMs: 0, requests: 0, shed: 0, readiness: createReadiness(), failedChecks: 0, inRotation: true,
+	})));
+	let time = 0;
 	const update = (index: number, fields: Partial<Router>) => {
 		routers[index] = {...routers[index]!, ...fields};
 	};
@@ -50,10 +66,17 @@
 		counts.set(organisation, (counts.get(organisation) ?? 0) + 1);
 	};
 
+	const move = (index: number, connection: string, isShed: boolean) => {
+		if (shouldMoveClient(routers[index]!.readiness, isShed, time, random.draw())) {
+			open.delete(connection);
+			closed += 1;
+		}
+	};
+
 	/** Sends a request to a router over a connection that is open or new; returns whether it is served. */
 	const send = (index: number, connection: string, isNew: boolean): boolean => {
 		const {cpuShare, backlogMs, requests, shed, readiness} = routers[index]!;
-		if (isNew && readiness.isOverloaded) {
+		if (isNew && refusesConnections(readiness, createReadinessLimits(cpuShare)!)) {
 			return false;
 		}
 
@@ -65,26 +88,24 @@
 		update(index, {requests: requests + 1});
 		if (backlogMs < (getShedLag(createReadinessLimits(cpuShare)) ?? usualShedLagMs)) {
 			work(index, requestMs);
+			move(index, connection, false);
 			return true;
 		}
 
 		work(index, shedMs);
 		update(index, {shed: shed + 1});
-		if (readiness.isOverloaded) {
-			open.delete(connection);
-			closed += 1;
-		}
-
+		move(index, connection, true);
 		return false;
 	};
 
 	/** Sends a request, and once more to another router if it is not served. */
 	const request = (client: number) => {
-		const {organisation, connections, newFraction = 0} = clients[client]!;
+		const {organisation, connections, newFraction = 0, dataCentre = onlyDataCentre} = clients[client]!;
 		const connection = `${client}/${random.pick(connections)}`;
 		const known = random.draw() < newFraction ? undefined : open.get(connection);
-		const index = known ?? listTargets(routers, first(client))[0]!;
-		const retryIndex = listTargets(routers, first(client)).find(other => other !== index) ?? index;
+		const targets = listTargets(routers, first(client), dataCentre);
+		const index = known ?? targets[0]!;
+		const retryIndex = targets.find(other => other !== index) ?? index;
 		count(asked, organisation);
 		if (send(index, connection, known === undefined) || send(retryIndex, `${connection}/retry`, true)) {
 			count(served, organisation);
@@ -92,6 +113,7 @@
 	};
 
 	const advance = (now: number) => {
+		time = now;
 		clients.forEach(({perSecond}, client) => {
 			if (random.draw() < perSecond * stepMs / 1000) {
 				request(client);
@@ -103,15 +125,19 @@
 		});
 		if (now % sampleIntervalMs === 0) {
 			const before = [...routers];
-			before.forEach(({cpuShare, backlogMs, usedMs, requests, shed, readiness}, index) => {
-				const limits = createReadinessLimits(cpuShare);
-				const neighbours = before.map((each, other) => ({router: `r${other}`, isOverloaded: each.readiness.isOverloaded, isPressed: each.readiness.pressedSince !== undefined}))
-					.filter((_, other) => other !== index);
+			const described = before.map(({dataCentre, readiness, cpuShare}, index) => ({dataCentre, ...describeRouter(`r${index}`, readiness, createReadinessLimits(cpuShare))}));
+			before.forEach(({dataCentre, cpuShare, backlogMs, usedMs, requests, shed, readiness}, index) => {
+				const limits = createReadinessLimits(cpuShare)!;
+				const others = described.filter((_, other) => other !== index);
+				const fleet = {
+					neighbours: others.filter(each => each.dataCentre === dataCentre),
+					remoteSpareCores: others.reduce((sum, each) => sum + (each.dataCentre === dataCentre ? 0 : each.spareCores), 0),
+				};
 				const sample = {
 					lagMs: backlogMs, usedMs, requests, shed, now,
 				};
 				update(index, {
-					usedMs: 0, requests: 0, shed: 0, readiness: limits === undefined ? readiness : updateReadiness(readiness, sample, limits, `r${index}`, neighbours),
+					usedMs: 0, requests: 0, shed: 0, readiness: isAlwaysReady ? readiness : updateReadiness(readiness, sample, limits, `r${index}`, fleet),
 				});
 			});
 		}
@@ -145,7 +171,7 @@
 // Guards against an organisation that is hardly served, as all of its connections are at one small router (SHORT on acfe-bogota-grown).
 describe('an organisation whose connections are all at a router with a fifth of a core', () => {
 	const playOne = (client: Client) => play({
-		cpuShares, clients: [...others, client], first: index => index === others.length ? 4 : findFirst(index),
+		machines: {[onlyDataCentre]: cpuShares}, clients: [...others, client], first: index => index === others.length ? 4 : findFirst(index),
 	});
 
 	test.each<[string, Client]>([
@@ -163,12 +189,50 @@
 
 describe('connections stay', () => {
 	test('while no router is overloaded', () => {
-		const {closed, all} = play({cpuShares, clients: others, first: findFirst});
+		const {closed, all} = play({machines: {[onlyDataCentre]: cpuShares}, clients: others, first: findFirst});
 		expect(closed).toBe(0);
 		expect(all).toBeGreaterThan(0.99);
 	});
 
 	test('at a router that is alone in its data centre', () => {
-		expect(play({cpuShares: [0.184], clients: [{organisation: 'a', perSecond: 110, connections: 8}]}).closed).toBe(0);
+		expect(play({machines: {[onlyDataCentre]: [0.184]}, clients: [{organisation: 'a', perSecond: 110, connections: 8}]}).closed).toBe(0);
+	});
+});
+
+/** The least fraction of the credit of a data centre's clients on a quiet day of the users' platform. */
+const leastServed = 0.34;
+
+// Guards against a data centre whose clients are hardly served while the routers of others are idle (SHORT on dosanko-bundle-grown).
+describe('the clients of a data centre that send more than its routers can bear', () => {
+	const createClients = (dataCentre: string, count: number, perSecond: number): readonly Client[] => Array.from({length: count}, (_, index) => ({
+		organisation: dataCentre, dataCentre, perSecond, connections: 4, newFraction: index % 2 === 0 ? 0.3 : 0,
+	}));
+
+	test.each<[string, Machines, number, number]>([
+		['two routers, load of 1.3 times their cores', {k: [0.594, 0.594], a: [0.729, 0.729], b: [0.675, 0.675, 0.567]}, 64, 3],
+		['two routers, load of 2.5 times their cores', {k: [0.594, 0.594], a: [0.729, 0.729], b: [1.35, 1.35, 0.567]}, 64, 5.8],
+		['a single router', {
+			k: [0.513], a: [0.513], b: [0.513], c: [0.513],
+		}, 32, 3.5],
+		['small routers', {k: [0.184, 0.184, 0.184], a: [0.594, 0.594, 0.184], b: [0.675, 0.675]}, 32, 3.5],
+		['unequal routers', {k: [0.594, 0.184, 0.184], a: [1.35, 0.594], b: [0.675, 0.675]}, 64, 2.8],
+	])('are served as others are: %s', (_, machines, count, perSecond) => {
+		const elsewhere = Object.keys(machines).filter(dataCentre => dataCentre !== 'k');
+		const clients = [...createClients('k', count, perSecond), ...elsewhere.flatMap(dataCentre => createClients(dataCentre, 10, 1.5))];
+		const options = {
+			machines, clients, first: (client: number) => client, durationMs: 40_000,
+		};
+		const {getFraction} = play(options);
+		expect(play({...options, isAlwaysReady: true}).getFraction('k')).toBeLessThan(leastServed);
+		expect(getFraction('k')).toBeGreaterThan(leastServed);
+		expect(Math.min(...elsewhere.map(each => getFraction(each)))).toBeGreaterThan(0.95);
+	});
+
+	test('stay if no other data centre can take them', () => {
+		const clients = [...createClients('k', 64, 5), ...createClients('a', 64, 4)];
+		const {closed} = play({
+			machines: {k: [0.594, 0.594], a: [0.594, 0.594]}, clients, first: client => client,
+		});
+		expect(closed).toBe(0);
 	});
 });
--- a/src/readiness/index.ts
+++ b/src/readiness/index.ts
@@ -1,6 +1,6 @@
 export {
-	createReadiness, createReadinessLimits, getShedLag, sampleIntervalMs, updateReadiness,
+	createReadiness, createReadinessLimits, describeRouter, getShedLag, refusesConnections, sampleIntervalMs, shouldMoveClient, updateReadiness,
 } from './readiness.js';
 export type {
-	Neighbour, Readiness, ReadinessLimits, ReadinessSample,
+	Fleet, Neighbour, Readiness, ReadinessLimits, ReadinessSample, WithdrawalScope,
 } from './readiness.js';
--- a/src/readiness/readiness.test.ts
+++ b/src/readiness/readiness.test.ts
@@ -1,9 +1,12 @@
 import {describe, expect, test} from 'vitest';
 import {createRandom} from '../random/index.js';
-import {createReadiness, sampleIntervalMs, updateReadiness} from './index.js';
+import {
+	createReadiness, createReadinessLimits, describeRouter, sampleIntervalMs, updateReadiness,
+} from './index.js';
 import type {Readiness} from './index.js';
 
 const cpuShare = 0.184;
+const limits = createReadinessLimits(cpuShare)!;
 
 /** A router of the simulation: the load that it gets, in parts of its CPU share, and its backlog of work in ms. */
 type Router = Readonly<{name: string; demand: (now: number, isReady: boolean) => number; backlogMs: number; readiness: Readiness}>;
@@ -22,11 +25,11 @@
 			// What waits for longer than 150 ms is shed.
 			const backlogMs = Math.min(250, router.backlogMs + work - done);
 			const neighbours = routers.filter(({name}) => name !== router.name)
-				.map(({name, readiness}) => ({router: name, isOverloaded: readiness.isOverloaded, isPressed: readiness.pressedSince !== undefined}));
+				.map(({name, readiness}) => describeRouter(name, readiness, limits));
 			return {
 				...router, backlogMs, readiness: updateReadiness(router.readiness, {
 					lagMs: backlogMs, usedMs: done * cpuShare, requests: 0, shed: 0, now,
-				}, {cpuShare}, router.name, neighbours),
+				}, limits, router.name, {neighbours, remoteSpareCores: 0}),
 			};
 		});
 		return {routers: next, history: [...before, next.map(({readiness}) => readiness.isOverloaded)]};
--- a/test/edge-process.ts
+++ b/test/edge-process.ts
@@ -225,10 +225,20 @@
 	route?: Readonly<Record<string, unknown>>;
 	/** Handles the requests that reach the endpoint; replaces the usual responses. */
 	respond?: RequestListener;
+	/** Name and data centre of the router. */
+	name?: string;
+	dataCentre?: string;
+	/** Store and endpoint of several routers; `store`, `routeCount`, `route` and `respond` are those of the first one. */
+	system?: EdgeSystem;
 }>;
 
+/** What routers share: a store with a configuration and an endpoint. */
+export type EdgeSystem = Readonly<{store: FakeStore; storePort: number}>;
+
 /** A running edge process, its store and its link to the store. */
 export type EdgeProcess = Omit<BundledProgram, 'restart'> & Readonly<{
+	/** Port of the health check of its readiness. */
+	readyPort: number;
 	store: FakeStore;
 	link: RateProxy | undefined;
 	/** Kills the process and starts it again with the same settings and ports. Resolves when it is ready. */
@@ -264,14 +274,12 @@
 };
 
 /**
-Starts the edge with a store and an endpoint.
+Starts a store with a configuration and an endpoint.
 
-@param machine - What the machine has, and what its store does.
-@returns The edge, which is ready.
+@param options - What the store does, the configuration, and how the endpoint responds.
+@returns The store, which ends with the test.
 */
-export const startEdgeProcess = async ({
-	memory, descriptors, cpuShare, linkBytesPerMs, store: storeOptions, routeCount = 0, route, respond = respondAsUsual,
-}: EdgeMachine): Promise<EdgeProcess> => {
+export const startEdgeSystem = async ({store: storeOptions, routeCount = 0, route, respond = respondAsUsual}: Pick<EdgeMachine, 'store' | 'routeCount' | 'route' | 'respond'>): Promise<EdgeSystem> => {
 	const store = createStore(storeOptions);
 	const endpoint = createServer(respond);
 	const [storePort, endpointPort] = await Promise.all([listen(store.server), listen(endpoint)]);
@@ -279,13 +287,32 @@
 		service: 's', address: `127.0.0.1:${endpointPort}`, zone: 'z', version: 'v1', slots: 2000, state: 'ready', born: 1,
 	});
 	store.put('op', 'config', buildConfig(1, routeCount, route));
+	onTestFinished(() => {
+		[endpoint, store.server].forEach(server => {
+			server.closeAllConnections();
+			server.close();
+		});
+	});
+	return {store, storePort};
+};
+
+/**
+Starts the edge with a store and an endpoint.
+
+@param machine - What the machine has, and what its store does.
+@returns The edge, which is ready.
+*/
+export const startEdgeProcess = async ({
+	memory, descriptors, cpuShare, linkBytesPerMs, name = 'r', dataCentre = 'z', system, ...options
+}: EdgeMachine): Promise<EdgeProcess> => {
+	const {store, storePort} = system ?? await startEdgeSystem(options);
 	const link = linkBytesPerMs === undefined ? undefined : await startRateProxy(storePort, linkBytesPerMs);
 	const [storeAddress = `127.0.0.1:${storePort}`, relayAddress = ''] = link?.addresses ?? [];
 	const [callers, ready, metrics, peers] = await Promise.all([findPort(), findPort(), findPort(), findPort()]);
 	const program = startBundled('galena-edge', 120, `[host]
-name = r
+name = ${name}
 address = 127.0.0.1
-data-centre = z
+data-centre = ${dataCentre}
 [listen]
 callers = 127.0.0.1:${callers}
 ready = 127.0.0.1:${ready}
@@ -306,10 +333,6 @@
 `, callers);
 	onTestFinished(() => {
 		link?.close();
-		[endpoint, store.server].forEach(server => {
-			server.closeAllConnections();
-			server.close();
-		});
 	});
 	const awaitReady = async () => {
 		await expect.poll(async () => fetchOutcome({port: ready}), {timeout: 20_000}).toBe(200);
@@ -321,6 +344,7 @@
 	await awaitReady();
 	return {
 		...program,
+		readyPort: ready,
 		store,
 		link,
 		async restart() {
