event-stream: chunks of whole events are not copied

Each chunk of a stream was concatenated, converted to text and searched by regular expressions three times. Most chunks are whole events without carriage returns, which can be told, counted and searched for their id by bytes. Others are split as before; a test compares both.

--- a/src/edge/event-stream.ts
+++ b/src/edge/event-stream.ts
@@ -54,6 +54,32 @@
 	};
 };
 
+const lineFeed = 10;
+const idPrefix = Buffer.from('id:');
+
+/** Counts the empty lines of bytes without carriage returns. */
+const countTerminators = (bytes: Buffer): number => {
+	let count = 0;
+	for (let position = bytes.indexOf('\n\n'); position !== -1; position = bytes.indexOf('\n\n', position + 2)) {
+		count += 1;
+	}
+
+	return count;
+};
+
+/** Returns the last id of bytes without carriage returns. */
+const findLastId = (bytes: Buffer): string | undefined => {
+	const lineStart = bytes.lastIndexOf('\nid:') + 1;
+	return lineStart === 0 && !bytes.subarray(0, idPrefix.length).equals(idPrefix)
+		? undefined
+		: bytes.toString('latin1', lineStart + idPrefix.length, bytes.indexOf(lineFeed, lineStart)).replace(/^ /v, '');
+};
+
+/** Takes a chunk of whole events, as most are, if it can be told without copying it that it is one. */
+const takeWholeEvents = (chunk: Buffer): CompleteEvents | undefined => chunk.at(-1) === lineFeed && chunk.at(-2) === lineFeed && chunk.at(-3) !== lineFeed && !chunk.includes('\r')
+	? {bytes: chunk, count: countTerminators(chunk), lastEventId: findLastId(chunk)}
+	: undefined;
+
 /**
 Creates a splitter. Splitting takes linear time in total, however small the chunks are.
 
@@ -63,6 +89,11 @@
 	const buffer = createByteBuffer();
 	return {
 		add(chunk) {
+			const whole = buffer.countBytes() === 0 ? takeWholeEvents(chunk) : undefined;
+			if (whole !== undefined) {
+				return {events: whole, hasGrown: false};
+			}
+
 			const overlap = buffer.getBytes().subarray(-maxTerminatorOverlap);
 			const hasGrown = buffer.add(chunk);
 			if (!chunk.includes('\n') || Buffer.concat([overlap, chunk]).toString('latin1').search(eventTerminator) === -1) {
--- a/src/edge/http-proxy.test.ts
+++ b/src/edge/http-proxy.test.ts
@@ -527,6 +527,21 @@
 		expect(Buffer.concat(completeEvents).toString()).toBe('id: 1\ndata: é\n\nid: 2\ndata: 世界\n\n');
 	});
 
+	test.each([
+		'id: 1\ndata: x\n\n', 'data: id:5\n\n', 'id:3\nid: 4\ndata: x\n\nid: 5\ndata: y\n\n', ': id\n\n\n', '\n\n', 'data: x\nid:\n\n',
+	])('gives the same events for a whole chunk as for its bytes: %j', text => {
+		const whole = createEventSplitter();
+		const split = createEventSplitter();
+		const {bytes, count, lastEventId} = whole.add(Buffer.from(text)).events ?? noEvents;
+		const parts = Array.from(text, byte => split.add(Buffer.from(byte)).events ?? noEvents);
+		expect([bytes.toString(), count, lastEventId, whole.getPartialEvent().toString()]).toEqual([
+			parts.map(part => part.bytes.toString()).join(''),
+			parts.reduce((sum, part) => sum + part.count, 0),
+			parts.findLast(part => part.lastEventId !== undefined)?.lastEventId,
+			split.getPartialEvent().toString(),
+		]);
+	});
+
 	test.each(['\n\n', '\r\n\r\n', '\n\r\n', '\r\n\n'])('finds a terminator wherever it is split: %j', terminator => {
 		const text = `data: x${terminator}`;
 		const counts = Array.from(text, (_, at) => {
