--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -14,6 +14,7 @@
 import {digestBody} from '../in-flight/index.js';
 import type {RequestHead} from '../in-flight/index.js';
 import type {BoundedLog} from '../log/bounded.js';
+import type {Fields} from '../log/index.js';
 import {runForever, runInBackground} from '../loop/background.js';
 import {startLoop} from '../loop/loop.js';
 import {sleep} from '../loop/sleep.js';
@@ -130,6 +131,11 @@
 type EdgeOptions = Readonly<{
 	/** Operations of the store; by default, those of the store in the settings. */
 	store?: StoreOperations;
+	/**
+	Work that is done before the process says that it is ready, and that ends when the signal is aborted: when a client's request
+	arrives all the same, or when the process stops.
+	*/
+	prepare?: (signal: AbortSignal) => Promise<Fields>;
 }>;
 
 /**
@@ -567,6 +573,10 @@
 	const intake = createSliceQueue();
 
 	const receiveHead = (incoming: IncomingMessage, response: ServerResponse) => {
+		if (!isPrepared) {
+			preparing.abort();
+		}
+
 		const isFirstRequest = !connections.has(incoming.socket);
 		if (connections.get(incoming.socket)?.isClosing === true) {
 			// The client has been told that this connection takes no further request.
@@ -739,7 +749,18 @@
 			log.write('failure', 'listen-failed', {reason: error.message});
 		},
 	});
-	const isReady = () => isStateReady(loop.state());
+	/** Aborted once the process need not prepare any longer. */
+	const preparing = new AbortController();
+	let isPrepared = options.prepare === undefined;
+	const prepare = async () => {
+		const fields = await options.prepare?.(preparing.signal);
+		isPrepared = true;
+		if (fields !== undefined) {
+			log.write('routine', 'prepared', fields);
+		}
+	};
+
+	const isReady = () => (isPrepared || preparing.signal.aborted) && isStateReady(loop.state());
 	const readyServer = createServer((incoming, response) => {
 		incoming.resume();
 		response.writeHead(isReady() ? 200 : 503, {'content-length': 0}).end();
@@ -784,6 +805,10 @@
 		incarnation, dataCentre: settings.host['data-centre'], uptime: Math.round(process.uptime() * 1000), processorTime: Math.round((user + system) / 1000),
 	});
 
+	runInBackground(prepare, error => {
+		isPrepared = true;
+		log.write('failure', 'prepare-failed', {reason: error instanceof Error ? error.message : String(error)});
+	});
 	runForever(async () => followTable(store, tables.configuration, event => {
 		logFeed(tables.configuration, event);
 		(configurationHandlers[event.kind] as (event: FeedEvent) => void)(event);
@@ -886,6 +911,7 @@
 		}
 
 		closing.abort();
+		preparing.abort();
 		loop.stop();
 		acceptQueue.close();
 		[server, readyServer, metricsServer].forEach(each => {
@@ -926,6 +952,7 @@
 		async stop() {
 			const deadline = clock() + graceMs - exitMarginMs;
 			answerBy = deadline - lastResponsesMs;
+			preparing.abort();
 			log.write('routine', 'stopping', {incarnation, calls: loop.state().requests.size});
 			loop.post({kind: 'stop-wanted', answerBy});
 			const timer = setTimeout(() => {
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -66,6 +66,12 @@
 		/** Time of waiting that a megabyte between data centres is worth, in ms; empty for a constant cost of 30 ms for each request. */
 		'remote-cost': optionalNumber.pipe(z.number('must be a number').nonnegative().optional()),
 	}),
+	start: z.object({
+		/** Time for which a new process at most serves samples of requests before it is ready, in ms. A client's request ends it at once. */
+		'warm-up': duration.default(8000),
+		/** Number of these samples; 0 for none. */
+		'warm-up-requests': createOptionalText('480').pipe(nonNegativeNumber),
+	}).prefault({}),
 	places: z.object({
 		/** Region of this host's data centre. */
 		region: createOptionalText(''),
