--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -6,6 +6,7 @@
 import {benchGrants} from './grants.js';
 import {benchOverhead} from './overhead.js';
 import {recordTraces} from './record.js';
+import {benchRequests} from './requests.js';
 
 /** `npm run bench`: benchmarks this build on this host; compared values come from the same run. */
 
@@ -14,12 +15,12 @@
 };
 
 const benchmarks: Readonly<Record<string, (write: (line: string) => void) => Promise<void>>> = {
-	overhead: benchOverhead, capacity: benchCapacity, grants: benchGrants, decide: benchDecide, record: recordTraces,
+	overhead: benchOverhead, capacity: benchCapacity, grants: benchGrants, decide: benchDecide, record: recordTraces, requests: benchRequests,
 };
 
 const options = await yargs(hideBin(process.argv))
 	.scriptName('bench')
-	.command('$0 [name]', 'measure the latency and CPU overhead of the fleet, its capacity slopes, its grant policies or the time of a decision, or record traces', builder => builder
+	.command('$0 [name]', 'measure the overhead of the fleet, its capacity slopes, its grant policies, the time of a decision or the processor time of a request, or record traces', builder => builder
 		.positional('name', {choices: Object.keys(benchmarks), default: 'overhead'}))
 	.strict()
 	.parseAsync();
