--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -68,7 +68,10 @@
 			name: 'galena_store_abandoned_bytes_total', help: 'Bytes received of replies of the store that were given up before they were complete.', registers,
 		}),
 		stageTime: new Counter({
-			name: 'galena_stage_milliseconds_total', help: 'Time of the event loop on requests, by stage. The first 160 requests of a process meet code that is not optimized yet.', labelNames: ['stage', 'requests'], registers,
+			name: 'galena_stage_milliseconds_total',
+			help: 'Time of the event loop on requests, by stage. The first 160 requests of a process meet code that is not optimized yet.',
+			labelNames: ['stage', 'requests'],
+			registers,
 		}),
 		outcomeTime: new Counter({
 			name: 'galena_outcome_milliseconds_total', help: 'The same for requests that have ended, by outcome.', labelNames: ['outcome'], registers,
--- a/src/platform/sample.ts
+++ b/src/platform/sample.ts
@@ -66,7 +66,12 @@
 		value: JSON.stringify({
 			version: 1,
 			routes: sampleKinds.map(({name, kind, promptTokens, isAnonymous}) => ({
-				name, anonymous: isAnonymous, host, prefix: `/${name}/`, kind, timeoutMs: deadlineMs, targetLatencyMs: 500, priority: 1, maxAttempts: 2, resumable: name === 'long', gapAimMs: kind === 'streaming' ? 300 : undefined,
+				name,
+				anonymous: isAnonymous,
+				host,
+				prefix: `/${name}/`,
+				kind,
+				timeoutMs: deadlineMs, targetLatencyMs: 500, priority: 1, maxAttempts: 2, resumable: name === 'long', gapAimMs: kind === 'streaming' ? 300 : undefined,
 				service: promptTokens > 0 ? modelService : plainService,
 			})),
 			services: [{name: modelService, maxConnections: 1000, engine: {slots: 128, kvCapacity: 400_000, stride: 5}}, {name: plainService, maxConnections: 250}],
