stream-origin: a peer saves the origins of a router that ends while the store loses them

A router tells one peer of the streams that it has begun, with its load messages, 30 of them each at the most. The peer writes them again after a restoration, as its own.

Test: "is told to a peer of its data centre, which takes it up"; there was nothing to tell before. Not played with processes.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -36,7 +36,7 @@
 import {getEra} from '../store/index.js';
 import type {ReplyTransfer, StoreReply, StoredRow} from '../store/index.js';
 import {
-	decodeOrigin, getRestorationAge, hasSavedOrigins, locateOrigin, versionTable,
+	decodeOrigin, getRestorationAge, hasSavedOrigins, isOriginMessage, locateOrigin, parseOrigins, versionTable,
 } from '../stream-origin/index.js';
 import type {SavedVersionReading} from '../stream-origin/index.js';
 import {isTransfer, parseTransfer} from '../token-transfer/index.js';
@@ -782,10 +782,16 @@
 	peerSocket.on('error', error => {
 		log.write('failure', 'peer-socket-failed', {reason: error.message});
 	});
-	/** Parses a datagram of a peer. Messages about tokens name their kind first; load messages name none. */
-	const parsePeerMessage = (text: string): Result<EdgeEvent> => isTransfer(text)
-		? parseTransfer(text).map(message => ({kind: 'transfer-received', message, random: random()}))
-		: parseLoads(text).map(message => ({kind: 'peer-heard', ...message}));
+	/** Parses a datagram of a peer. Messages about tokens and streams name their kind first; load messages name none. */
+	const parsePeerMessage = (text: string): Result<EdgeEvent> => {
+		if (isTransfer(text)) {
+			return parseTransfer(text).map(message => ({kind: 'transfer-received', message, random: random()}));
+		}
+
+		return isOriginMessage(text)
+			? parseOrigins(text).map(origins => ({kind: 'origins-told', origins}))
+			: parseLoads(text).map(message => ({kind: 'peer-heard', ...message}));
+	};
 
 	peerSocket.on('message', bytes => {
 		const decoded = parsePeerMessage(bytes.toString('utf8'));
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -9,6 +9,7 @@
 import type {Incarnation, RegistryEntry} from '../registry/index.js';
 import type {StoreReply} from '../store/index.js';
 import {getBudgetHold} from '../quota/index.js';
+import {isOriginMessage, parseOrigins} from '../stream-origin/index.js';
 import type {VersionReading} from '../stream-origin/index.js';
 import {handleEdge} from './handle.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
@@ -865,6 +866,37 @@
 		expect(edge.done.flatMap(effect => effect.kind === 'save-origins' ? effect.writes.filter(({value}) => value !== undefined).map(({key}) => key) : [])).toEqual(expected);
 	});
 
+	/** Peers that a router hears, of a data centre each, in the order in which it prefers them. */
+	const hearPeers = (edge: EdgeHarness, ...dataCentres: readonly string[]) => {
+		const routers = dataCentres.map((dataCentre, index) => ({router: `r${index + 2}`, dataCentre}));
+		edge.state = {
+			...edge.state,
+			peers: Map(routers.map(({router, dataCentre}) => [router, {
+				at: edge.now, loads: new globalThis.Map(), dataCentre, isOverloaded: false, isPressed: false, isLeading: false, spareCores: 0,
+			}])),
+			gossipPeers: {rows: edge.state.quota.peers, ordered: routers.map(({router}) => ({router, isLive: true, peerAddress: `${router}:1`})), dataCentres: Map()},
+		};
+		return edge;
+	};
+
+	// Guards against streams that no router can take up, as their own one ended while the store lost their origins.
+	test.each([
+		['a peer of its data centre', ['y', 'z', 'z'], 'r3:1'],
+		['any peer that is heard, if there is none', ['y', 'x'], 'r2:1'],
+	])('is told to %s, which takes it up, and saves it when an older copy of the store has come back', (_, dataCentres, expected) => {
+		const {edge, first} = startStream(oneOfEach);
+		const told = hearPeers(edge, ...dataCentres).advance(100).effects.flatMap(effect => effect.kind === 'tell-peers' && isOriginMessage(effect.message) ? [effect] : []);
+		expect(told.map(({addresses}) => addresses)).toEqual([[expected]]);
+		expect(edge.advance(100).effects.filter(effect => effect.kind === 'tell-peers' && isOriginMessage(effect.message))).toEqual([]);
+		const peer = new EdgeHarness().start(oneOfEach).post({kind: 'origins-told', origins: parseOrigins(told[0]!.message).unwrap()});
+		expect(peer.advance(20).done).toEqual([]);
+		expect(peer.sendRequest(2, 'stream', {resumeAfter: '3', resumedKey: 'c1'}).getSentTo()).toBe(first);
+		peer.post({kind: 'registry-restored'}).advance(20);
+		expect(peer.done.flatMap(effect => effect.kind === 'save-origins' ? effect.writes : [])).toEqual([{
+			table: 'streams', part: 'restored-streams', key: 'c1', version: undefined, value: JSON.stringify({service: 's', softwareVersion: findVersion(first)}),
+		}]);
+	});
+
 	test('is saved once it has begun, and again after a failed save', () => {
 		const {edge, first} = startStream(oneOfEach);
 		const writes = [{
--- a/src/edge/handle.ts
+++ b/src/edge/handle.ts
@@ -15,7 +15,7 @@
 import type {Registry} from '../registry/index.js';
 import {isOverflowing} from '../overflow/index.js';
 import {retainServiceTimes} from '../service-time/index.js';
-import {completeSave} from '../stream-origin/index.js';
+import {completeSave, recordToldOrigin} from '../stream-origin/index.js';
 import {
 	receivePeerColdTimes, recordColdEntries, recordColdRates, updateColdShares,
 } from './cold.js';
@@ -30,7 +30,7 @@
 } from './attempt.js';
 import {applyTokenEvent, expireTokenWait, receivePeerTransfer} from './reserve.js';
 import {
-	expireLocating, expireVerifying, receiveOrigin, receiveVersions, receiveVersionsInUse, receiveVersionSave, saveOrigins, saveVersions,
+	expireLocating, expireVerifying, receiveOrigin, receiveVersions, receiveVersionsInUse, receiveVersionSave, saveOrigins, saveVersions, tellOrigins,
 } from './resume.js';
 import {receivePeerLimits, updateShares} from './limits.js';
 import {logHomeRegions} from './home.js';
@@ -223,7 +223,8 @@
 	const settled = chain(expired, current => now - current.quota.tickedAtMs < computeTokenSyncInterval(current) ? keepState(current) : applyTokenEvent(current, {kind: 'tick'}, event.random, now));
 	const checked = chain(settled, current => checkEndpoints(current, event.random, now));
 	const gossiped = chain(checked, current => sendGossip(current, now));
-	const saved = chain(chain(gossiped, current => saveOrigins(current, now)), current => saveVersions(current, now));
+	const told = gossiped.state.gossipSentAt === now ? chain(gossiped, current => tellOrigins(current)) : gossiped;
+	const saved = chain(chain(told, current => saveOrigins(current, now)), current => saveVersions(current, now));
 	return chain(saved, current => placeWaiting(current, event.random, now));
 };
 
@@ -297,6 +298,7 @@
 	'versions-saved': receiveVersionSave,
 	'verdicts-read': receiveSavedVerdicts,
 	'verdicts-saved': receiveVerdictSave,
+	'origins-told': (state, event, now) => keepState({...state, origins: event.origins.reduce((known, each) => recordToldOrigin(known, each, now), state.origins)}),
 	'origins-saved': (state, event, now) => keepState({...state, origins: completeSave(state.origins, event.part, event.isDone, state.liveRouters.length, now)}),
 	'peer-heard': receivePeerMessage,
 	'transfer-received': (state, event, now) => receivePeerTransfer(state, event.message, event.random, now),
--- a/src/edge/messages.ts
+++ b/src/edge/messages.ts
@@ -14,7 +14,9 @@
 import type {
 	ReplyTransfer, StoredRow, StoreReply, StoreWrite,
 } from '../store/index.js';
-import type {OriginPart, SavedVersionReading, VersionReading} from '../stream-origin/index.js';
+import type {
+	KeyedOrigin, OriginPart, SavedVersionReading, VersionReading,
+} from '../stream-origin/index.js';
 import type {TransferMessage} from '../token-transfer/index.js';
 
 /** How far a failed attempt got. */
@@ -104,6 +106,8 @@
 	| Readonly<{kind: 'store-replied'; reply: StoreReply; random: number}>
 	/** The store was asked where a stream began. */
 	| Readonly<{kind: 'origin-read'; call: number; reply: StoreReply; random: number}>
+	/** A peer tells where streams that it serves have begun. */
+	| Readonly<{kind: 'origins-told'; origins: readonly KeyedOrigin[]}>
 	| Readonly<{kind: 'origins-saved'; part: OriginPart; isDone: boolean}>
 	/** The software versions that were in use lately were read. */
 	| (Readonly<{kind: 'versions-read'}> & SavedVersionReading)
--- a/src/edge/restorations.ts
+++ b/src/edge/restorations.ts
@@ -9,8 +9,8 @@
 docs/design/store-restore.md has the reasons.
 */
 type Restoration = Readonly<{
-	/** Routers that write a row again: the one that wrote it, or all that know its content. */
-	writers: 'writer' | 'all' | 'writer-and-first-live';
+	/** Routers that write a row again: the one that wrote it, also the peer that it has told of it, also the first two live ones, or all. */
+	writers: 'writer' | 'writer-and-peer' | 'writer-and-first-live' | 'all';
 	/** Transactions per second of all routers together at the most, at any load; undefined if one of each router is enough. */
 	maxTransactionsPerSecond: number | undefined;
 	/** What a lost row means if its writers have ended before they could write it again. */
@@ -31,7 +31,7 @@
 		writers: 'writer', maxTransactionsPerSecond: undefined, ifWritersEnded: 'tokens-spent', restore: restoreWithNextTransaction,
 	},
 	streams: {
-		writers: 'writer', maxTransactionsPerSecond: maxOriginSavesPerSecond, ifWritersEnded: 'stream-not-resumable', restore: resetOrigins,
+		writers: 'writer-and-peer', maxTransactionsPerSecond: maxOriginSavesPerSecond, ifWritersEnded: 'stream-not-resumable', restore: resetOrigins,
 	},
 	versions: {
 		writers: 'all', maxTransactionsPerSecond: undefined, ifWritersEnded: 'read-from-registry', restore: resetVersions,
--- a/src/edge/resume.ts
+++ b/src/edge/resume.ts
@@ -4,7 +4,8 @@
 import {chain, chainAll, keepState} from '../loop/step.js';
 import {suggestRetryAfter} from '../queue/index.js';
 import {
-	completeVersionSave, decodeOrigin, findOrigin, findSoleVersion, originParts, planSave, planVersionSave, recordSavedVersions, recordSeenVersions, resetSavedOrigins, resetSavedVersions, retentionMs,
+	completeVersionSave, decodeOrigin, encodeOrigins, findOrigin, findSoleVersion, originParts, planSave, planVersionSave, recordSavedVersions, recordSeenVersions, resetSavedOrigins,
+	resetSavedVersions, retentionMs, takeUntoldOrigins,
 } from '../stream-origin/index.js';
 import type {StreamOrigin, VersionReading} from '../stream-origin/index.js';
 import {applyToRequest, putRequest, rejectRequest} from './common.js';
@@ -202,6 +203,23 @@
 	return {state: {...current, origins}, effects: writes.length === 0 ? [] : [{kind: 'save-origins', part, writes}]};
 });
 
+/**
+Tells a peer where streams have begun lately: one that is heard, of the own data centre if there is one, and the same one each time.
+
+@param state - The edge state.
+@returns The new state and the effects.
+*/
+export const tellOrigins = (state: EdgeState): EdgeStep => {
+	const {origins, told} = takeUntoldOrigins(state.origins);
+	if (told.length === 0) {
+		return keepState(state);
+	}
+
+	const heard = state.gossipPeers.ordered.filter(({router}) => state.peers.has(router));
+	const witness = heard.find(({router}) => state.peers.get(router)?.dataCentre === state.dataCentre) ?? heard[0];
+	return {state: {...state, origins}, effects: witness === undefined ? [] : [{kind: 'tell-peers', addresses: [witness.peerAddress], message: encodeOrigins(told)}]};
+};
+
 /**
 Adds the software versions that were read from the store.
 
--- a/src/stream-origin/origins.ts
+++ b/src/stream-origin/origins.ts
@@ -2,6 +2,7 @@
 import {OrderedMap, Set} from 'immutable';
 import {z} from 'zod';
 import type {RowKey, StoreWrite} from '../store/index.js';
+import type {KeyedOrigin} from './told.js';
 import {retentionMs} from './versions.js';
 
 /** The service and the software version that began a stream. */
@@ -34,14 +35,16 @@
 }>;
 
 /**
-Origins of the streams that this router has begun, by the key of their request.
+Origins of the streams that this router has begun, by the key of their request, and of those that a peer has told it of.
 
 They are saved in the store, since a client may resume its stream at any router, also after its
-first router has ended.
+first router has ended. A peer is told of them, so that it saves them again if the store loses them as this router ends.
 */
 export type StreamOrigins = Readonly<{
 	/** The latest one last. */
 	recorded: OrderedMap<string, RecordedOrigin>;
+	/** Keys of which no peer has been told. */
+	untold: readonly string[];
 	saves: Readonly<Record<OriginPart, Saves>>;
 }>;
 
@@ -69,7 +72,7 @@
 
 @returns The origins.
 */
-export const createStreamOrigins = (): StreamOrigins => ({recorded: OrderedMap(), saves: {streams: noSaves, 'restored-streams': noSaves}});
+export const createStreamOrigins = (): StreamOrigins => ({recorded: OrderedMap(), untold: [], saves: {streams: noSaves, 'restored-streams': noSaves}});
 
 const updateSaves = (origins: StreamOrigins, part: OriginPart, update: (saves: Saves) => Saves): StreamOrigins =>
 	({...origins, saves: {...origins.saves, [part]: update(origins.saves[part])}});
@@ -89,11 +92,44 @@
 	}
 
 	const recorded = origins.recorded.set(key, {...origin, recordedAt: now});
-	return updateSaves({...origins, recorded}, 'streams', saves => ({...saves, unsaved: [...saves.unsaved, key]}));
+	return updateSaves({...origins, recorded, untold: [...origins.untold, key]}, 'streams', saves => ({...saves, unsaved: [...saves.unsaved, key]}));
 };
 
 /**
-Finds the origin of a stream that this router began.
+Records an origin of which a peer has told, which saves it itself.
+
+@param origins - The origins.
+@param told - The origin.
+@param now - The current time in ms.
+@returns The origins.
+*/
+export const recordToldOrigin = (origins: StreamOrigins, {key, origin}: KeyedOrigin, now: number): StreamOrigins =>
+	Buffer.byteLength(key) > maxKeyBytes || origins.recorded.has(key) ? origins : {...origins, recorded: origins.recorded.set(key, {...origin, recordedAt: now})};
+
+/** Origins in a message, which has to fit into a datagram. */
+const maxOriginsPerMessage = 30;
+
+/**
+Takes the origins of which a peer is told next.
+
+@param origins - The origins.
+@returns The origins, and those for the message; none if there is nothing to tell.
+*/
+export const takeUntoldOrigins = (origins: StreamOrigins): Readonly<{origins: StreamOrigins; told: readonly KeyedOrigin[]}> => {
+	const keys = origins.untold.slice(0, maxOriginsPerMessage);
+	return keys.length === 0
+		? {origins, told: []}
+		: {
+			origins: {...origins, untold: origins.untold.slice(keys.length)},
+			told: keys.flatMap(key => {
+				const origin = findOrigin(origins, key);
+				return origin === undefined ? [] : [{key, origin}];
+			}),
+		};
+};
+
+/**
+Finds the origin of a stream that this router, or a peer that told it, began.
 
 @param origins - The origins.
 @param key - Key of the request that began the stream.
