readiness: a data centre withdraws only if half of its cores are overloaded

A single router of 0.184 cores that was overloaded led six others out, among them one of 1.35 cores, as none had cores below 65% to spare.

Routers tell how many cores they may use. Those that are under pressure or have withdrawn must have half of the data centre's cores before all of it withdraws. A router that can withdraw alone does so first.

--- a/src/bench/decide.ts
+++ b/src/bench/decide.ts
@@ -61,7 +61,7 @@
 	const openFraction = Math.min(0.5, openPerEndpoint / routerCount);
 	const createLoads = (): ReportedLoads => new globalThis.Map(entries.filter(() => random.draw() < openFraction).map(({id}) => [id, {pending: random.pick(3000), open: random.pick(4)}] as const));
 	const peers: PeerLoads = Map(Array.from({length: routerCount - 1}, (_, index) => [`router-${index + 1}`, {
-		at: 0, loads: createLoads(), dataCentre: dataCentres[index % dataCentres.length], isOverloaded: false, isPressed: false, isLeading: false, spareCores: 0,
+		at: 0, loads: createLoads(), dataCentre: dataCentres[index % dataCentres.length], isOverloaded: false, isPressed: false, isLeading: false, cores: 0, spareCores: 0,
 	}] as const));
 	return {
 		...listed,
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -872,7 +872,7 @@
 		edge.state = {
 			...edge.state,
 			peers: Map(routers.map(({router, dataCentre}) => [router, {
-				at: edge.now, loads: new globalThis.Map(), dataCentre, isOverloaded: false, isPressed: false, isLeading: false, spareCores: 0,
+				at: edge.now, loads: new globalThis.Map(), dataCentre, isOverloaded: false, isPressed: false, isLeading: false, cores: 0, spareCores: 0,
 			}])),
 			gossipPeers: {rows: edge.state.quota.peers, ordered: routers.map(({router}) => ({router, isLive: true, peerAddress: `${router}:1`})), dataCentres: Map()},
 		};
--- a/src/edge/overload.ts
+++ b/src/edge/overload.ts
@@ -9,13 +9,13 @@
 	const heard = peers.entrySeq().toArray();
 	return {
 		neighbours: [
-			...heard.filter(([, peer]) => peer.dataCentre === dataCentre).map(([router, {isOverloaded, isPressed, isLeading, spareCores}]) => ({
-				router, isOverloaded, isPressed, isLeading, spareCores,
+			...heard.filter(([, peer]) => peer.dataCentre === dataCentre).map(([router, {isOverloaded, isPressed, isLeading, cores, spareCores}]) => ({
+				router, isOverloaded, isPressed, isLeading, cores, spareCores,
 			})),
 			...quota.peers.entrySeq().toArray()
 				.filter(([router, peer]) => peer.isLive && peer.dataCentre === dataCentre && !peers.has(router))
 				.map(([router]) => ({
-					router, isOverloaded: true, isPressed: true, isLeading: false, spareCores: 0,
+					router, isOverloaded: true, isPressed: true, isLeading: false, cores: 0, spareCores: 0,
 				})),
 		],
 		remoteSpareCores: heard.reduce((sum, [, peer]) => sum + (peer.dataCentre === dataCentre ? 0 : peer.spareCores), 0),
--- a/src/gossip/decode.ts
+++ b/src/gossip/decode.ts
@@ -35,7 +35,8 @@
 	pressed: z.boolean().optional(),
 	/** True while the sender withdraws, and wants its whole data centre to. */
 	leading: z.boolean().optional(),
-	/** Cores that the sender has to spare. */
+	/** Cores that the sender may use, and those that it has to spare. */
+	cores: z.number().nonnegative().optional(),
 	spare: z.number().nonnegative().optional(),
 });
 
@@ -73,17 +74,17 @@
 	}
 
 	const {
-		router, dataCentre, overloaded, pressed, leading, spare, loads, limits = [], leaving = [], parts = [],
+		router, dataCentre, overloaded, pressed, leading, cores, spare, loads, limits = [], leaving = [], parts = [],
 	} = value;
 	const lists = {
 		loads, limits, leaving, parts,
 	};
-	const isValid = isText(router) && (dataCentre === undefined || isText(dataCentre)) && (spare === undefined || isAmount(spare))
+	const isValid = isText(router) && (dataCentre === undefined || isText(dataCentre)) && [cores, spare].every(amount => amount === undefined || isAmount(amount))
 		&& [overloaded, pressed, leading].every(flag => flag === undefined || typeof flag === 'boolean')
 		&& checkedFields.every(field => Array.isArray(lists[field]) && lists[field].every(entry => entryChecks[field](entry)));
 	return isValid
 		? {
-			router, dataCentre, overloaded, pressed, leading, spare, ...lists, crashes: [], proven: [], verdicts: [], trials: [], cold: [],
+			router, dataCentre, overloaded, pressed, leading, cores, spare, ...lists, crashes: [], proven: [], verdicts: [], trials: [], cold: [],
 		} as unknown as WireMessage
 		: undefined;
 };
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -64,7 +64,7 @@
 
 test('what a router tells of its load is read by its peers', () => {
 	const told = {
-		isOverloaded: true, isPressed: true, isLeading: true, spareCores: 0.3,
+		isOverloaded: true, isPressed: true, isLeading: true, cores: 0.594, spareCores: 0.3,
 	};
 	expect(parseLoads(encodeLoads({router: 'a', registry: emptyRegistry, ...told}, 0)).unwrap()).toMatchObject(told);
 });
@@ -72,7 +72,7 @@
 describe('the fast decoding of messages', () => {
 	const oddValues = [null, true, -1, 0.5, Number.POSITIVE_INFINITY, 'x', [], {}, ['i', 1, 1], ['i', null, 1, 2], ['i', 1, 'a:1', 's']];
 	const valid = {
-		router: 'a', dataCentre: 'z', overloaded: true, pressed: true, leading: true, spare: 0.5, loads: [['i', 1, 1], ['j', 0.5, 2]], limits: [['i', null, 3], ['j', 1, 2, 3]], leaving: [['i', 1, 'a:1', 's']], parts: [['i', 1, 'p']],
+		router: 'a', dataCentre: 'z', overloaded: true, pressed: true, leading: true, cores: 0.594, spare: 0.5, loads: [['i', 1, 1], ['j', 0.5, 2]], limits: [['i', null, 3], ['j', 1, 2, 3]], leaving: [['i', 1, 'a:1', 's']], parts: [['i', 1, 'p']],
 	};
 	const fields = [...Object.keys(valid), 'crashes', 'proven', 'verdicts', 'trials', 'other'];
 
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -26,7 +26,7 @@
 export type ReportedLoads = ReadonlyMap<string, EndpointLoad>;
 
 /** The last message of each peer by router id, and when it arrived, in ms. */
-export type PeerLoads = Map<string, Readonly<{at: number; loads: ReportedLoads; dataCentre: string | undefined; isOverloaded: boolean; isPressed: boolean; isLeading: boolean; spareCores: number}>>;
+export type PeerLoads = Map<string, Readonly<{at: number; loads: ReportedLoads; dataCentre: string | undefined; isOverloaded: boolean; isPressed: boolean; isLeading: boolean; cores: number; spareCores: number}>>;
 
 /**
 Tells whether messages of peers are missing, as they are if the network between them is cut.
@@ -80,6 +80,8 @@
 	isPressed: boolean;
 	/** True if it withdraws, and wants its whole data centre to. */
 	isLeading: boolean;
+	/** Cores that it may use; 0 if it does not state them. */
+	cores: number;
 	/** Cores that it has to spare for clients of other routers; 0 if it does not state them. */
 	spareCores: number;
 	loads: ReportedLoads;
@@ -139,7 +141,8 @@
 	isPressed?: boolean;
 	/** True if it withdraws, and wants its whole data centre to. */
 	isLeading?: boolean;
-	/** Cores that it has to spare. */
+	/** Cores that it may use, and those that it has to spare. */
+	cores?: number;
 	spareCores?: number;
 }>;
 
@@ -154,7 +157,7 @@
 @returns The message.
 */
 export const encodeLoads = ({
-	router, dataCentre, registry, poison, promptNews = [], isOverloaded = false, isPressed = false, isLeading = false, spareCores = 0,
+	router, dataCentre, registry, poison, promptNews = [], isOverloaded = false, isPressed = false, isLeading = false, cores = 0, spareCores = 0,
 }: LoadReport, now: number): string => {
 	const endpoints = [...registry.endpoints.values()];
 	return JSON.stringify({
@@ -163,6 +166,7 @@
 		overloaded: isOverloaded || undefined,
 		pressed: isPressed || undefined,
 		leading: isLeading || undefined,
+		cores: cores > 0 ? cores : undefined,
 		spare: spareCores > 0 ? spareCores : undefined,
 		loads: endpoints.filter(endpoint => endpoint.open > 0).map(({id, pending, open}) => [id, pending, open]),
 		limits: omitEmpty(listStatements(endpoints.map(endpoint => [endpoint, endpoint.rateLimit]), now)
@@ -193,6 +197,7 @@
 			isOverloaded: message.overloaded ?? false,
 			isPressed: message.pressed ?? false,
 			isLeading: message.leading ?? false,
+			cores: message.cores ?? 0,
 			spareCores: message.spare ?? 0,
 			loads: new globalThis.Map(message.loads.map(([id, pending, open]) => [id, {pending, open}])),
 			limits: message.limits.map(([endpoint, requestsPerSecond, ageMs, startedAt]) => ({
@@ -211,7 +216,7 @@
 };
 
 /** What a peer's message says of its own load. */
-type LoadMessage = Pick<PeerMessage, 'router' | 'loads' | 'dataCentre' | 'isOverloaded' | 'isPressed' | 'isLeading' | 'spareCores'>;
+type LoadMessage = Pick<PeerMessage, 'router' | 'loads' | 'dataCentre' | 'isOverloaded' | 'isPressed' | 'isLeading' | 'cores' | 'spareCores'>;
 
 /**
 Records a peer's load message.
@@ -223,10 +228,10 @@
 */
 export const recordPeerLoads = (peers: PeerLoads, {router, ...message}: LoadMessage, now: number): PeerLoads => {
 	const {
-		loads, dataCentre, isOverloaded, isPressed, isLeading, spareCores,
+		loads, dataCentre, isOverloaded, isPressed, isLeading, cores, spareCores,
 	} = message;
 	return peers.set(router, {
-		at: now, loads, dataCentre, isOverloaded, isPressed, isLeading, spareCores,
+		at: now, loads, dataCentre, isOverloaded, isPressed, isLeading, cores, spareCores,
 	});
 };
 
--- a/src/readiness/readiness.ts
+++ b/src/readiness/readiness.ts
@@ -67,6 +67,8 @@
 	isPressed: boolean;
 	/** True if it is overloaded, and withdraws with its whole data centre. */
 	isLeading: boolean;
+	/** Cores that it may use; 0 if that is not known. */
+	cores: number;
 	spareCores: number;
 }>;
 
@@ -122,6 +124,9 @@
 */
 const spareFraction = {min: 0.25, none: 0.05} as const;
 
+/** Fraction of the cores of a data centre whose routers are overloaded before all of them withdraw. */
+const pressedCoresFraction = 0.5;
+
 /** Fraction of the responses with which a router closes connections at full load while its clients can use other data centres. */
 const maxMovedFraction = 0.3;
 
@@ -205,17 +210,24 @@
 	mayBeOverloaded(router, neighbours) && neighbours.filter(each => each.isOverloaded).length < countMaxWithdrawn(neighbours)
 	&& (limits.isSmall || sumSpareCores(neighbours) >= limits.cpuShare * spareFraction.min);
 
-/** All routers of a data centre withdraw if one is overloaded, the others cannot take what it has too much, and other data centres can. */
-const canWithdrawTogether = ({readiness, limits, neighbours}: Decision): boolean =>
-	sumSpareCores(neighbours) < limits.cpuShare * spareFraction.min
-	&& readiness.remoteSpareCores >= limits.cpuShare * (neighbours.length + 1) * spareFraction.min;
+const sumCores = ({limits, neighbours}: Decision, isCounted: (neighbour: Neighbour) => boolean = () => true): number =>
+	neighbours.reduce((sum, each) => sum + (isCounted(each) ? each.cores : 0), limits.cpuShare);
+
+/** All routers of a data centre withdraw if those that are overloaded have half of its cores, the others cannot take what they have too much, and other data centres can. */
+const canWithdrawTogether = (decision: Decision): boolean => {
+	const {readiness, limits, neighbours} = decision;
+	const cores = sumCores(decision);
+	return sumSpareCores(neighbours) < limits.cpuShare * spareFraction.min
+		&& sumCores(decision, each => each.isOverloaded || each.isPressed) >= cores * pressedCoresFraction
+		&& readiness.remoteSpareCores >= cores * spareFraction.min;
+};
 
 const findScope = (decision: Decision): WithdrawalScope | undefined => {
-	if (canWithdrawTogether(decision)) {
-		return 'data-centre';
+	if (canWithdrawAlone(decision)) {
+		return 'router';
 	}
 
-	return canWithdrawAlone(decision) ? 'router' : undefined;
+	return canWithdrawTogether(decision) ? 'data-centre' : undefined;
 };
 
 /** Begins a withdrawal if the router has been under pressure for long enough, or if a neighbour withdraws with the data centre. */
@@ -246,9 +258,10 @@
 };
 
 /** The routers of a data centre return together, once those are relieved that were overloaded: the first one that is ready gets all new connections. */
-const mustReturnTogether = ({readiness, limits, neighbours, now}: Decision): boolean => {
+const mustReturnTogether = (decision: Decision): boolean => {
+	const {readiness, neighbours, now} = decision;
 	const elapsedMs = now - readiness.changedAt;
-	const isNoneSpared = readiness.remoteSpareCores < limits.cpuShare * (neighbours.length + 1) * spareFraction.none;
+	const isNoneSpared = readiness.remoteSpareCores < sumCores(decision) * spareFraction.none;
 	const isRelieved = isRelievedLong(readiness, now) && !neighbours.some(each => each.isPressed);
 	const mayReturn = readiness.isLeading ? isRelieved : !neighbours.some(each => each.isLeading);
 	return elapsedMs >= dataCentreNotReadyMs.min && (isNoneSpared || mayReturn || elapsedMs >= dataCentreNotReadyMs.max);
@@ -310,6 +323,7 @@
 	isOverloaded: readiness.isOverloaded,
 	isPressed: readiness.pressedSince !== undefined,
 	isLeading: readiness.isLeading,
+	cores: limits?.cpuShare ?? 0,
 	spareCores: computeSpareCores(readiness, limits),
 });
 
