--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -72,7 +72,8 @@
 describe('the fast decoding of messages', () => {
 	const oddValues = [null, true, -1, 0.5, Number.POSITIVE_INFINITY, 'x', [], {}, ['i', 1, 1], ['i', null, 1, 2], ['i', 1, 'a:1', 's']];
 	const valid = {
-		router: 'a', dataCentre: 'z', overloaded: true, pressed: true, leading: true, cores: 0.594, spare: 0.5, loads: [['i', 1, 1], ['j', 0.5, 2]], limits: [['i', null, 3], ['j', 1, 2, 3]], leaving: [['i', 1, 'a:1', 's']], parts: [['i', 1, 'p']],
+		router: 'a', dataCentre: 'z', overloaded: true, pressed: true, leading: true, cores: 0.594, spare: 0.5,
+		loads: [['i', 1, 1], ['j', 0.5, 2]], limits: [['i', null, 3], ['j', 1, 2, 3]], leaving: [['i', 1, 'a:1', 's']], parts: [['i', 1, 'p']],
 	};
 	const fields = [...Object.keys(valid), 'crashes', 'proven', 'verdicts', 'trials', 'other'];
 
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -26,7 +26,7 @@
 export type ReportedLoads = ReadonlyMap<string, EndpointLoad>;
 
 /** The last message of each peer by router id, and when it arrived, in ms. */
-export type PeerLoads = Map<string, Readonly<{at: number; loads: ReportedLoads; dataCentre: string | undefined; isOverloaded: boolean; isPressed: boolean; isLeading: boolean; cores: number; spareCores: number}>>;
+export type PeerLoads = Map<string, Readonly<{at: number; loads: ReportedLoads}> & Omit<LoadMessage, 'router' | 'loads'>>;
 
 /**
 Tells whether messages of peers are missing, as they are if the network between them is cut.
