--- a/src/readiness/readiness.test.ts
+++ b/src/readiness/readiness.test.ts
@@ -68,3 +68,18 @@
 	const longest = Array.from({length: count}, (_, router) => history.map(step => step[router] ? 'x' : ' ').join('').split(' ').reduce((max, run) => Math.max(max, run.length), 0));
 	expect(Math.max(...longest) * sampleIntervalMs).toBeLessThanOrEqual(8100);
 });
+
+// Guards against a small router that takes larger ones out of the rotation with it.
+test.each([
+	['has half of the cores of its data centre', [0.184], true],
+	['has less', [0.594, 0.184], false],
+])('an overloaded router whose neighbours have nothing to spare leads them out if it %s', (_, neighbourCores, expected) => {
+	const neighbours = neighbourCores.map((cores, index) => ({
+		router: `a${index}`, isOverloaded: index === 1, isPressed: index === 1, isLeading: false, cores, spareCores: 0,
+	}));
+	const steps = Array.from({length: 50}, (__, index) => (index + 1) * sampleIntervalMs);
+	const readiness = steps.reduce((before, now) => updateReadiness(before, {
+		lagMs: 300, usedMs: 50, requests: 10, shed: 5, now,
+	}, createReadinessLimits(0.184)!, 'r', {neighbours, remoteSpareCores: 3}), createReadiness());
+	expect(readiness.isLeading).toBe(expected);
+});
--- a/src/readiness/readiness.ts
+++ b/src/readiness/readiness.ts
@@ -19,8 +19,8 @@
 	cpuShare === undefined ? undefined : {cpuShare, isSmall: cpuShare < smallCpuShare};
 
 /**
-What an overloaded router withdraws from: `router` if its neighbours take its clients, and `data-centre` if all routers of the data centre
-are overloaded and those of other data centres are not. The load balancer uses other data centres only while no router of this one is ready.
+What withdraws: `router` alone, if its neighbours take its clients, or the whole `data-centre`, if other data centres do. The load balancer
+uses these only while no router of this one is ready.
 */
 export type WithdrawalScope = 'router' | 'data-centre';
 
@@ -199,7 +199,7 @@
 type Decision = Readonly<{readiness: Readiness; limits: ReadinessLimits; router: string; neighbours: readonly Neighbour[]; now: number}>;
 
 const sumSpareCores = (neighbours: readonly Neighbour[]): number =>
-	neighbours.reduce((sum, {isOverloaded, isPressed: isFull, spareCores}) => sum + (isOverloaded || isFull ? 0 : spareCores), 0);
+	neighbours.filter(each => !each.isOverloaded && !each.isPressed).reduce((sum, {spareCores}) => sum + spareCores, 0);
 
 const isRelievedLong = ({relievedSince}: Readiness, now: number): boolean => relievedSince !== undefined && now - relievedSince >= relievedMs;
 
@@ -295,7 +295,7 @@
 		return beginWithdrawal(decision);
 	}
 
-	// The routers that have withdrawn alone are a part of those that withdraw together.
+	// Routers that have withdrawn alone stay out once their data centre withdraws.
 	const scope = canWithdrawTogether(decision) && !isRelievedLong(readiness, sample.now) ? 'data-centre' : readiness.scope;
 	return returnRules[scope](decision)
 		? {
