edge: one function parses the messages of peers, in plays of several routers too

Their plays took every message of a router for a load message, and routers tell of streams as well now.

Plays take messages as a router does.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -10,7 +10,6 @@
 import type {RetryBudgetBounds} from '../retry-budget/index.js';
 import {createFault} from '../errors/index.js';
 import type {Fault, Result} from '../errors/index.js';
-import {parseLoads} from '../gossip/index.js';
 import {digestBody} from '../in-flight/index.js';
 import type {RequestHead} from '../in-flight/index.js';
 import type {BoundedLog} from '../log/bounded.js';
@@ -36,10 +35,9 @@
 import {getEra} from '../store/index.js';
 import type {ReplyTransfer, StoreReply, StoredRow} from '../store/index.js';
 import {
-	decodeOrigin, getRestorationAge, hasSavedOrigins, isOriginMessage, locateOrigin, parseOrigins, versionTable,
+	decodeOrigin, getRestorationAge, hasSavedOrigins, locateOrigin, versionTable,
 } from '../stream-origin/index.js';
 import type {SavedVersionReading} from '../stream-origin/index.js';
-import {isTransfer, parseTransfer} from '../token-transfer/index.js';
 import {createWorkMeter} from '../work-time/index.js';
 import {measureProcessWork} from './work.js';
 import {watchAcceptQueue} from './accept-queue.js';
@@ -53,6 +51,7 @@
 import {openMemoryGuard} from './memory-guard.js';
 import type {RequestHolding} from './memory-guard.js';
 import {openMetrics} from './metrics.js';
+import {parsePeerMessage} from './peer-message.js';
 import {readRequestBody, rejectUnread} from './request-body.js';
 import {listRegions} from './settings.js';
 import type {EdgeSettings} from './settings.js';
@@ -782,19 +781,8 @@
 	peerSocket.on('error', error => {
 		log.write('failure', 'peer-socket-failed', {reason: error.message});
 	});
-	/** Parses a datagram of a peer. Messages about tokens and streams name their kind first; load messages name none. */
-	const parsePeerMessage = (text: string): Result<EdgeEvent> => {
-		if (isTransfer(text)) {
-			return parseTransfer(text).map(message => ({kind: 'transfer-received', message, random: random()}));
-		}
-
-		return isOriginMessage(text)
-			? parseOrigins(text).map(origins => ({kind: 'origins-told', origins}))
-			: parseLoads(text).map(message => ({kind: 'peer-heard', ...message}));
-	};
-
 	peerSocket.on('message', bytes => {
-		const decoded = parsePeerMessage(bytes.toString('utf8'));
+		const decoded = parsePeerMessage(bytes.toString('utf8'), random());
 		if (decoded.err) {
 			log.write('failure', 'peer-message-unreadable', {reason: decoded.val.detail});
 			return;
--- a/src/edge/handle.test.ts
+++ b/src/edge/handle.test.ts
@@ -13,6 +13,7 @@
 import type {VersionReading} from '../stream-origin/index.js';
 import {handleEdge} from './handle.js';
 import type {EdgeEffect, EdgeEvent} from './messages.js';
+import {parsePeerMessage} from './peer-message.js';
 import {createEdge, isReady} from './state.js';
 import type {EdgeState} from './state.js';
 
@@ -932,7 +933,7 @@
 		});
 		const told = first.advance(100).effects.flatMap(effect => effect.kind === 'tell-peers' ? [effect.message] : []);
 		told.forEach(message => {
-			second.post({kind: 'peer-heard', ...parseLoads(message).unwrap()});
+			second.post(parsePeerMessage(message, 0.5).unwrap());
 		});
 		return place;
 	});
--- a/test/crash-play.ts
+++ b/test/crash-play.ts
@@ -5,7 +5,7 @@
 import type {EdgeEffect, EdgeEvent} from '../src/edge/messages.js';
 import {createEdge} from '../src/edge/state.js';
 import type {EdgeState} from '../src/edge/state.js';
-import {parseLoads} from '../src/gossip/index.js';
+import {parsePeerMessage} from '../src/edge/peer-message.js';
 import type {ModelRequest, ResponseHead} from '../src/in-flight/index.js';
 import type {PeerRouter} from '../src/quota/index.js';
 import {createRandom} from '../src/random/index.js';
@@ -370,7 +370,7 @@
 			const isCut = load.cutAt !== undefined && now >= load.cutAt && now < load.cutAt + (load.cutMs ?? 3000);
 			addresses.filter(address => random.draw() >= (load.lostMessages ?? 0) && !(isCut && (router === 0 || address === `${names[0]}:1`))).forEach(address => {
 				schedule(messageDelayMs, () => {
-					post(names.indexOf(address.split(':')[0]!), {kind: 'peer-heard', ...parseLoads(message).unwrap()});
+					post(names.indexOf(address.split(':')[0]!), parsePeerMessage(message, 0.5).unwrap());
 				});
 			});
 		},
--- a/test/limit-play.ts
+++ b/test/limit-play.ts
@@ -1,7 +1,7 @@
 import {Map} from 'immutable';
 import {succeed} from '../src/errors/index.js';
 import {checkFinalHead} from '../src/http-head/index.js';
-import {parseLoads} from '../src/gossip/index.js';
+import {parsePeerMessage} from '../src/edge/peer-message.js';
 import type {ResponseHead} from '../src/in-flight/index.js';
 import type {PeerRouter} from '../src/quota/index.js';
 import {createRandom} from '../src/random/index.js';
@@ -144,7 +144,7 @@
 	};
 
 	const tellPeers = ({addresses, message}: EdgeEffect & {kind: 'tell-peers'}, now: number): void => {
-		const event: EdgeEvent = {kind: 'peer-heard', ...parseLoads(message).unwrap()};
+		const event: EdgeEvent = parsePeerMessage(message, 0.5).unwrap();
 		addresses.filter(() => random.draw() >= (load.lostMessages ?? 0)).forEach(address => {
 			schedule(now + messageDelayMs, names.indexOf(address.split(':')[0]!), event);
 		});
--- a/test/placement-play.ts
+++ b/test/placement-play.ts
@@ -1,7 +1,7 @@
 import {Map} from 'immutable';
 import {succeed} from '../src/errors/index.js';
 import {checkFinalHead} from '../src/http-head/index.js';
-import {parseLoads} from '../src/gossip/index.js';
+import {parsePeerMessage} from '../src/edge/peer-message.js';
 import type {ModelRequest, ResponseHead} from '../src/in-flight/index.js';
 import type {StatedLoad} from '../src/endpoint-performance/index.js';
 import type {PeerRouter} from '../src/quota/index.js';
@@ -169,7 +169,7 @@
 		},
 		'tell-peers'({addresses, message}, _router, now) {
 			if (Number.isFinite(fleet.messageDelayMs ?? 2)) {
-				const event: EdgeEvent = {kind: 'peer-heard', ...parseLoads(message).unwrap()};
+				const event: EdgeEvent = parsePeerMessage(message, 0.5).unwrap();
 				addresses.forEach(address => {
 					schedule(now + (fleet.messageDelayMs ?? 2), at => {
 						post(names.indexOf(address.split(':')[0]!), event, at);
