warm-up: a process that starts while the fleet is in use serves no samples

After a power cut of all routers the fleet was away for longer: the load balancer sends nobody to processes that are not ready, so that no client's request ended the samples, as it does where some are ready.

The platform says whether the whole system starts for the first time; only then are samples served.

--- a/src/bin/galena-edge.ts
+++ b/src/bin/galena-edge.ts
@@ -12,6 +12,8 @@
 	schema: edgeSettings,
 	defaultSettings: getSettingsPath(),
 	start: async settings => startEdge(settings, openStdoutLog({program: 'galena-edge', host: settings.host.name}), {
-		prepare: async signal => warmUp(settings, {maxRequests: settings.start['warm-up-requests'], maxMs: settings.start['warm-up'], signal}),
+		...(settings.start.initial && {
+			prepare: async (signal: AbortSignal) => warmUp(settings, {maxRequests: settings.start['warm-up-requests'], maxMs: settings.start['warm-up'], signal}),
+		}),
 	}),
 });
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -67,6 +67,8 @@
 		'remote-cost': optionalNumber.pipe(z.number('must be a number').nonnegative().optional()),
 	}),
 	start: z.object({
+		/** False if the process starts while the fleet is in use, as after a crash: it is needed at once then, and serves no samples. */
+		initial: createOptionalText('true').transform(text => text === 'true'),
 		/** Time for which a new process at most serves samples of requests before it is ready, in ms. A client's request ends it at once. */
 		'warm-up': duration.default(8000),
 		/** Number of these samples; 0 for none. */
