--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -68,7 +68,7 @@
 	}),
 	start: z.object({
 		/** False if the process starts while the fleet is in use, as after a crash: it is needed at once then, and serves no samples. */
-		initial: createOptionalText('true').transform(text => text === 'true'),
+		initial: z.union([z.boolean(), z.literal('')], 'must be true or false').default(true).transform(isInitial => isInitial !== false),
 		/** Time for which a new process at most serves samples of requests before it is ready, in ms. A client's request ends it at once. */
 		'warm-up': duration.default(8000),
 		/** Number of these samples; 0 for none. */
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -67,6 +67,13 @@
 	expect(parse('-1').err).toBe(true);
 });
 
+// Guards against a router that does not start because of how its deployment states that the fleet is in use.
+test.each([
+	['[start]\ninitial = true\n', true], ['[start]\ninitial = false\n', false], ['[start]\ninitial =\n', true], ['', true],
+])('the settings may say whether the whole fleet starts: %j', (text, expected) => {
+	expect(parseSettings('e.ini', `${validEdgeSettings}${text}`, edgeSettings).unwrap().start.initial).toBe(expected);
+});
+
 describe('the relay list in the edge settings', () => {
 	test.each([
 		['has two addresses', validEdgeSettings, ['10.0.0.2', '10.0.0.3']],
