--- a/src/warm-up/warm-up.ts
+++ b/src/warm-up/warm-up.ts
@@ -57,8 +57,8 @@
 });
 
 /**
-Serves sample requests inside the process, so that its code is optimized before the first client's request. A second router takes
-them over the loopback interface, with a store in memory and endpoints of its own: nothing leaves the process, and nothing of it is
+Serves sample requests inside the process, so that its code is optimized before the first client's request. Routers of its own
+take them over the loopback interface, with a store in memory and an endpoint: nothing leaves the process, and nothing of it is
 logged or counted.
 
 Load pattern: a router that has just started gets its full load at once, and a request takes three times as much processor time as
